--- a/caller/src/client.rs
+++ b/caller/src/client.rs
@@ -24,18 +24,18 @@
 struct Owed<'c> {
     caller: &'c Caller,
     address: SocketAddr,
-    isSign: bool,
+    is_sign: bool,
 }
 
 impl<'c> Owed<'c> {
     fn new(caller: &'c Caller, address: SocketAddr) -> Owed<'c> {
         let now = caller.now();
         caller.steering.lock().expect("no panic under this lock").sent(now, address);
-        Owed { caller, address, isSign: false }
+        Owed { caller, address, is_sign: false }
     }
 
-    fn over(mut self, isSign: bool) {
-        self.isSign = isSign;
+    fn over(mut self, is_sign: bool) {
+        self.is_sign = is_sign;
     }
 }
 
@@ -43,12 +43,12 @@
     fn drop(&mut self) {
         let now = self.caller.now();
         let mut steering = self.caller.steering.lock().expect("no panic under this lock");
-        steering.heard(now, self.address, self.isSign);
+        steering.heard(now, self.address, self.is_sign);
     }
 }
 
 impl Outcome {
-    pub fn isServed(&self) -> bool {
+    pub fn is_served(&self) -> bool {
         matches!(self, Outcome::Receipt { verdict: Verdict::Ran, .. })
     }
 
@@ -76,9 +76,9 @@
 struct Go<'g> {
     address: SocketAddr,
     /// Over a connection that is open already, if there is one.
-    mayUseOpen: bool,
+    may_use_open: bool,
     /// It may be left for another address if this one is silent to everyone.
-    mayLeave: bool,
+    may_leave: bool,
     method: &'g str,
     path: &'g str,
     headers: &'g [(&'g str, &'g str)],
@@ -119,13 +119,13 @@
     }
 
     /// Polls on the side for as long as the returned handle is not aborted.
-    pub fn keepPolling(self: &Arc<Caller>) -> tokio::task::JoinHandle<()> {
+    pub fn keep_polling(self: &Arc<Caller>) -> tokio::task::JoinHandle<()> {
         let own = self.clone();
         tokio::spawn(async move {
             loop {
                 own.poll().await;
-                let pollAt = own.steering.lock().expect("no panic under this lock").pollAt();
-                let pause = pollAt.saturating_sub(own.now()).max(Duration::from_millis(5));
+                let poll_at = own.steering.lock().expect("no panic under this lock").poll_at();
+                let pause = poll_at.saturating_sub(own.now()).max(Duration::from_millis(5));
                 tokio::time::sleep(pause.min(Duration::from_millis(100))).await;
             }
         })
@@ -133,7 +133,7 @@
 
     /// One poll, if one is due.
     pub async fn poll(&self) {
-        let due = self.steering.lock().expect("no panic under this lock").startPoll(self.now());
+        let due = self.steering.lock().expect("no panic under this lock").start_poll(self.now());
         let Some((directory, uri)) = due else { return };
         let polled = async {
             let mut sender = self.open(directory, true).await?;
@@ -142,17 +142,17 @@
                 .body(Default::default())
                 .ok()?;
             let receipt = sender.send_request(request).await.ok()?;
-            let isGood = receipt.status() == hyper::StatusCode::OK;
+            let is_good = receipt.status() == hyper::StatusCode::OK;
             let bytes = receipt.into_body().collect().await.ok()?.to_bytes();
             self.rest(directory, sender);
-            if isGood { parse(std::str::from_utf8(&bytes).ok()?) } else { None }
+            if is_good { parse(std::str::from_utf8(&bytes).ok()?) } else { None }
         };
         let receipt = tokio::time::timeout(POLL_LIMIT, polled).await.ok().flatten();
         self.steering.lock().expect("no panic under this lock").polled(self.now(), receipt);
     }
 
     /// Before the first receipt there is nowhere to go: it is asked for, for a while.
-    async fn awaitReceipt(&self) {
+    async fn await_receipt(&self) {
         let until = self.now() + FIRST_RECEIPT_LIMIT;
         while self.steering.lock().expect("no panic under this lock").receipt().is_none() {
             if self.now() >= until {
@@ -175,8 +175,8 @@
         None
     }
 
-    async fn open(&self, address: SocketAddr, mayUseOpen: bool) -> Option<Sender> {
-        if mayUseOpen && let Some(sender) = self.connect(address).await {
+    async fn open(&self, address: SocketAddr, may_use_open: bool) -> Option<Sender> {
+        if may_use_open && let Some(sender) = self.connect(address).await {
             return Some(sender);
         }
         let connecting = tokio::net::TcpStream::connect(address);
@@ -207,50 +207,50 @@
         headers: &[(&str, &str)],
         body: bytes::Bytes,
     ) -> Outcome {
-        self.awaitReceipt().await;
-        let (mut order, isOnce) = {
+        self.await_receipt().await;
+        let (mut order, is_once) = {
             let mut steering = self.steering.lock().expect("no panic under this lock");
             let order = steering.order(self.now(), method, &self.host, path);
-            (order, steering.isOnce(method, &self.host, path))
+            (order, steering.is_once(method, &self.host, path))
         };
         let mut last = Outcome::NowhereToGo;
-        let mut mayHaveRun = false;
+        let mut may_have_run = false;
         let mut drops = 0;
         let mut index = 0;
         while let Some(address) = order.get(index).copied().filter(|_| index < TRIES_MOST) {
             index += 1;
             // A lookup leaves an address that is silent to everyone, while there is another.
-            let mayLeave = !isOnce && index < order.len().min(TRIES_MOST);
-            let mayUseOpen = {
+            let may_leave = !is_once && index < order.len().min(TRIES_MOST);
+            let may_use_open = {
                 let steering = self.steering.lock().expect("no panic under this lock");
-                if !steering.isListed(&address) {
+                if !steering.is_listed(&address) {
                     continue;
                 }
-                steering.mayUseOpen(self.now(), &address, isOnce)
+                steering.may_use_open(self.now(), &address, is_once)
             };
             let owed = Owed::new(self, address);
             let body = body.clone();
-            let go = Go { address, mayUseOpen, mayLeave, method, path, headers, body };
+            let go = Go { address, may_use_open, may_leave, method, path, headers, body };
             last = self.go(go).await;
             owed.over(matches!(last, Outcome::Receipt { .. }));
             let verdict = last.verdict();
-            mayHaveRun |= verdict != Verdict::NotRun;
-            let isDone = match &last {
+            may_have_run |= verdict != Verdict::NotRun;
+            let is_done = match &last {
                 Outcome::Receipt { status, .. } => {
                     drops += u32::from(*status == 503);
-                    let mayTry = *status == 421 || {
+                    let may_try = *status == 421 || {
                         let mut steering = self.steering.lock().expect("no panic under this lock");
-                        steering.takeTry(self.now())
+                        steering.take_try(self.now())
                     };
                     // What no other place would answer otherwise is passed on as it is.
                     verdict == Verdict::Ran
                         || ![421, 502, 503, 504].contains(status)
                         || drops >= DROPS_MOST
-                        || !mayTry
+                        || !may_try
                 }
                 _ => false,
             };
-            if isDone || (isOnce && mayHaveRun) {
+            if is_done || (is_once && may_have_run) {
                 break;
             }
             if let Outcome::Receipt { status: 421, body, .. } = &last {
@@ -263,14 +263,14 @@
             }
         }
         match last {
-            Outcome::Lost(_) if mayHaveRun => Outcome::Lost(Verdict::MayHaveRun),
+            Outcome::Lost(_) if may_have_run => Outcome::Lost(Verdict::MayHaveRun),
             last => last,
         }
     }
 
     async fn go(&self, go: Go<'_>) -> Outcome {
-        let Go { address, mayUseOpen, mayLeave, method, path, headers, body } = go;
-        let Some(mut sender) = self.open(address, mayUseOpen).await else {
+        let Go { address, may_use_open, may_leave, method, path, headers, body } = go;
+        let Some(mut sender) = self.open(address, may_use_open).await else {
             return Outcome::Lost(Verdict::NotRun);
         };
         let mut request = hyper::Request::builder()
@@ -283,7 +283,7 @@
         let Ok(request) = request.body(http_body_util::Full::new(body)) else {
             return Outcome::Lost(Verdict::NotRun);
         };
-        let sentAt = self.now();
+        let sent_at = self.now();
         let sending = sender.try_send_request(request);
         tokio::pin!(sending);
         let sent = loop {
@@ -291,9 +291,9 @@
                 break Ok(sent);
             }
             let now = self.now();
-            let isDoubted =
-                self.steering.lock().expect("no panic under this lock").isDoubted(now, &address);
-            if now - sentAt >= self.limit || (mayLeave && isDoubted) {
+            let is_doubted =
+                self.steering.lock().expect("no panic under this lock").is_doubted(now, &address);
+            if now - sent_at >= self.limit || (may_leave && is_doubted) {
                 break Err(());
             }
         };
--- a/caller/src/steering.rs
+++ b/caller/src/steering.rs
@@ -18,7 +18,7 @@
     pub name: String,
     pub methods: Vec<String>,
     pub host: Option<String>,
-    pub pathPrefix: String,
+    pub path_prefix: String,
     /// Runs at most once: only a receipt that says not-run may be followed by another go.
     pub once: bool,
     pub places: Vec<String>,
@@ -28,7 +28,7 @@
     fn matches(&self, method: &str, host: &str, path: &str) -> bool {
         (self.methods.is_empty() || self.methods.iter().any(|one| one == method))
             && self.host.as_deref().is_none_or(|own| own.eq_ignore_ascii_case(host))
-            && vanepath_setup::model::underPrefix(path, &self.pathPrefix)
+            && vanepath_setup::model::under_prefix(path, &self.path_prefix)
     }
 }
 
@@ -51,9 +51,9 @@
     let names = |value: Option<&jzon::JsonValue>| -> Option<Vec<String>> {
         value?.as_array()?.iter().map(|one| Some(one.as_str()?.to_string())).collect()
     };
-    let ttlS = object.get("TTL")?.as_f64().filter(|ttl| ttl.is_finite() && *ttl >= 0.0)?;
+    let ttl_s = object.get("TTL")?.as_f64().filter(|ttl| ttl.is_finite() && *ttl >= 0.0)?;
     let mut receipt = Receipt {
-        ttl: Duration::from_secs_f64(ttlS.min(TTL_MOST.as_secs_f64())),
+        ttl: Duration::from_secs_f64(ttl_s.min(TTL_MOST.as_secs_f64())),
         reload: object.get("RELOAD-URI")?.as_str()?.to_string(),
         revision: object.get("REVISION")?.as_u64()?,
         priority: names(object.get("PATHWAY-PRIORITY"))?,
@@ -74,7 +74,7 @@
             name: rule.get("NAME")?.as_str()?.to_string(),
             methods: names(rule.get("METHODS"))?,
             host: rule.get("HOST").and_then(|host| host.as_str()).map(str::to_string),
-            pathPrefix: rule.get("PATH-PREFIX")?.as_str()?.to_string(),
+            path_prefix: rule.get("PATH-PREFIX")?.as_str()?.to_string(),
             once: rule.get("ONCE")?.as_bool()?,
             places: names(rule.get("PATHWAY-PRIORITY"))?,
         });
@@ -84,11 +84,11 @@
 
 pub struct Steering {
     directories: Vec<SocketAddr>,
-    firstDirectories: Vec<SocketAddr>,
+    first_directories: Vec<SocketAddr>,
     turn: usize,
     first: String,
     receipt: Option<Receipt>,
-    pollAt: Duration,
+    poll_at: Duration,
     polling: bool,
     penalties: std::collections::HashMap<SocketAddr, Duration>,
     /// Requests out at each address, and since when it owes a sign.
@@ -99,7 +99,7 @@
     tries: (f64, Duration),
     spread: u64,
     pub polls: u64,
-    pub pollsFailed: u64,
+    pub polls_failed: u64,
     pub switches: u64,
     /// The place in use, by rule; the general order goes under no name.
     current: std::collections::HashMap<String, String>,
@@ -119,11 +119,11 @@
     pub fn new(directories: Vec<SocketAddr>, first: String, spread: u64) -> Steering {
         Steering {
             turn: spread as usize,
-            firstDirectories: directories.clone(),
+            first_directories: directories.clone(),
             directories,
             first,
             receipt: None,
-            pollAt: Duration::ZERO,
+            poll_at: Duration::ZERO,
             polling: false,
             penalties: Default::default(),
             owing: Default::default(),
@@ -131,7 +131,7 @@
             tries: (TRIES_KEPT, Duration::ZERO),
             spread,
             polls: 0,
-            pollsFailed: 0,
+            polls_failed: 0,
             switches: 0,
             current: Default::default(),
         }
@@ -141,13 +141,13 @@
         self.receipt.as_ref()
     }
 
-    pub fn pollAt(&self) -> Duration {
-        self.pollAt
+    pub fn poll_at(&self) -> Duration {
+        self.poll_at
     }
 
     /// A poll that is due: which directory, and what to ask it.
-    pub fn startPoll(&mut self, now: Duration) -> Option<(SocketAddr, String)> {
-        if self.polling || now < self.pollAt || self.directories.is_empty() {
+    pub fn start_poll(&mut self, now: Duration) -> Option<(SocketAddr, String)> {
+        if self.polling || now < self.poll_at || self.directories.is_empty() {
             return None;
         }
         self.polling = true;
@@ -158,17 +158,17 @@
 
     pub fn polled(&mut self, now: Duration, receipt: Option<Receipt>) {
         self.polling = false;
-        let isOlder = |receipt: &Receipt| {
+        let is_older = |receipt: &Receipt| {
             self.receipt.as_ref().is_some_and(|last| receipt.revision < last.revision)
         };
         match receipt {
-            Some(receipt) if !isOlder(&receipt) => {
-                self.pollAt = now + receipt.ttl;
+            Some(receipt) if !is_older(&receipt) => {
+                self.poll_at = now + receipt.ttl;
                 // Core machines come and go at new addresses: those that the caller was started
                 // with are kept, after the ones that are there now.
                 let asked = self.directories[self.turn % self.directories.len()];
                 let mut known = receipt.directories.clone();
-                known.extend(self.firstDirectories.iter().copied());
+                known.extend(self.first_directories.iter().copied());
                 let mut seen = std::collections::HashSet::new();
                 known.retain(|address| seen.insert(*address));
                 self.turn = known.iter().position(|one| *one == asked).unwrap_or(0);
@@ -176,9 +176,9 @@
                 self.receipt = Some(receipt);
             }
             _ => {
-                self.pollsFailed += 1;
+                self.polls_failed += 1;
                 self.turn = self.turn.wrapping_add(1);
-                self.pollAt = now + POLL_AGAIN;
+                self.poll_at = now + POLL_AGAIN;
             }
         }
     }
@@ -187,7 +187,7 @@
     /// is asked anew at once, for it may know more.
     pub fn penalise(&mut self, now: Duration, address: SocketAddr) {
         self.penalties.insert(address, now + PENALTY);
-        self.pollAt = self.pollAt.min(now + POLL_AGAIN);
+        self.poll_at = self.poll_at.min(now + POLL_AGAIN);
     }
 
     pub fn sent(&mut self, now: Duration, address: SocketAddr) {
@@ -198,16 +198,16 @@
         *out += 1;
     }
 
-    /// A request at that address is over. `isSign`: because something came from there.
-    pub fn heard(&mut self, now: Duration, address: SocketAddr, isSign: bool) {
-        if isSign {
+    /// A request at that address is over. `is_sign`: because something came from there.
+    pub fn heard(&mut self, now: Duration, address: SocketAddr, is_sign: bool) {
+        if is_sign {
             self.signs.insert(address, now);
         } else {
             self.signs.remove(&address);
         }
         if let Some((out, since)) = self.owing.get_mut(&address) {
             *out = out.saturating_sub(1);
-            if isSign {
+            if is_sign {
                 *since = now;
             }
             if *out == 0 {
@@ -218,7 +218,7 @@
 
     /// Whether the receipt in force still names this address: a request that tries long goes by the
     /// order that it began with, and a zone may have been emptied since.
-    pub fn isListed(&self, address: &SocketAddr) -> bool {
+    pub fn is_listed(&self, address: &SocketAddr) -> bool {
         let places = self.receipt.as_ref().map(|receipt| &receipt.places);
         places.is_some_and(|all| all.iter().any(|(_, addresses)| addresses.contains(address)))
     }
@@ -233,11 +233,11 @@
         tried: usize,
         named: &[SocketAddr],
     ) {
-        self.pollAt = self.pollAt.min(now);
+        self.poll_at = self.poll_at.min(now);
         let tried = tried.min(order.len());
-        let isNew =
-            |address: &&SocketAddr| self.isListed(address) && !order[..tried].contains(address);
-        let mut next: Vec<SocketAddr> = named.iter().filter(isNew).copied().collect();
+        let is_new =
+            |address: &&SocketAddr| self.is_listed(address) && !order[..tried].contains(address);
+        let mut next: Vec<SocketAddr> = named.iter().filter(is_new).copied().collect();
         if !next.is_empty() {
             let start = self.spread as usize % next.len();
             next.rotate_left(start);
@@ -247,7 +247,7 @@
     }
 
     /// Takes a further try, if one is left.
-    pub fn takeTry(&mut self, now: Duration) -> bool {
+    pub fn take_try(&mut self, now: Duration) -> bool {
         let (left, at) = self.tries;
         let grown = left + TRIES_A_SECOND * now.saturating_sub(at).as_secs_f64();
         let may = grown >= 1.0;
@@ -259,20 +259,20 @@
     /// and a cut say nothing of it to the other side, and what is written to them is in doubt; so a
     /// filing goes over one that gave a sign lately, or over a new one, which shows that somebody
     /// is there.
-    pub fn mayUseOpen(&self, now: Duration, address: &SocketAddr, isOnce: bool) -> bool {
+    pub fn may_use_open(&self, now: Duration, address: &SocketAddr, is_once: bool) -> bool {
         let sign = self.signs.get(address);
-        !isOnce || sign.is_some_and(|at| now.saturating_sub(*at) <= SIGN_HOLDS)
+        !is_once || sign.is_some_and(|at| now.saturating_sub(*at) <= SIGN_HOLDS)
     }
 
     /// It owes a reply and has given no sign at all for a second. One that is slow and yet replies to
     /// others is waited for: leaving it would have the same work done twice.
-    pub fn isDoubted(&self, now: Duration, address: &SocketAddr) -> bool {
+    pub fn is_doubted(&self, now: Duration, address: &SocketAddr) -> bool {
         self.owing
             .get(address)
             .is_some_and(|(out, since)| *out > 0 && now.saturating_sub(*since) >= DOUBT)
     }
 
-    pub fn isOnce(&self, method: &str, host: &str, path: &str) -> bool {
+    pub fn is_once(&self, method: &str, host: &str, path: &str) -> bool {
         self.rule(method, host, path).is_none_or(|rule| rule.once)
     }
 
@@ -308,7 +308,7 @@
             let start = self.spread as usize;
             for index in 0..addresses.len() {
                 let address = addresses[start.wrapping_add(index) % addresses.len()];
-                if self.penalties.contains_key(&address) || self.isDoubted(now, &address) {
+                if self.penalties.contains_key(&address) || self.is_doubted(now, &address) {
                     penalised.push(address);
                 } else {
                     chosen = chosen.or(Some(listed.clone()));
@@ -346,25 +346,25 @@
                 name: "r".into(),
                 methods: vec!["POST".into()],
                 host: None,
-                pathPrefix: "/f".into(),
+                path_prefix: "/f".into(),
                 once: true,
                 places: vec!["b".into(), "a".into()],
             }],
         }
     }
 
-    fn ports(steering: &mut Steering, nowS: u64, method: &str, path: &str) -> Vec<u16> {
-        let order = steering.order(Duration::from_secs(nowS), method, "h", path);
+    fn ports(steering: &mut Steering, now_s: u64, method: &str, path: &str) -> Vec<u16> {
+        let order = steering.order(Duration::from_secs(now_s), method, "h", path);
         order.iter().map(|address| address.port()).collect()
     }
 
     /// What a 421 names comes next, each address once, and only what the receipt in force lists.
     #[test]
-    fn whoIsSentElsewhereGoesThereNext() {
+    fn who_is_sent_elsewhere_goes_there_next() {
         let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
         let mut steering = Steering::new(vec![address(8)], "/v1/steer".into(), 0);
         let now = Duration::from_secs(1);
-        steering.startPoll(now);
+        steering.start_poll(now);
         steering.polled(now, Some(receipt(5)));
         let ports = |order: &[std::net::SocketAddr]| -> Vec<u16> {
             order.iter().map(|address| address.port()).collect()
@@ -372,7 +372,7 @@
         let mut order = vec![address(1), address(2), address(3)];
         steering.misplaced(now, &mut order, 1, &[address(3), address(1), address(77)]);
         assert_eq!(ports(&order), [1, 3]);
-        assert!(steering.startPoll(now).is_some(), "its receipt is an old one");
+        assert!(steering.start_poll(now).is_some(), "its receipt is an old one");
         // Nobody new is named: the rest of the order is tried all the same.
         let mut order = vec![address(1), address(2), address(3)];
         steering.misplaced(now, &mut order, 1, &[address(1)]);
@@ -380,21 +380,21 @@
     }
 
     #[test]
-    fn theRoutineOfTheSource() {
+    fn the_routine_of_the_source() {
         let directory = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
         let directories = vec![directory(8), directory(9)];
         let mut steering = Steering::new(directories, "/v1/steer".into(), 0);
         let now = Duration::from_secs;
-        assert_eq!(steering.startPoll(now(0)), Some((directory(8), "/v1/steer".into())));
-        assert_eq!(steering.startPoll(now(0)), None, "one poll at a time");
+        assert_eq!(steering.start_poll(now(0)), Some((directory(8), "/v1/steer".into())));
+        assert_eq!(steering.start_poll(now(0)), None, "one poll at a time");
         // A directory that does not reply: the next one is asked.
         steering.polled(now(0), None);
-        assert_eq!(steering.startPoll(now(1)), Some((directory(9), "/v1/steer".into())));
+        assert_eq!(steering.start_poll(now(1)), Some((directory(9), "/v1/steer".into())));
         steering.polled(now(1), Some(receipt(5)));
         assert_eq!(ports(&mut steering, 1, "GET", "/x"), [1, 2, 3]);
         assert_eq!(ports(&mut steering, 1, "POST", "/f/1")[0], 3);
-        assert!(steering.isOnce("POST", "h", "/f/1"));
-        assert!(steering.isListed(&directory(3)) && !steering.isListed(&directory(4)));
+        assert!(steering.is_once("POST", "h", "/f/1"));
+        assert!(steering.is_listed(&directory(3)) && !steering.is_listed(&directory(4)));
         // Penalised: the next of the place, then the next place, and back after a while.
         steering.penalise(now(1), directory(1));
         assert_eq!(ports(&mut steering, 1, "GET", "/x"), [2, 3, 1]);
@@ -403,7 +403,7 @@
         assert_eq!(steering.switches, 1);
         assert_eq!(ports(&mut steering, 5, "GET", "/x")[0], 1);
         // The echo goes out; an older receipt is not taken; with no reply the last one is kept.
-        assert_eq!(steering.startPoll(now(5)).unwrap().1, "/v1/steer?state=5");
+        assert_eq!(steering.start_poll(now(5)).unwrap().1, "/v1/steer?state=5");
         steering.polled(now(5), Some(receipt(4)));
         assert_eq!(steering.receipt().unwrap().revision, 5);
         // One that owes a reply for too long is doubted until it gives a sign.
@@ -415,12 +415,12 @@
         assert_eq!(ports(&mut steering, 6, "GET", "/x")[0], 1);
         steering.heard(now(6), directory(1), true);
         // A filing goes over an open connection only close after a sign, a lookup always.
-        assert!(steering.mayUseOpen(now(6), &directory(1), true));
-        assert!(!steering.mayUseOpen(now(7), &directory(1), true));
-        assert!(steering.mayUseOpen(now(7), &directory(1), false));
-        assert!(!steering.mayUseOpen(now(6), &directory(3), true), "never heard of");
+        assert!(steering.may_use_open(now(6), &directory(1), true));
+        assert!(!steering.may_use_open(now(7), &directory(1), true));
+        assert!(steering.may_use_open(now(7), &directory(1), false));
+        assert!(!steering.may_use_open(now(6), &directory(3), true), "never heard of");
         steering.heard(now(6), directory(1), false);
-        assert!(!steering.mayUseOpen(now(6), &directory(1), true), "it broke");
+        assert!(!steering.may_use_open(now(6), &directory(1), true), "it broke");
         steering.polled(now(6), None);
         assert_eq!(ports(&mut steering, 600, "GET", "/x")[0], 1);
     }
--- a/checker/src/lib.rs
+++ b/checker/src/lib.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub struct Server {
     pub server: vanepath_setup::platform::Server,
-    pub isLive: bool,
+    pub is_live: bool,
 }
 
 /// The fleet as it is.
@@ -20,7 +20,7 @@
     pub proxies: Vec<(String, String)>,
     pub emptied: Vec<String>,
     /// The setup in force, byte for byte, if there is one.
-    pub inForce: Option<Vec<u8>>,
+    pub in_force: Option<Vec<u8>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
@@ -56,7 +56,7 @@
     for (index, service) in setup.services.iter().enumerate() {
         let path = format!("$.services[{index}]");
         let listed = fleet.servers.iter().filter(|server| serves(index, server)).count();
-        let live = fleet.servers.iter().filter(|server| server.isLive && serves(index, server));
+        let live = fleet.servers.iter().filter(|server| server.is_live && serves(index, server));
         match (listed, live.count()) {
             (0, _) => find(
                 Weight::Bad,
@@ -87,15 +87,15 @@
         let services: Vec<usize> =
             std::iter::once(rule.service).chain(rule.spill.iter().copied()).collect();
         // What is left when some place is lost: live servers, and proxies to carry.
-        let left = |isLost: &dyn Fn(&str, &str) -> bool| {
+        let left = |is_lost: &dyn Fn(&str, &str) -> bool| {
             let servers = fleet.servers.iter().filter(|one| {
-                one.isLive
+                one.is_live
                     && services.iter().any(|service| serves(*service, one))
                     && rule.allows(&one.server.region)
-                    && !isLost(&one.server.zone, &one.server.region)
+                    && !is_lost(&one.server.zone, &one.server.region)
             });
             let proxies = fleet.proxies.iter().filter(|(zone, region)| {
-                rule.allows(region) && !fleet.emptied.contains(zone) && !isLost(zone, region)
+                rule.allows(region) && !fleet.emptied.contains(zone) && !is_lost(zone, region)
             });
             (servers.count(), proxies.count())
         };
@@ -120,26 +120,26 @@
             let (servers, proxies) = left(&|_, lost| lost == *region);
             losses.push((format!("region {region}"), servers, proxies));
         }
-        for (what, leftServers, leftProxies) in losses {
-            let isBound = !rule.regions.is_empty();
-            if leftServers == 0 || leftProxies == 0 {
+        for (what, left_servers, left_proxies) in losses {
+            let is_bound = !rule.regions.is_empty();
+            if left_servers == 0 || left_proxies == 0 {
                 // A rule bound to one region cannot outlive it: that is what was asked for.
-                let isMeant = isBound && rule.regions.len() == 1 && what.starts_with("region");
+                let is_meant = is_bound && rule.regions.len() == 1 && what.starts_with("region");
                 find(
-                    if isMeant { Weight::Note } else { Weight::Warning },
+                    if is_meant { Weight::Note } else { Weight::Warning },
                     path.clone(),
                     format!(
-                        "without {what} rule '{}' (class '{class}') has {leftServers} servers and \
-                         {leftProxies} proxies left",
+                        "without {what} rule '{}' (class '{class}') has {left_servers} servers and \
+                         {left_proxies} proxies left",
                         rule.name
                     ),
                 );
-            } else if leftServers * 2 < servers {
+            } else if left_servers * 2 < servers {
                 find(
                     Weight::Note,
                     path.clone(),
                     format!(
-                        "without {what} rule '{}' (class '{class}') has {leftServers} of {servers} \
+                        "without {what} rule '{}' (class '{class}') has {left_servers} of {servers} \
                          servers left",
                         rule.name
                     ),
@@ -147,7 +147,7 @@
             }
         }
     }
-    if let Some(Ok(before)) = fleet.inForce.as_deref().map(vanepath_setup::model::parse) {
+    if let Some(Ok(before)) = fleet.in_force.as_deref().map(vanepath_setup::model::parse) {
         for line in changes(&before, setup) {
             find(Weight::Note, "$".to_string(), line);
         }
@@ -183,8 +183,8 @@
         }
     }
     // References are indices: they are compared by the names that they stand for.
-    let className = |setup: &Setup, index: usize| setup.classes[index].name.clone();
-    let serviceName = |setup: &Setup, index: usize| setup.services[index].name.clone();
+    let class_name = |setup: &Setup, index: usize| setup.classes[index].name.clone();
+    let service_name = |setup: &Setup, index: usize| setup.services[index].name.clone();
     compare(
         "class",
         &before.classes,
@@ -193,7 +193,7 @@
         |old, new| {
             let loans = |setup: &Setup, class: &vanepath_setup::model::Class| {
                 let loans = class.borrows.iter();
-                loans.map(|one| (className(setup, one.class), one.most)).collect::<Vec<_>>()
+                loans.map(|one| (class_name(setup, one.class), one.most)).collect::<Vec<_>>()
             };
             let bare = |class: &vanepath_setup::model::Class| {
                 let mut bare = class.clone();
@@ -229,8 +229,8 @@
             let names = |setup: &Setup, rule: &vanepath_setup::model::Rule| {
                 let services = std::iter::once(&rule.service).chain(&rule.spill);
                 let services: Vec<String> =
-                    services.map(|index| serviceName(setup, *index)).collect();
-                (className(setup, rule.class), services)
+                    services.map(|index| service_name(setup, *index)).collect();
+                (class_name(setup, rule.class), services)
             };
             let bare = |rule: &vanepath_setup::model::Rule| {
                 let mut bare = rule.clone();
@@ -256,16 +256,16 @@
 }
 
 /// Reads a registry's status and setup.
-pub fn fleetFrom(status: &jzon::JsonValue, inForce: Option<Vec<u8>>) -> Option<FleetAsIs> {
+pub fn fleet_from(status: &jzon::JsonValue, in_force: Option<Vec<u8>>) -> Option<FleetAsIs> {
     let text = |value: &jzon::JsonValue| value.as_str().map(str::to_string);
     let mut fleet =
-        FleetAsIs { revision: status["revision"].as_u64()?, inForce, ..FleetAsIs::default() };
+        FleetAsIs { revision: status["revision"].as_u64()?, in_force, ..FleetAsIs::default() };
     for zone in status["emptied"].as_array()? {
         fleet.emptied.push(text(zone)?);
     }
     for daemon in status["daemons"].as_array()? {
-        let isProxy = daemon["role"].as_str() == Some("proxy");
-        if isProxy && daemon["ready"].as_bool() == Some(true) {
+        let is_proxy = daemon["role"].as_str() == Some("proxy");
+        if is_proxy && daemon["ready"].as_bool() == Some(true) {
             fleet.proxies.push((text(&daemon["zone"])?, text(&daemon["region"])?));
         }
     }
@@ -283,7 +283,7 @@
                 labels,
                 leaving: server["leaving"].as_bool()?,
             },
-            isLive: server["live"].as_bool()?,
+            is_live: server["live"].as_bool()?,
         });
     }
     Some(fleet)
@@ -295,7 +295,7 @@
 
     fn fleet() -> FleetAsIs {
         let mut fleet = FleetAsIs { revision: 3, ..FleetAsIs::default() };
-        for (index, (zone, app, isLive)) in [
+        for (index, (zone, app, is_live)) in [
             ("a1", "s", true),
             ("a2", "s", true),
             ("b1", "s", false),
@@ -314,7 +314,7 @@
                     labels: [("app".to_string(), app.to_string())].into(),
                     leaving: false,
                 },
-                isLive: *isLive,
+                is_live: *is_live,
             });
         }
         for zone in ["a1", "b1"] {
@@ -336,7 +336,7 @@
     }
 
     #[test]
-    fn findingsSayWhatIsMissingNowAndAfterALoss() {
+    fn findings_say_what_is_missing_now_and_after_a_loss() {
         let before = setup(
             r#"{"name": "one", "match": {"pathPrefix": "/1"}, "class": "c", "service": "s"},
                {"name": "old", "match": {"pathPrefix": "/old"}, "class": "c", "service": "s"}"#,
@@ -350,7 +350,7 @@
                {"name": "two", "class": "c", "service": "s"}"#,
         );
         let mut fleet = fleet();
-        fleet.inForce = Some(before.into_bytes());
+        fleet.in_force = Some(before.into_bytes());
         let setup = vanepath_setup::model::parse(after.as_bytes()).unwrap();
         let shown: String = check(&setup, &fleet)
             .iter()
--- a/checker/src/main.rs
+++ b/checker/src/main.rs
@@ -1,7 +1,7 @@
 //! vanepath-checker: checks a setup, alone or against the fleet as it is.
 
 use http_body_util::BodyExt;
-use vanepath_checker::{FleetAsIs, Weight, check, fleetFrom};
+use vanepath_checker::{FleetAsIs, Weight, check, fleet_from};
 
 fn main() -> std::process::ExitCode {
     match run() {
@@ -39,16 +39,16 @@
     let [file] = &matches.free[..] else {
         miette::bail!("one setup file is needed; see --help");
     };
-    let asJson = matches.opt_present("json");
+    let as_json = matches.opt_present("json");
     let bytes =
         std::fs::read(file).map_err(|error| miette::miette!("cannot read {file}: {error}"))?;
     let setup = match vanepath_setup::model::parse(&bytes) {
         Ok(setup) => setup,
         Err(faults) => {
-            if asJson {
+            if as_json {
                 let value = jzon::object! {
                     "valid": false,
-                    "faults": vanepath_setup::read::faultsAsJson(&faults),
+                    "faults": vanepath_setup::read::faults_as_json(&faults),
                 };
                 println!("{}", value.pretty(2));
             } else {
@@ -61,7 +61,7 @@
         }
     };
     let Some(registry) = matches.opt_str("registry") else {
-        if asJson {
+        if as_json {
             println!("{}", jzon::object! { "valid": true }.pretty(2));
         } else {
             println!("{file} is valid in itself; --registry checks it against a fleet");
@@ -78,8 +78,8 @@
     let fleet = runtime.block_on(read(address))?;
     let findings = check(&setup, &fleet);
     let least = if matches.opt_present("strict") { Weight::Warning } else { Weight::Bad };
-    let isGood = findings.iter().all(|finding| finding.weight < least);
-    if asJson {
+    let is_good = findings.iter().all(|finding| finding.weight < least);
+    if as_json {
         let listed: Vec<jzon::JsonValue> = findings
             .iter()
             .map(|finding| {
@@ -92,7 +92,7 @@
             .collect();
         let value = jzon::object! {
             "valid": true,
-            "good": isGood,
+            "good": is_good,
             "revisionInForce": fleet.revision,
             "findings": listed,
         };
@@ -101,9 +101,9 @@
         for finding in &findings {
             println!("{:8} {}: {}", finding.weight.to_string(), finding.path, finding.message);
         }
-        println!("{}", if isGood { "good" } else { "not good" });
+        println!("{}", if is_good { "good" } else { "not good" });
     }
-    Ok(u8::from(!isGood))
+    Ok(u8::from(!is_good))
 }
 
 async fn read(address: std::net::SocketAddr) -> miette::Result<FleetAsIs> {
@@ -114,12 +114,12 @@
     let text = String::from_utf8_lossy(&body).to_string();
     let value = jzon::parse(&text)
         .map_err(|error| miette::miette!("the registry's status cannot be read: {error}"))?;
-    let inForce = match get(address, "/v1/setup").await? {
+    let in_force = match get(address, "/v1/setup").await? {
         (200, body) => Some(body.to_vec()),
         (404, _) => None,
         (status, _) => miette::bail!("the setup in force cannot be read ({status})"),
     };
-    fleetFrom(&value, inForce)
+    fleet_from(&value, in_force)
         .ok_or_else(|| miette::miette!("the registry's status is of another version"))
 }
 
--- a/fleet/src/harness.rs
+++ b/fleet/src/harness.rs
@@ -11,7 +11,7 @@
     pub zone: &'static str,
     pub region: &'static str,
     pub address: SocketAddr,
-    pub siblingAddress: SocketAddr,
+    pub sibling_address: SocketAddr,
     settings: std::path::PathBuf,
     child: Option<std::process::Child>,
     relays: Vec<crate::relay::Relay>,
@@ -30,7 +30,7 @@
     pub platform: Platform,
     pub servers: Vec<Server>,
     net: [u8; 2],
-    isRelayed: bool,
+    is_relayed: bool,
 }
 
 static FLEETS: std::sync::atomic::AtomicU8 = std::sync::atomic::AtomicU8::new(0);
@@ -70,16 +70,16 @@
     }
 
     /// The same, with a relay in front of every address of every daemon.
-    pub async fn startRelayed(shape: Shape) -> Fleet {
-        Self::startAs(shape, true).await
+    pub async fn start_relayed(shape: Shape) -> Fleet {
+        Self::start_as(shape, true).await
     }
 
     /// Stand-ins and processes, all started; nothing is awaited yet.
     pub async fn start(shape: Shape) -> Fleet {
-        Self::startAs(shape, false).await
+        Self::start_as(shape, false).await
     }
 
-    async fn startAs(shape: Shape, isRelayed: bool) -> Fleet {
+    async fn start_as(shape: Shape, is_relayed: bool) -> Fleet {
         let pid = std::process::id();
         let number = FLEETS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let net = [64 + (pid % 128) as u8, (pid / 128 % 8) as u8 * 32 + number % 32];
@@ -95,12 +95,12 @@
             platform,
             servers: Vec::new(),
             net,
-            isRelayed,
+            is_relayed,
         };
-        fleet.startServers().await;
+        fleet.start_servers().await;
         let core: Vec<(&'static str, &'static str)> = fleet.shape.zones[..3].to_vec();
         for (seat, (zone, region)) in core.iter().enumerate() {
-            fleet.addStore(seat, zone, region, "", 11 + seat as u8);
+            fleet.add_store(seat, zone, region, "", 11 + seat as u8);
             fleet.add("registry", &format!("registry-{seat}"), zone, region, 1 + seat as u8, &[]);
         }
         for index in 0..fleet.shape.proxies {
@@ -108,9 +108,9 @@
             fleet.add("proxy", &format!("proxy-{index}"), zone, region, 21 + index as u8, &[]);
         }
         for index in 0..fleet.members.len() {
-            if isRelayed {
+            if is_relayed {
                 let member = &mut fleet.members[index];
-                for (at, to) in [(member.address, PORT), (member.siblingAddress, PORT + 1)] {
+                for (at, to) in [(member.address, PORT), (member.sibling_address, PORT + 1)] {
                     let to = SocketAddr::new(at.ip(), to);
                     let relay = crate::relay::Relay::start(at, to).await;
                     member.relays.push(relay.expect("the address is free"));
@@ -128,7 +128,7 @@
         }
     }
 
-    async fn startServers(&mut self) {
+    async fn start_servers(&mut self) {
         let mut listed = Vec::new();
         let mut host = 100;
         for (app, count) in self.shape.servers.clone() {
@@ -153,7 +153,7 @@
     }
 
     /// A store with an empty data folder of its own; `suffix` tells replacements apart.
-    pub fn addStore(
+    pub fn add_store(
         &mut self,
         seat: usize,
         zone: &'static str,
@@ -168,16 +168,16 @@
             ("seat", jzon::JsonValue::from(seat)),
             ("dataFolder", jzon::JsonValue::from(data)),
         ];
-        more.extend(self.liveSeeds());
+        more.extend(self.live_seeds());
         self.add("store", &name, zone, region, host, &more)
     }
 
     /// Once daemons run, whoever installs another one names some of those as its seeds.
-    pub fn liveSeeds(&self) -> Option<(&'static str, jzon::JsonValue)> {
+    pub fn live_seeds(&self) -> Option<(&'static str, jzon::JsonValue)> {
         let live = self.members.iter().filter(|member| member.child.is_some());
         let core = live.filter(|member| member.role != "proxy");
         let seeds: Vec<jzon::JsonValue> =
-            core.take(3).map(|member| member.siblingAddress.to_string().into()).collect();
+            core.take(3).map(|member| member.sibling_address.to_string().into()).collect();
         (!seeds.is_empty()).then(|| ("seeds", seeds.into()))
     }
 
@@ -191,11 +191,11 @@
         more: &[(&str, jzon::JsonValue)],
     ) -> usize {
         let listen = Self::at(self.net, host, PORT);
-        let siblingListen = Self::at(self.net, host, PORT + 1);
+        let sibling_listen = Self::at(self.net, host, PORT + 1);
         // Through relays others reach it a hundred ports higher.
-        let shift = if self.isRelayed { 100 } else { 0 };
+        let shift = if self.is_relayed { 100 } else { 0 };
         let address = Self::at(self.net, host, PORT + shift);
-        let siblingAddress = Self::at(self.net, host, PORT + 1 + shift);
+        let sibling_address = Self::at(self.net, host, PORT + 1 + shift);
         let seed = |seat: u8| Self::at(self.net, 1 + seat, PORT + 1 + shift).to_string();
         let seeds: Vec<jzon::JsonValue> = (0..3).map(|seat| seed(seat).into()).collect();
         let mut value = jzon::object! {
@@ -205,8 +205,8 @@
             "zone": zone,
             "listen": listen.to_string(),
             "advertise": address.to_string(),
-            "siblingListen": siblingListen.to_string(),
-            "siblingAdvertise": siblingAddress.to_string(),
+            "siblingListen": sibling_listen.to_string(),
+            "siblingAdvertise": sibling_address.to_string(),
             "seeds": seeds,
             "graceMs": 15000,
         };
@@ -224,7 +224,7 @@
             zone,
             region,
             address,
-            siblingAddress,
+            sibling_address,
             settings,
             child: None,
             relays: Vec::new(),
@@ -285,34 +285,34 @@
     }
 
     /// Kills every daemon of these places, and ends their servers.
-    pub fn killPlaces(&mut self, isHit: impl Fn(&str, &str) -> bool) -> Vec<usize> {
+    pub fn kill_places(&mut self, is_hit: impl Fn(&str, &str) -> bool) -> Vec<usize> {
         let hit: Vec<usize> = (0..self.members.len())
-            .filter(|index| isHit(self.members[*index].zone, self.members[*index].region))
+            .filter(|index| is_hit(self.members[*index].zone, self.members[*index].region))
             .filter(|index| self.members[*index].child.is_some())
             .collect();
         for index in &hit {
             self.kill(*index);
         }
-        for index in self.serversIn(&isHit) {
+        for index in self.servers_in(&is_hit) {
             self.servers[index].stop();
         }
         hit
     }
 
     /// The stand-in servers of these places.
-    pub fn serversIn(&self, isHit: impl Fn(&str, &str) -> bool) -> Vec<usize> {
+    pub fn servers_in(&self, is_hit: impl Fn(&str, &str) -> bool) -> Vec<usize> {
         let zones = &self.shape.zones;
         let counts = self.shape.servers.iter().flat_map(|(_, count)| 0..*count);
         let places = counts.map(|index| zones[index % zones.len()]);
-        let numbered = places.enumerate().filter(|(_, (zone, region))| isHit(zone, region));
+        let numbered = places.enumerate().filter(|(_, (zone, region))| is_hit(zone, region));
         numbered.map(|(index, _)| index).collect()
     }
 
     /// Starts a server again at its address, with its counts.
-    pub async fn restartServer(&mut self, index: usize) {
+    pub async fn restart_server(&mut self, index: usize) {
         let (state, address) = (self.servers[index].state.clone(), self.servers[index].address);
         self.servers[index] = loop {
-            match Server::startWith(state.clone(), address).await {
+            match Server::start_with(state.clone(), address).await {
                 Ok(server) => break server,
                 Err(_) => tokio::task::yield_now().await,
             }
@@ -325,11 +325,11 @@
         let _ = std::fs::remove_dir_all(data);
     }
 
-    pub fn dataFolder(&self, index: usize) -> std::path::PathBuf {
+    pub fn data_folder(&self, index: usize) -> std::path::PathBuf {
         self.folder.join(format!("{}-data", self.members[index].name))
     }
 
-    pub fn settingsFile(&self, index: usize) -> &std::path::Path {
+    pub fn settings_file(&self, index: usize) -> &std::path::Path {
         &self.members[index].settings
     }
 
@@ -366,7 +366,7 @@
     }
 
     /// Gives the operator's setup to the first registry that takes it; its revision.
-    pub async fn putSetup(&self, setup: &str) -> u64 {
+    pub async fn put_setup(&self, setup: &str) -> u64 {
         let mut last = String::new();
         let start = std::time::Instant::now();
         while start.elapsed() < Duration::from_secs(20) {
@@ -386,7 +386,7 @@
     }
 
     /// Until every running proxy goes by this revision or a later one, and is ready.
-    pub async fn untilInForce(&self, revision: u64, limit: Duration) -> Duration {
+    pub async fn until_in_force(&self, revision: u64, limit: Duration) -> Duration {
         let proxies: Vec<usize> = self
             .of("proxy")
             .into_iter()
@@ -396,9 +396,9 @@
         until(&format!("revision {revision} at all proxies"), limit, async || {
             for index in proxies {
                 let ready = self.page(*index, "ready").await;
-                let isThere = ready["ready"].as_bool() == Some(true)
+                let is_there = ready["ready"].as_bool() == Some(true)
                     && ready["revision"].as_u64().is_some_and(|there| there >= revision);
-                if !isThere {
+                if !is_there {
                     return false;
                 }
             }
--- a/fleet/src/http.rs
+++ b/fleet/src/http.rs
@@ -78,8 +78,8 @@
             return served;
         }
         let Ok(receipt) = sender.send_request(request).await else { return served };
-        let isGood = receipt.status() == hyper::StatusCode::OK;
-        if receipt.into_body().collect().await.is_ok() && isGood {
+        let is_good = receipt.status() == hyper::StatusCode::OK;
+        if receipt.into_body().collect().await.is_ok() && is_good {
             served += 1;
         }
     }
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -50,8 +50,8 @@
         .map_err(|error| miette::miette!("cannot start threads: {error}"))?;
     runtime.block_on(async {
         let fleet = vanepath_fleet::harness::Fleet::start(shape).await;
-        let revision = fleet.putSetup(&fleet.shape.setup).await;
-        fleet.untilInForce(revision, Duration::from_secs(20)).await;
+        let revision = fleet.put_setup(&fleet.shape.setup).await;
+        fleet.until_in_force(revision, Duration::from_secs(20)).await;
         let traffic = vanepath_fleet::traffic::Traffic::start(&fleet, 1, 0.1).await;
         let registry = fleet.registries()[0];
         let proxy = fleet.members[fleet.of("proxy")[0]].address;
@@ -65,7 +65,7 @@
         println!("logs, settings and the setup lie in {}\n", fleet.folder.display());
         println!("Try, from another terminal:");
         println!("  curl '{registry}/v1/steer?caller=me&zone=north-1&why=1'");
-        println!("  curl -i '{proxy}{}/7' -H 'x-request: 7'", fleet.shape.lookupPath);
+        println!("  curl -i '{proxy}{}/7' -H 'x-request: 7'", fleet.shape.lookup_path);
         println!("  curl {registry}/v1/status");
         println!("  curl {proxy}/vanepath/v1/status");
         println!("  curl -X PUT {registry}/v1/zones/north-1/emptied");
@@ -138,11 +138,11 @@
     for (status, count) in &summary.statuses {
         println!("{count} with status {status}");
     }
-    if summary.filingsLeftOut > 0 {
-        println!("{} filings left out (--filings replays them)", summary.filingsLeftOut);
+    if summary.filings_left_out > 0 {
+        println!("{} filings left out (--filings replays them)", summary.filings_left_out);
     }
     if let (Some(median), Some(worst)) =
-        (summary.tookMs.get(summary.tookMs.len() / 2), summary.tookMs.last())
+        (summary.took_ms.get(summary.took_ms.len() / 2), summary.took_ms.last())
     {
         println!("median {median} ms, longest {worst} ms");
     }
@@ -174,22 +174,22 @@
         shape.servers = vec![("ordering", 1)];
         shape.setup = shape.setup.replace("app = documents", "app = ordering");
         let fleet = vanepath_fleet::harness::Fleet::start(shape).await;
-        let revision = fleet.putSetup(&fleet.shape.setup).await;
-        fleet.untilInForce(revision, Duration::from_secs(20)).await;
+        let revision = fleet.put_setup(&fleet.shape.setup).await;
+        fleet.until_in_force(revision, Duration::from_secs(20)).await;
         let proxy = fleet.of("proxy")[0];
-        let proxyAddress = fleet.members[proxy].address;
-        let proxyPid = fleet.members[proxy].pid().unwrap_or(0);
+        let proxy_address = fleet.members[proxy].address;
+        let proxy_pid = fleet.members[proxy].pid().unwrap_or(0);
         let own = std::process::id();
         let mut ratios = Vec::new();
         for kind in ["GET", "POST"] {
             let path = if kind == "GET" { "/stock/1" } else { "/orders" };
             for round in 0..ROUNDS {
                 let mut spent = [0_u64; 2];
-                let mut inProxy = 0;
+                let mut in_proxy = 0;
                 for (index, address) in
-                    [fleet.servers[0].address, proxyAddress].into_iter().enumerate()
+                    [fleet.servers[0].address, proxy_address].into_iter().enumerate()
                 {
-                    let before = (ticks(own), ticks(proxyPid));
+                    let before = (ticks(own), ticks(proxy_pid));
                     let mut tasks = tokio::task::JoinSet::new();
                     for lane in 0..LANES {
                         tasks.spawn(vanepath_fleet::http::many(
@@ -208,9 +208,9 @@
                     if served != REQUESTS {
                         miette::bail!("{served} of {REQUESTS} requests were served");
                     }
-                    let after = (ticks(own), ticks(proxyPid));
+                    let after = (ticks(own), ticks(proxy_pid));
                     spent[index] = after.0 - before.0 + after.1 - before.1;
-                    inProxy = after.1 - before.1;
+                    in_proxy = after.1 - before.1;
                 }
                 let ratio = spent[1] as f64 / spent[0].max(1) as f64;
                 ratios.push(ratio);
@@ -219,7 +219,7 @@
                 let reused = metrics["connectionsReused"].as_u64().unwrap_or(0);
                 println!("connections so far: {opened} opened, {reused} used again");
                 println!(
-                    "{kind}: direct {} ticks, by the proxy {} (in it {inProxy}): {ratio:.2} times",
+                    "{kind}: direct {} ticks, by the proxy {} (in it {in_proxy}): {ratio:.2} times",
                     spent[0], spent[1]
                 );
             }
@@ -279,9 +279,9 @@
     };
     let rate: f64 = matches.opt_str("rate").and_then(|text| text.parse().ok()).unwrap_or(1.0);
     let traces = matches.opt_present("trace");
-    let operatorMs: u64 =
+    let operator_ms: u64 =
         matches.opt_str("operator-ms").and_then(|text| text.parse().ok()).unwrap_or(900);
-    let operatorEvery = Duration::from_millis(operatorMs);
+    let operator_every = Duration::from_millis(operator_ms);
     let threads = matches
         .opt_str("threads")
         .and_then(|text| text.parse().ok())
@@ -305,10 +305,10 @@
         }
     }
     let sums = std::sync::Mutex::new(std::collections::BTreeMap::<String, Sum>::new());
-    vanepath_fleet::sim::onThreads(threads, work.len(), |index| {
+    vanepath_fleet::sim::on_threads(threads, work.len(), |index| {
         let (seed, deployment, faults) = &work[index];
         let overlap = kind == "overlap";
-        let plan = Plan { rate, traces, operatorEvery, overlap, ..Plan::new(*deployment, faults) };
+        let plan = Plan { rate, traces, operator_every, overlap, ..Plan::new(*deployment, faults) };
         one(*seed, &plan, ["mixed", "overlap"].contains(&kind.as_str()), &sums);
     });
     let mut sums = sums.into_inner().expect("no panic under this lock");
@@ -334,13 +334,13 @@
             sum.days,
             sum.faulty,
             sum.lookups,
-            sum.lookupsLost,
+            sum.lookups_lost,
             sum.filings,
-            sum.mayHaveRun,
+            sum.may_have_run,
             sum.retries / sum.days as f64,
-            sum.worstSetup.as_secs_f64(),
-            sum.worstDrain.as_secs_f64(),
-            sum.worstResume.as_secs_f64()
+            sum.worst_setup.as_secs_f64(),
+            sum.worst_drain.as_secs_f64(),
+            sum.worst_resume.as_secs_f64()
         );
     }
     for (name, sum) in &mut sums {
@@ -353,17 +353,17 @@
              to other zones; callers' further tries {:.4}, repeats in 10 s a fifth and {:.0} at most; \
              cold servers {:.1} times their rate at most; {:.2} changes of place for each caller; \
              server under {:.1} times its work at most",
-            sum.siblingBytes / days / 1000.0,
-            sum.siblingBytesOtherZone / days / 1000.0,
+            sum.sibling_bytes / days / 1000.0,
+            sum.sibling_bytes_other_zone / days / 1000.0,
             sum.probes / days,
             sum.saves / days,
             median.as_secs_f64(),
-            100.0 * sum.otherZone / days,
+            100.0 * sum.other_zone / days,
             sum.doors / days,
-            sum.worstRepeats,
-            sum.worstCold,
+            sum.worst_repeats,
+            sum.worst_cold,
             sum.switches / days,
-            sum.worstLoad
+            sum.worst_load
         );
     }
     if faulty > 0 {
@@ -377,37 +377,37 @@
     days: usize,
     faulty: usize,
     lookups: usize,
-    lookupsLost: usize,
+    lookups_lost: usize,
     filings: usize,
-    mayHaveRun: usize,
+    may_have_run: usize,
     retries: f64,
-    worstSetup: Duration,
-    worstDrain: Duration,
-    worstResume: Duration,
-    siblingBytes: f64,
-    siblingBytesOtherZone: f64,
+    worst_setup: Duration,
+    worst_drain: Duration,
+    worst_resume: Duration,
+    sibling_bytes: f64,
+    sibling_bytes_other_zone: f64,
     probes: f64,
     saves: f64,
     setups: Vec<Duration>,
-    otherZone: f64,
+    other_zone: f64,
     doors: f64,
-    worstRepeats: f64,
-    worstCold: f64,
+    worst_repeats: f64,
+    worst_cold: f64,
     switches: f64,
-    worstLoad: f64,
+    worst_load: f64,
 }
 
 fn one(
     seed: u64,
     plan: &Plan,
-    isMixed: bool,
+    is_mixed: bool,
     sums: &std::sync::Mutex<std::collections::BTreeMap<String, Sum>>,
 ) {
     let (deployment, faults, traces) = (plan.deployment, &plan.faults, plan.traces);
     let run = vanepath_fleet::sim::day::run(seed, plan);
     let judgement = vanepath_fleet::sim::judge::judge(&run);
     let names: Vec<String> = faults.iter().map(|fault| fault.to_string()).collect();
-    let name = match (isMixed, plan.overlap) {
+    let name = match (is_mixed, plan.overlap) {
         (true, true) => "overlap".to_string(),
         (true, false) => "mixed".to_string(),
         _ => names.join("+"),
@@ -416,24 +416,24 @@
     let sum = sums.entry(name).or_default();
     sum.days += 1;
     sum.lookups += judgement.lookups;
-    sum.lookupsLost += judgement.lookupsLost;
+    sum.lookups_lost += judgement.lookups_lost;
     sum.filings += judgement.filings;
-    sum.mayHaveRun += judgement.filingsMayHaveRun;
-    sum.retries += judgement.furtherGoesPart;
-    sum.siblingBytes += judgement.siblingBytes;
-    sum.siblingBytesOtherZone += judgement.siblingBytesOtherZone;
+    sum.may_have_run += judgement.filings_may_have_run;
+    sum.retries += judgement.further_goes_part;
+    sum.sibling_bytes += judgement.sibling_bytes;
+    sum.sibling_bytes_other_zone += judgement.sibling_bytes_other_zone;
     sum.probes += judgement.probes;
-    sum.doors += judgement.doorsPart;
+    sum.doors += judgement.doors_part;
     sum.switches += judgement.switches;
-    sum.worstLoad = sum.worstLoad.max(judgement.worstLoad);
-    sum.worstRepeats = sum.worstRepeats.max(judgement.worstRepeats);
-    sum.worstCold = sum.worstCold.max(judgement.worstCold);
-    sum.saves += judgement.savesPerChange;
+    sum.worst_load = sum.worst_load.max(judgement.worst_load);
+    sum.worst_repeats = sum.worst_repeats.max(judgement.worst_repeats);
+    sum.worst_cold = sum.worst_cold.max(judgement.worst_cold);
+    sum.saves += judgement.saves_per_change;
     sum.setups.extend(&judgement.setups);
-    sum.otherZone += run.sim.world.goesOtherZone as f64 / run.sim.world.goes.max(1) as f64;
-    sum.worstSetup = sum.worstSetup.max(judgement.worstSetup);
-    sum.worstDrain = sum.worstDrain.max(judgement.worstDrain);
-    sum.worstResume = sum.worstResume.max(judgement.resumedAfter.unwrap_or_default());
+    sum.other_zone += run.sim.world.goes_other_zone as f64 / run.sim.world.goes.max(1) as f64;
+    sum.worst_setup = sum.worst_setup.max(judgement.worst_setup);
+    sum.worst_drain = sum.worst_drain.max(judgement.worst_drain);
+    sum.worst_resume = sum.worst_resume.max(judgement.resumed_after.unwrap_or_default());
     if !judgement.faults.is_empty() {
         sum.faulty += 1;
         println!("seed {seed} {deployment:?} {}", names.join("+"));
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Link {
     /// Nothing passes, and nobody is told.
-    pub isCut: bool,
+    pub is_cut: bool,
     pub delay: Duration,
 }
 
@@ -46,16 +46,16 @@
     mut watch: tokio::sync::watch::Receiver<Link>,
 ) {
     // A connection made over a cut link just hangs.
-    if watch.wait_for(|link| !link.isCut).await.is_err() {
+    if watch.wait_for(|link| !link.is_cut).await.is_err() {
         return;
     }
     let Ok(far) = tokio::net::TcpStream::connect(to).await else { return };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let (nearIn, nearOut) = near.into_split();
-    let (farIn, farOut) = far.into_split();
+    let (near_in, near_out) = near.into_split();
+    let (far_in, far_out) = far.into_split();
     tokio::select! {
-        () = pass(nearIn, farOut, watch.clone()) => {}
-        () = pass(farIn, nearOut, watch) => {}
+        () = pass(near_in, far_out, watch.clone()) => {}
+        () = pass(far_in, near_out, watch) => {}
     }
 }
 
@@ -68,7 +68,7 @@
     loop {
         let read = from.read(&mut buffer).await;
         // What is under way when the link is cut stays under way.
-        let Ok(link) = watch.wait_for(|link| !link.isCut).await.map(|link| *link) else { return };
+        let Ok(link) = watch.wait_for(|link| !link.is_cut).await.map(|link| *link) else { return };
         if link.delay > Duration::ZERO {
             tokio::time::sleep(link.delay).await;
         }
--- a/fleet/src/replay.rs
+++ b/fleet/src/replay.rs
@@ -34,8 +34,8 @@
 pub struct Summary {
     pub verdicts: BTreeMap<String, usize>,
     pub statuses: BTreeMap<u16, usize>,
-    pub tookMs: Vec<u64>,
-    pub filingsLeftOut: usize,
+    pub took_ms: Vec<u64>,
+    pub filings_left_out: usize,
 }
 
 /// Not passed on: they belong to the recorded connection, or are told anew.
@@ -112,14 +112,14 @@
     }
     let host = uri.host().unwrap_or_default().to_string();
     let target = uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
-    let isOwn =
+    let is_own =
         |name: &str| name.starts_with(':') || OWN.iter().any(|own| own.eq_ignore_ascii_case(name));
     let headers: Vec<(String, String)> =
-        headers.into_iter().filter(|(name, _)| !isOwn(name)).collect();
+        headers.into_iter().filter(|(name, _)| !is_own(name)).collect();
     for (name, value) in &headers {
-        let isGood = hyper::header::HeaderName::from_bytes(name.as_bytes()).is_ok()
+        let is_good = hyper::header::HeaderName::from_bytes(name.as_bytes()).is_ok()
             && hyper::header::HeaderValue::from_str(value).is_ok();
-        if !isGood {
+        if !is_good {
             return Err(format!("header '{name}' cannot be sent"));
         }
     }
@@ -137,7 +137,7 @@
             let query = format!("caller=replay-{}&zone={zone}&region={region}", callers.len());
             let caller = Caller::new(plan.registries.clone(), &query, 0, &one.host);
             caller.poll().await;
-            let polling = caller.keepPolling();
+            let polling = caller.keep_polling();
             callers.insert(one.host.clone(), (caller, polling));
         }
     }
@@ -147,17 +147,17 @@
     for one in recorded {
         let caller = callers[&one.host].0.clone();
         tokio::time::sleep_until(begun + one.at.div_f64(plan.factor)).await;
-        let isOnce = {
+        let is_once = {
             let steering = caller.steering.lock().expect("no panic under this lock");
             // Without a receipt nobody can say: what is no lookup by its method is left out.
-            let isLookup = ["GET", "HEAD", "OPTIONS"].contains(&one.method.as_str());
+            let is_lookup = ["GET", "HEAD", "OPTIONS"].contains(&one.method.as_str());
             match steering.receipt() {
-                Some(_) => steering.isOnce(&one.method, &one.host, &one.target),
-                None => !isLookup,
+                Some(_) => steering.is_once(&one.method, &one.host, &one.target),
+                None => !is_lookup,
             }
         };
-        if isOnce && !plan.filings {
-            summary.filingsLeftOut += 1;
+        if is_once && !plan.filings {
+            summary.filings_left_out += 1;
             continue;
         }
         tasks.spawn(async move {
@@ -168,14 +168,14 @@
             (outcome, start.elapsed().as_millis() as u64)
         });
     }
-    while let Some(Ok((outcome, tookMs))) = tasks.join_next().await {
+    while let Some(Ok((outcome, took_ms))) = tasks.join_next().await {
         *summary.verdicts.entry(outcome.verdict().to_string()).or_default() += 1;
         if let Outcome::Receipt { status, .. } = outcome {
             *summary.statuses.entry(status).or_default() += 1;
         }
-        summary.tookMs.push(tookMs);
+        summary.took_ms.push(took_ms);
     }
-    summary.tookMs.sort_unstable();
+    summary.took_ms.sort_unstable();
     for (_, polling) in callers.into_values() {
         polling.abort();
     }
@@ -206,7 +206,7 @@
 
     /// In the order of their times, with what belongs to the request; and what cannot be sent is named.
     #[test]
-    fn entriesAreReadOrNamed() {
+    fn entries_are_read_or_named() {
         let later =
             entry("2026-01-02T03:04:06.500+01:00", "GET", "http://shop.example/stock/1?a=b");
         let first = entry("2026-01-02T02:04:05Z", "POST", "https://shop.example:8443/orders");
--- a/fleet/src/shape.rs
+++ b/fleet/src/shape.rs
@@ -12,9 +12,9 @@
     /// Requests a second in all, and of each kind in hundredths: lookups, filings, downloads.
     pub rate: f64,
     pub mix: [u32; 3],
-    pub lookupPath: &'static str,
-    pub filingPath: &'static str,
-    pub bulkPath: &'static str,
+    pub lookup_path: &'static str,
+    pub filing_path: &'static str,
+    pub bulk_path: &'static str,
 }
 
 const ZONES: [(&str, &str); 6] = [
@@ -70,9 +70,9 @@
         setup,
         rate: 200.0,
         mix: [60, 25, 15],
-        lookupPath: "/stock",
-        filingPath: "/orders",
-        bulkPath: "/documents",
+        lookup_path: "/stock",
+        filing_path: "/orders",
+        bulk_path: "/documents",
     }
 }
 
@@ -114,8 +114,8 @@
         setup,
         rate: 450.0,
         mix: [65, 20, 15],
-        lookupPath: "/parcels",
-        filingPath: "/appeals",
-        bulkPath: "/extracts",
+        lookup_path: "/parcels",
+        filing_path: "/appeals",
+        bulk_path: "/extracts",
     }
 }
--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -19,10 +19,10 @@
 pub struct Disk {
     pub state: Option<register::State>,
     pub versions: BTreeMap<(u64, Digest), Arc<Value>>,
-    underWay: Vec<register::Write>,
+    under_way: Vec<register::Write>,
     /// Of a disk that lies about its syncs.
     unsynced: Vec<register::Write>,
-    pub isFull: bool,
+    pub is_full: bool,
     pub saves: u64,
     pub hints: vanepath_store::hints::Hints,
 }
@@ -57,8 +57,8 @@
             .versions
             .iter()
             .map(|((revision, digest), value)| {
-                let (parentRevision, parent) = (value.parentRevision, value.parent);
-                (*revision, register::Kept { digest: *digest, parentRevision, parent })
+                let (parent_revision, parent) = (value.parent_revision, value.parent);
+                (*revision, register::Kept { digest: *digest, parent_revision, parent })
             })
             .collect();
         register::Found { state, value, kept }
@@ -79,11 +79,11 @@
 #[derive(Default)]
 pub struct Registry {
     errands: HashMap<usize, (Errand, CallId)>,
-    nextErrand: usize,
+    next_errand: usize,
     pub ready: bool,
-    stepAt: Duration,
+    step_at: Duration,
     tenure: vanepath_registry::duty::Tenure,
-    polledAt: Option<Duration>,
+    polled_at: Option<Duration>,
     pub state: Option<vanepath_registry::platform::State>,
 }
 
@@ -104,7 +104,7 @@
     pub notes: Vec<(Duration, String)>,
     /// The revision in force by time, over all lives: for the judge.
     pub revisions: Vec<(Duration, u32, u64)>,
-    pub isWell: bool,
+    pub is_well: bool,
     /// When its process was down, and until when.
     pub downs: Vec<(Duration, Option<Duration>)>,
 }
@@ -115,8 +115,8 @@
     pub what: What,
     /// The registry that was asked.
     pub registry: usize,
-    pub startedAt: Duration,
-    pub endedAt: Option<Duration>,
+    pub started_at: Duration,
+    pub ended_at: Option<Duration>,
     /// `None`: no reply came.
     pub outcome: Option<Outcome>,
 }
@@ -130,7 +130,7 @@
 
 impl What {
     /// A submission that nobody may take.
-    pub fn isInvalid(&self) -> bool {
+    pub fn is_invalid(&self) -> bool {
         matches!(self, What::Change { key, .. } if key.starts_with("invalid-"))
     }
 }
@@ -139,15 +139,15 @@
     pub net: Net,
     pub daemons: Vec<Daemon>,
     /// Which daemon runs on a host.
-    pub byHost: HashMap<HostId, usize>,
+    pub by_host: HashMap<HostId, usize>,
     pub operator: HostId,
     pub operations: Vec<Operation>,
-    pub platformHost: HostId,
+    pub platform_host: HostId,
     /// The platform says what is no list, or an older one, now and then.
-    pub platformLies: bool,
+    pub platform_lies: bool,
     pub platform: Arc<vanepath_setup::platform::PlatformList>,
     /// When each revision of the platform list came.
-    pub platformAt: Vec<(Duration, u64)>,
+    pub platform_at: Vec<(Duration, u64)>,
     pub world: super::data::World,
     pub reach: super::reach::Reach,
     pub trace: Vec<String>,
@@ -157,7 +157,7 @@
     /// What is broken on purpose.
     pub breaks: Option<Break>,
     pub visit: Option<Visit>,
-    firstWord: Option<Arc<wire::Word>>,
+    first_word: Option<Arc<wire::Word>>,
     passed: u32,
     /// Which daemon was killed at the planned point, and when.
     pub visited: Option<(usize, Duration)>,
@@ -166,22 +166,22 @@
 impl Sim {
     pub fn new(seed: u64, delays: Delays) -> Sim {
         let mut net = Net::new(seed, delays);
-        let operator = net.addHost("operator", "", "");
-        let platformHost = net.addHost("platform", "", "");
-        for host in [operator, platformHost] {
+        let operator = net.add_host("operator", "", "");
+        let platform_host = net.add_host("platform", "", "");
+        for host in [operator, platform_host] {
             net.hosts[host].up = true;
             net.hosts[host].life = 1;
         }
         Sim {
             net,
             daemons: Vec::new(),
-            byHost: HashMap::new(),
+            by_host: HashMap::new(),
             operator,
             operations: Vec::new(),
-            platformHost,
-            platformLies: false,
+            platform_host,
+            platform_lies: false,
             platform: Arc::default(),
-            platformAt: Vec::new(),
+            platform_at: Vec::new(),
             world: Default::default(),
             reach: Default::default(),
             trace: Vec::new(),
@@ -190,7 +190,7 @@
             script: Vec::new(),
             breaks: None,
             visit: None,
-            firstWord: None,
+            first_word: None,
             passed: 0,
             visited: None,
         }
@@ -226,7 +226,7 @@
     }
 
     /// A daemon on a machine of its own; `seat` for a store.
-    pub fn addDaemon(
+    pub fn add_daemon(
         &mut self,
         role: wire::Role,
         name: &str,
@@ -234,15 +234,15 @@
         region: &str,
         seat: Option<u8>,
     ) -> usize {
-        let host = self.net.addHost(name, zone, region);
-        let address = Net::addressOf(host);
+        let host = self.net.add_host(name, zone, region);
+        let address = Net::address_of(host);
         let card = wire::Card {
             name: name.to_string(),
             role,
             region: region.to_string(),
             zone: zone.to_string(),
             address,
-            siblingAddress: address,
+            sibling_address: address,
             seat: None,
         };
         let duty = match role {
@@ -275,29 +275,29 @@
             seeds: Vec::new(),
             notes: Vec::new(),
             revisions: Vec::new(),
-            isWell: false,
+            is_well: false,
             downs: Vec::new(),
         });
         let index = self.daemons.len() - 1;
-        self.byHost.insert(host, index);
+        self.by_host.insert(host, index);
         index
     }
 
-    pub fn startDaemon(&mut self, index: usize) {
+    pub fn start_daemon(&mut self, index: usize) {
         let host = self.daemons[index].host;
         self.net.hosts[host].powered = true;
         self.net.start(host);
         let now = self.net.local(host);
-        let wallMs = self.net.hosts[host].wallMs + self.net.now.as_millis() as i64;
-        let life = ((wallMs.max(0) as u64) << 12) | (self.net.random.draw() & 0xfff);
+        let wall_ms = self.net.hosts[host].wall_ms + self.net.now.as_millis() as i64;
+        let life = ((wall_ms.max(0) as u64) << 12) | (self.net.random.draw() & 0xfff);
         let random = self.net.random.draw();
         let daemon = &mut self.daemons[index];
         daemon.leaving = false;
         let mut hints = vanepath_store::hints::Hints::default();
-        if let Some((_, upAt @ None)) = daemon.downs.last_mut() {
-            *upAt = Some(self.net.now);
+        if let Some((_, up_at @ None)) = daemon.downs.last_mut() {
+            *up_at = Some(self.net.now);
         }
-        daemon.isWell = false;
+        daemon.is_well = false;
         match &mut daemon.duty {
             Duty::Store(store) => {
                 let found = store.disk.found(random);
@@ -318,7 +318,7 @@
         daemon.news.step(now, news::Event::Plan(Arc::new(hints.plan)));
         daemon.view = Arc::default();
         if self.breaks == Some(Break::StartsStale)
-            && let Some(first) = &self.firstWord
+            && let Some(first) = &self.first_word
             && daemon.card.role == wire::Role::Proxy
         {
             daemon.news.word = first.clone();
@@ -340,14 +340,14 @@
         }
         let now = self.net.now;
         let daemon = &mut self.daemons[index];
-        if daemon.downs.last().is_none_or(|(_, upAt)| upAt.is_some()) {
+        if daemon.downs.last().is_none_or(|(_, up_at)| up_at.is_some()) {
             daemon.downs.push((now, None));
         }
         if let Duty::Store(store) = &mut daemon.duty {
             // Of what was under way any first part may have lasted.
-            let underWay = std::mem::take(&mut store.disk.underWay);
-            let lasts = self.net.random.below(underWay.len() + 1);
-            for write in underWay.into_iter().take(lasts) {
+            let under_way = std::mem::take(&mut store.disk.under_way);
+            let lasts = self.net.random.below(under_way.len() + 1);
+            for write in under_way.into_iter().take(lasts) {
                 store.disk.apply(write);
             }
             store.disk.unsynced.clear();
@@ -359,8 +359,8 @@
     /// The disk is lost with all that was on it. The store must be down.
     pub fn wipe(&mut self, index: usize) {
         if let Duty::Store(store) = &mut self.daemons[index].duty {
-            let isFull = store.disk.isFull;
-            store.disk = Disk { isFull, ..Disk::default() };
+            let is_full = store.disk.is_full;
+            store.disk = Disk { is_full, ..Disk::default() };
         }
         let name = self.daemons[index].card.name.clone();
         self.note(|| format!("{name} loses its disk"));
@@ -373,7 +373,7 @@
             .unwrap_or_else(|| panic!("no daemon is named {name}"))
     }
 
-    pub fn isUp(&self, index: usize) -> bool {
+    pub fn is_up(&self, index: usize) -> bool {
         let host = &self.net.hosts[self.daemons[index].host];
         host.up && host.powered && !host.frozen
     }
@@ -381,9 +381,9 @@
     // ---- events --------------------------------------------------------------------------------
 
     /// Runs until this time.
-    pub fn runUntil(&mut self, until: Duration) {
+    pub fn run_until(&mut self, until: Duration) {
         self.net.at(until, Event::Script(usize::MAX));
-        while let Some((event, call)) = self.net.nextEvent() {
+        while let Some((event, call)) = self.net.next_event() {
             if let Event::Script(usize::MAX) = event {
                 if self.net.now >= until {
                     return;
@@ -400,13 +400,13 @@
             Event::Script(number) => super::day::act(self, number),
             Event::Pulse { host, life } => {
                 self.net.at(self.net.now + PULSE, Event::Pulse { host, life });
-                if let Some(index) = self.byHost.get(&host).copied() {
+                if let Some(index) = self.by_host.get(&host).copied() {
                     self.pulse(index);
                 }
             }
             Event::DiskDone { host, .. } => {
-                if let Some(index) = self.byHost.get(&host).copied() {
-                    self.diskDone(index);
+                if let Some(index) = self.by_host.get(&host).copied() {
+                    self.disk_done(index);
                 }
             }
             Event::Timer { host, what, .. } => self.timer(host, what),
@@ -417,8 +417,8 @@
             Event::Reply { call: number, body } => {
                 let entry = call.expect("replies carry their call");
                 let body = if matches!(body, Body::Reset) { None } else { Some(body) };
-                let isReset = body.is_none();
-                self.replied(entry.asker, entry.target, number, entry.purpose, body, isReset);
+                let is_reset = body.is_none();
+                self.replied(entry.asker, entry.target, number, entry.purpose, body, is_reset);
             }
             Event::Expire { call: number } => {
                 let entry = call.expect("expiries carry their call");
@@ -430,24 +430,24 @@
     fn timer(&mut self, host: HostId, what: Timer) {
         match what {
             Timer::Errand(errand) => {
-                if let Some(index) = self.byHost.get(&host).copied() {
-                    self.stepErrand(index, errand);
+                if let Some(index) = self.by_host.get(&host).copied() {
+                    self.step_errand(index, errand);
                 }
             }
             Timer::NextOperation => super::day::operate(self),
-            other => self.dataTimer(host, other),
+            other => self.data_timer(host, other),
         }
     }
 
     fn arrive(&mut self, host: HostId, asker: HostId, call: CallId, body: Body) {
-        if host == self.platformHost {
-            if let Some(body) = self.platformReply() {
+        if host == self.platform_host {
+            if let Some(body) = self.platform_reply() {
                 self.net.reply(call, body);
             }
             return;
         }
-        let Some(index) = self.byHost.get(&host).copied() else {
-            return self.arriveAtServer(host, asker, call, body);
+        let Some(index) = self.by_host.get(&host).copied() else {
+            return self.arrive_at_server(host, asker, call, body);
         };
         match body {
             Body::Pull(mut pull) => {
@@ -455,15 +455,15 @@
                     // As if it had what it lacks.
                     pull.word = u64::MAX;
                 }
-                self.stepNews(index, news::Event::Asked { ticket: call, pull });
+                self.step_news(index, news::Event::Asked { ticket: call, pull });
             }
             Body::Ask(ask) => {
                 let event = register::Event::Asked { ticket: call, ask };
-                self.storeEvent(index, event);
+                self.store_event(index, event);
             }
-            Body::Operate(operation) => self.startErrand(index, operation, call),
+            Body::Operate(operation) => self.start_errand(index, operation, call),
             Body::Steer(query) => self.steer(index, &query, call),
-            Body::Carry(request) => self.startWay(index, request, call),
+            Body::Carry(request) => self.start_way(index, request, call),
             _ => {}
         }
     }
@@ -475,58 +475,58 @@
         call: CallId,
         purpose: Purpose,
         body: Option<Body>,
-        isReset: bool,
+        is_reset: bool,
     ) {
-        let index = self.byHost.get(&asker).copied();
+        let index = self.by_host.get(&asker).copied();
         match (purpose, index) {
             (Purpose::Pull { address }, Some(index)) => {
                 let news = match body {
                     Some(Body::News(news)) => Some(Box::new(news)),
                     _ => None,
                 };
-                self.stepNews(index, news::Event::Told { address, news });
+                self.step_news(index, news::Event::Told { address, news });
             }
             (Purpose::Store { call }, Some(index)) => {
                 let tell = match body {
                     Some(Body::Tell(tell)) => Some(tell),
                     _ => None,
                 };
-                self.storeEvent(index, register::Event::Told { call, tell });
+                self.store_event(index, register::Event::Told { call, tell });
             }
             (Purpose::Errand { errand }, Some(index)) => {
                 let tell = match body {
                     Some(Body::Tell(tell)) => Some(tell),
                     _ => None,
                 };
-                self.errandTold(index, errand, tell);
+                self.errand_told(index, errand, tell);
             }
             (Purpose::Platform, Some(index)) => {
                 let list = match body {
-                    Some(Body::PlatformText(text)) => return self.platformText(index, &text),
+                    Some(Body::PlatformText(text)) => return self.platform_text(index, &text),
                     Some(Body::Platform(list)) => Some(list),
                     _ => None,
                 };
-                self.platformTold(index, list);
+                self.platform_told(index, list);
             }
             (Purpose::Operate { operation }, _) => {
                 let now = self.net.now;
                 let number = operation;
                 let operation = &mut self.operations[number];
-                operation.endedAt = Some(now);
+                operation.ended_at = Some(now);
                 operation.outcome = match body {
                     Some(Body::Operated(outcome)) => Some(outcome),
                     _ => None,
                 };
-                self.noteOperation(number);
+                self.note_operation(number);
             }
             (Purpose::None, _) => {}
-            (purpose, _) => self.dataReplied(asker, target, call, purpose, body, isReset),
+            (purpose, _) => self.data_replied(asker, target, call, purpose, body, is_reset),
         }
     }
 
     // ---- news ----------------------------------------------------------------------------------
 
-    pub fn stepNews(&mut self, index: usize, event: news::Event) {
+    pub fn step_news(&mut self, index: usize, event: news::Event) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let effects = self.daemons[index].news.step(now, event);
@@ -534,10 +534,10 @@
         for effect in effects {
             match effect {
                 news::Effect::Pull { address, pull } => {
-                    let target = Net::hostAt(address);
-                    let limit = Duration::from_millis(u64::from(pull.waitMs) + 1000);
+                    let target = Net::host_at(address);
+                    let limit = Duration::from_millis(u64::from(pull.wait_ms) + 1000);
                     let bytes = wire::encode(&pull).len() as u64 + 4;
-                    self.countBytes(host, target, bytes);
+                    self.count_bytes(host, target, bytes);
                     let purpose = Purpose::Pull { address };
                     self.net.ask(host, target, limit, Body::Pull(pull), purpose);
                 }
@@ -545,7 +545,7 @@
                     if let Some(call) = self.net.call(ticket) {
                         let asker = call.asker;
                         let bytes = wire::encode(&news).len() as u64 + 4;
-                        self.countBytes(host, asker, bytes);
+                        self.count_bytes(host, asker, bytes);
                     }
                     self.net.reply(ticket, Body::News(news));
                 }
@@ -557,12 +557,12 @@
             }
         }
         let daemon = &mut self.daemons[index];
-        if changed || !daemon.view.isUpToDate(&daemon.news, now) {
+        if changed || !daemon.view.is_up_to_date(&daemon.news, now) {
             let (mut view, notes) = View::of(&daemon.news, &daemon.view, now);
-            if self.firstWord.is_none() && view.word.revision > 0 {
-                self.firstWord = Some(view.word.clone());
+            if self.first_word.is_none() && view.word.revision > 0 {
+                self.first_word = Some(view.word.clone());
             }
-            let isBlind = match self.breaks {
+            let is_blind = match self.breaks {
                 Some(Break::IgnoresEmptied) => true,
                 Some(Break::StillSteersThere) => daemon.card.role == wire::Role::Registry,
                 _ => false,
@@ -572,7 +572,7 @@
                 open.rules.iter_mut().for_each(|rule| rule.regions.clear());
                 view.setup = Arc::new(open);
             }
-            if isBlind {
+            if is_blind {
                 let emptied = Default::default();
                 view.word = Arc::new(wire::Word { emptied, ..(*view.word).clone() });
             }
@@ -586,14 +586,14 @@
             for note in notes {
                 self.note(|| format!("{name}: {note}"));
             }
-            self.adoptView(index);
+            self.adopt_view(index);
         }
     }
 
-    fn countBytes(&mut self, from: HostId, to: HostId, bytes: u64) {
-        self.net.siblingBytes += bytes;
+    fn count_bytes(&mut self, from: HostId, to: HostId, bytes: u64) {
+        self.net.sibling_bytes += bytes;
         if self.net.hosts[from].zone != self.net.hosts[to].zone {
-            self.net.siblingBytesOtherZone += bytes;
+            self.net.sibling_bytes_other_zone += bytes;
         }
     }
 
@@ -611,17 +611,17 @@
                 daemon.revisions.push((self.net.now, self.net.hosts[host].life, revision));
             }
         }
-        self.stepNews(index, news::Event::Pulse);
+        self.step_news(index, news::Event::Pulse);
         match self.daemons[index].card.role {
-            wire::Role::Store => self.pulseStore(index),
-            wire::Role::Registry => self.pulseRegistry(index),
-            wire::Role::Proxy => self.pulseProxy(index),
+            wire::Role::Store => self.pulse_store(index),
+            wire::Role::Registry => self.pulse_registry(index),
+            wire::Role::Proxy => self.pulse_proxy(index),
         }
     }
 
     // ---- store ---------------------------------------------------------------------------------
 
-    fn pulseStore(&mut self, index: usize) {
+    fn pulse_store(&mut self, index: usize) {
         let view = self.daemons[index].view.clone();
         let claims = vanepath_store::shell::claims(&view);
         let live = claims.iter().map(|(claim, _)| *claim).collect();
@@ -629,7 +629,7 @@
         if let Duty::Store(store) = &mut self.daemons[index].duty {
             store.claims = claims;
             if let Some(hints) = store.keeper.step(now, &view)
-                && !store.disk.isFull
+                && !store.disk.is_full
             {
                 store.disk.hints = hints;
             }
@@ -640,7 +640,7 @@
             register::Event::Heard { revision },
             register::Event::Pulse,
         ] {
-            self.storeEvent(index, event);
+            self.store_event(index, event);
         }
         let Duty::Store(store) = &self.daemons[index].duty else { return };
         let summary = store.core.summary();
@@ -650,28 +650,28 @@
             blank: summary.blank,
             ..wire::Report::default()
         };
-        self.daemons[index].isWell = summary.votes;
-        self.stepNews(index, news::Event::Report(report));
+        self.daemons[index].is_well = summary.votes;
+        self.step_news(index, news::Event::Report(report));
     }
 
-    fn storeEvent(&mut self, index: usize, event: register::Event) {
+    fn store_event(&mut self, index: usize, event: register::Event) {
         if let Duty::Store(store) = &mut self.daemons[index].duty {
             store.inbox.push_back(event);
         }
-        self.runStore(index);
+        self.run_store(index);
     }
 
-    fn diskDone(&mut self, index: usize) {
+    fn disk_done(&mut self, index: usize) {
         let Duty::Store(store) = &mut self.daemons[index].duty else { return };
         store.busy = false;
         store.disk.saves += 1;
-        let underWay = std::mem::take(&mut store.disk.underWay);
-        if store.disk.isFull {
+        let under_way = std::mem::take(&mut store.disk.under_way);
+        if store.disk.is_full {
             store.pending.clear();
             store.inbox.push_front(register::Event::DiskFailed);
         } else {
             let lies = self.breaks == Some(Break::DisksLie);
-            for write in underWay {
+            for write in under_way {
                 if lies {
                     store.disk.unsynced.push(write);
                 } else {
@@ -682,11 +682,11 @@
         if self.passes(index, Point::AfterSave) {
             return;
         }
-        self.runStore(index);
+        self.run_store(index);
     }
 
     /// Strictly one event after the other, and its effects in order.
-    fn runStore(&mut self, index: usize) {
+    fn run_store(&mut self, index: usize) {
         let host = self.daemons[index].host;
         loop {
             let Duty::Store(store) = &mut self.daemons[index].duty else { return };
@@ -706,7 +706,7 @@
                     }
                     let Duty::Store(store) = &mut self.daemons[index].duty else { return };
                     store.busy = true;
-                    store.disk.underWay = writes;
+                    store.disk.under_way = writes;
                     let mut took = Duration::from_micros(500 + self.net.random.draw() % 4000);
                     if self.net.random.chance(0.01) {
                         took += Duration::from_millis(self.net.random.draw() % 150);
@@ -721,9 +721,9 @@
                     let Duty::Store(store) = &mut self.daemons[index].duty else { return };
                     let purpose = Purpose::Store { call };
                     let limit = Duration::from_millis(800);
-                    match vanepath_store::shell::addressOf(&store.claims, seat, incarnation) {
+                    match vanepath_store::shell::address_of(&store.claims, seat, incarnation) {
                         Some(address) => {
-                            let target = Net::hostAt(address);
+                            let target = Net::host_at(address);
                             // Now and then the same message comes twice, the second time late.
                             if self.net.random.chance(0.01) {
                                 let late = Body::Ask(ask.clone());
@@ -747,11 +747,11 @@
                         return;
                     }
                 }
-                register::Effect::AnswerFromFile { ticket, versions, asOutcome } => {
+                register::Effect::AnswerFromFile { ticket, versions, as_outcome } => {
                     let load = |at: &(u64, Digest)| {
                         store.disk.versions.get(at).map(|value| (**value).clone())
                     };
-                    let (tell, damaged) = register::fromFiles(&versions, asOutcome, load);
+                    let (tell, damaged) = register::from_files(&versions, as_outcome, load);
                     if let Some((revision, digest)) = damaged {
                         store.inbox.push_back(register::Event::Damaged { revision, digest });
                     }
@@ -762,7 +762,7 @@
                         return;
                     }
                     let word = Arc::new(value.word());
-                    self.stepNews(index, news::Event::Word(word));
+                    self.step_news(index, news::Event::Word(word));
                 }
                 register::Effect::Noted(text) => {
                     if text.contains("never happen") {
@@ -777,49 +777,49 @@
 
     // ---- registry ------------------------------------------------------------------------------
 
-    fn pulseRegistry(&mut self, index: usize) {
+    fn pulse_registry(&mut self, index: usize) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let view = self.daemons[index].view.clone();
         let name = self.daemons[index].card.name.clone();
         let leaving = self.daemons[index].leaving;
-        let ready = view.word.revision > 0 && view.isFresh && !leaving;
+        let ready = view.word.revision > 0 && view.is_fresh && !leaving;
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         registry.ready = ready;
         if registry
-            .polledAt
-            .is_none_or(|polledAt| now >= polledAt + vanepath_registry::platform::EVERY)
+            .polled_at
+            .is_none_or(|polled_at| now >= polled_at + vanepath_registry::platform::EVERY)
         {
-            registry.polledAt = Some(now);
+            registry.polled_at = Some(now);
             let limit = Duration::from_secs(2);
-            let target = self.platformHost;
+            let target = self.platform_host;
             self.net.ask(host, target, limit, Body::ReadPlatform, Purpose::Platform);
         }
-        self.daemons[index].isWell = ready;
+        self.daemons[index].is_well = ready;
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
-        let mayHold = registry.tenure.mayHold(now, view.isFresh);
+        let may_hold = registry.tenure.may_hold(now, view.is_fresh);
         let revision = view.word.revision;
-        let report = wire::Report { ready, leaving, revision, blank: false, settled: mayHold };
-        self.stepNews(index, news::Event::Report(report));
+        let report = wire::Report { ready, leaving, revision, blank: false, settled: may_hold };
+        self.step_news(index, news::Event::Report(report));
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
-        if !mayHold || view.holder(wire::Role::Registry).is_none_or(|card| card.name != name) {
+        if !may_hold || view.holder(wire::Role::Registry).is_none_or(|card| card.name != name) {
             return;
         }
-        let mayMove = now >= registry.stepAt;
-        if mayMove {
-            registry.stepAt = now + Duration::from_secs(4);
+        let may_move = now >= registry.step_at;
+        if may_move {
+            registry.step_at = now + Duration::from_secs(4);
         }
         let sources = &self.daemons[index].news.sources;
-        let plan = vanepath_registry::duty::next(&view, &name, sources, mayMove);
+        let plan = vanepath_registry::duty::next(&view, &name, sources, may_move);
         if let Some(plan) = plan {
             let text = format!("{name}: plan {}.{}", plan.epoch, plan.counter);
             let away: Vec<&String> = plan.away.iter().collect();
             self.note(|| format!("{text}, away {away:?}, cold {:?}", plan.cold));
-            self.stepNews(index, news::Event::Plan(Arc::new(plan)));
+            self.step_news(index, news::Event::Plan(Arc::new(plan)));
         }
     }
 
-    fn platformTold(
+    fn platform_told(
         &mut self,
         index: usize,
         list: Option<Arc<vanepath_setup::platform::PlatformList>>,
@@ -830,13 +830,13 @@
         let verdict = vanepath_registry::platform::judge(&last, &list);
         registry.state = Some(verdict);
         if verdict == vanepath_registry::platform::State::Good && list.revision > last.revision {
-            self.stepNews(index, news::Event::Platform(list));
+            self.step_news(index, news::Event::Platform(list));
         }
     }
 
     /// The list, or what a platform in trouble says in its place; half the time it is well even then.
-    fn platformReply(&mut self) -> Option<Body> {
-        if !self.platformLies {
+    fn platform_reply(&mut self) -> Option<Body> {
+        if !self.platform_lies {
             return Some(Body::Platform(self.platform.clone()));
         }
         let revision = self.platform.revision;
@@ -863,18 +863,18 @@
         }
     }
 
-    fn platformText(&mut self, index: usize, text: &str) {
+    fn platform_text(&mut self, index: usize, text: &str) {
         let last = self.daemons[index].view.platform.clone();
         let (verdict, list) = vanepath_registry::platform::heard(&last, text.as_bytes());
         if let Duty::Registry(registry) = &mut self.daemons[index].duty {
             registry.state = Some(verdict);
         }
         if let Some(list) = list {
-            self.stepNews(index, news::Event::Platform(Arc::new(list)));
+            self.step_news(index, news::Event::Platform(Arc::new(list)));
         }
     }
 
-    fn startErrand(&mut self, index: usize, operation: usize, call: CallId) {
+    fn start_errand(&mut self, index: usize, operation: usize, call: CallId) {
         if let What::Change { change: Change::Setup { bytes, .. }, .. } =
             &self.operations[operation].what
             && !self.has(Break::TakesInvalid)
@@ -896,13 +896,13 @@
         }
         let now = self.net.local(self.daemons[index].host);
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
-        registry.nextErrand += 1;
-        let errand = registry.nextErrand;
+        registry.next_errand += 1;
+        let errand = registry.next_errand;
         registry.errands.insert(errand, (Errand::new(question, now), call));
-        self.stepErrand(index, errand);
+        self.step_errand(index, errand);
     }
 
-    fn stepErrand(&mut self, index: usize, number: usize) {
+    fn step_errand(&mut self, index: usize, number: usize) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let stores = vanepath_registry::errand::stores(&self.daemons[index].view);
@@ -910,7 +910,7 @@
         let Some((errand, call)) = registry.errands.get_mut(&number) else { return };
         match errand.next(now, stores) {
             Step::Ask(card) => {
-                let target = Net::hostAt(card.siblingAddress);
+                let target = Net::host_at(card.sibling_address);
                 let mut question = errand.question.clone();
                 if self.passes(index, Point::BeforeStoreAsk) {
                     return;
@@ -934,7 +934,7 @@
         }
     }
 
-    fn errandTold(&mut self, index: usize, number: usize, tell: Option<Tell>) {
+    fn errand_told(&mut self, index: usize, number: usize, tell: Option<Tell>) {
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         let Some((errand, call)) = registry.errands.get_mut(&number) else { return };
         match errand.told(tell) {
@@ -946,7 +946,7 @@
                 }
                 self.net.reply(call, Body::Operated(outcome));
             }
-            None => self.stepErrand(index, number),
+            None => self.step_errand(index, number),
         }
     }
 
@@ -961,9 +961,9 @@
         if self.has(Break::DirectoriesStayDown) && self.net.now > super::day::BEGIN {
             return self.net.reply(call, Body::Receipt(String::new()));
         }
-        let isLong = self.has(Break::LongReceipts);
+        let is_long = self.has(Break::LongReceipts);
         let long = |mut receipt: jzon::JsonValue| {
-            if isLong {
+            if is_long {
                 receipt["TTL"] = 9.into();
             }
             receipt.dump()
@@ -981,11 +981,11 @@
                 }
                 Tell::Outcome(Outcome::Value { value })
             }
-            Tell::Outcome(Outcome::Accepted { revision, setupRevision, repeat })
+            Tell::Outcome(Outcome::Accepted { revision, setup_revision, repeat })
                 if self.has(Break::WrongRevisions) =>
             {
                 let revision = revision.saturating_sub(revision % 3);
-                Tell::Outcome(Outcome::Accepted { revision, setupRevision, repeat })
+                Tell::Outcome(Outcome::Accepted { revision, setup_revision, repeat })
             }
             tell => tell,
         }
@@ -993,10 +993,16 @@
 
     /// An operator's call to a registry.
     pub fn operate(&mut self, what: What, registry: usize) -> usize {
-        let startedAt = self.net.now;
-        self.operations.push(Operation { what, registry, startedAt, endedAt: None, outcome: None });
+        let started_at = self.net.now;
+        self.operations.push(Operation {
+            what,
+            registry,
+            started_at,
+            ended_at: None,
+            outcome: None,
+        });
         let operation = self.operations.len() - 1;
-        self.noteOperation(operation);
+        self.note_operation(operation);
         let target = self.daemons[registry].host;
         let limit = Duration::from_secs(9);
         let purpose = Purpose::Operate { operation };
--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -34,31 +34,31 @@
     /// Part of its requests that go by its manner.
     pub part: f64,
     pub service: Duration,
-    pub demandMilli: u32,
+    pub demand_milli: u32,
     /// Works on so many at one time, and what is more waits; 0: no bound, and demand is as set.
     pub workers: u32,
     working: u32,
     queue: std::collections::VecDeque<(CallId, usize)>,
     /// The part of its workers in use and wanted, smoothed over a second.
     load: f64,
-    loadAt: Duration,
-    pub inHand: u32,
+    load_at: Duration,
+    pub in_hand: u32,
     /// When it came back, and how long it had been away.
     pub back: Vec<(Duration, Duration, bool)>,
-    lostPower: bool,
-    wasWatched: bool,
-    pub downAt: Option<Duration>,
+    lost_power: bool,
+    was_watched: bool,
+    pub down_at: Option<Duration>,
     /// Requests as they came: when, which, and the proxy's host.
     pub arrivals: Vec<(Duration, usize, HostId)>,
     pub runs: HashMap<usize, u32>,
-    pub saysCold: bool,
+    pub says_cold: bool,
 }
 
 struct Connection {
     server: usize,
-    serverLife: u32,
+    server_life: u32,
     /// When the proxy's side learns that it is closed.
-    closedAt: Option<Duration>,
+    closed_at: Option<Duration>,
 }
 
 pub struct Caller {
@@ -85,33 +85,33 @@
 pub struct Request {
     pub what: What,
     pub caller: usize,
-    pub startedAt: Duration,
-    pub endedAt: Option<Duration>,
+    pub started_at: Duration,
+    pub ended_at: Option<Duration>,
     pub verdict: Verdict,
     pub status: u16,
     pub tries: u32,
     drops: u32,
     order: Vec<std::net::SocketAddr>,
     at: usize,
-    mayHaveRun: bool,
-    isOnce: bool,
+    may_have_run: bool,
+    is_once: bool,
     connecting: bool,
-    isStale: bool,
+    is_stale: bool,
     pub carriers: Vec<HostId>,
     /// Proxies' hosts that the caller asked.
     pub asked: Vec<HostId>,
     /// Servers' hosts that it was sent to.
-    pub sentTo: Vec<HostId>,
-    pub ranAt: Vec<usize>,
+    pub sent_to: Vec<HostId>,
+    pub ran_at: Vec<usize>,
     pub why: String,
 }
 
 #[derive(Default)]
 pub struct World {
     pub servers: Vec<Server>,
-    pub serverByHost: HashMap<HostId, usize>,
+    pub server_by_host: HashMap<HostId, usize>,
     connections: HashMap<u64, Connection>,
-    nextConnection: u64,
+    next_connection: u64,
     pub callers: Vec<Caller>,
     pub requests: Vec<Request>,
     pub directories: Vec<std::net::SocketAddr>,
@@ -119,22 +119,22 @@
     pub rate: f64,
     pub mix: [u32; 4],
     /// The rate and the mix when no flood is on.
-    pub calmMix: Option<(f64, [u32; 4])>,
+    pub calm_mix: Option<(f64, [u32; 4])>,
     pub paths: [&'static str; 4],
     pub took: Vec<Duration>,
-    pub furtherGoes: Vec<Duration>,
+    pub further_goes: Vec<Duration>,
     /// Requests as they came to proxies: when, and which.
     pub doors: Vec<(Duration, usize)>,
     pub goes: u64,
-    pub goesOtherZone: u64,
+    pub goes_other_zone: u64,
     /// The most that a server was under, in parts of what it can do.
-    pub worstLoad: f64,
+    pub worst_load: f64,
     pub probes: u64,
     pub stopped: bool,
     /// The longest TTL that any directory gave, in seconds.
-    pub longestReceipt: f64,
-    pub setupText: String,
-    pub operatorEvery: Duration,
+    pub longest_receipt: f64,
+    pub setup_text: String,
+    pub operator_every: Duration,
     /// Daemons whose machines were replaced for good.
     pub retired: HashSet<usize>,
     /// When the platform marked a server as leaving, and in which revision of its list.
@@ -155,11 +155,11 @@
     table: Arc<Table>,
     rule: usize,
     tried: Vec<usize>,
-    receivedAt: Duration,
+    received_at: Duration,
     deadline: Duration,
     held: Option<Slot>,
     waits: Option<u64>,
-    inHand: Option<usize>,
+    in_hand: Option<usize>,
     index: usize,
     connection: Option<(u64, Duration)>,
     work: Option<CallId>,
@@ -172,10 +172,10 @@
     budget: vanepath_proxy::budget::Budget,
     ways: HashMap<usize, Way>,
     waiting: HashMap<u64, usize>,
-    nextWay: usize,
+    next_way: usize,
     revision: Option<(u64, u64)>,
     telling: vanepath_proxy::servers::Telling,
-    pulsedAt: Duration,
+    pulsed_at: Duration,
     pub closed: bool,
     plan: Option<((u64, u64), (u64, u64))>,
     /// A server's phase changed: registries hear of it soon.
@@ -194,8 +194,8 @@
 }
 
 impl Sim {
-    pub fn addServer(&mut self, id: &str, app: &str, zone: &str, region: &str) -> usize {
-        let host = self.net.addHost(id, zone, region);
+    pub fn add_server(&mut self, id: &str, app: &str, zone: &str, region: &str) -> usize {
+        let host = self.net.add_host(id, zone, region);
         let service = Duration::from_millis(4 + self.net.random.draw() % 25);
         self.world.servers.push(Server {
             host,
@@ -206,53 +206,53 @@
             manner: Manner::Good,
             part: 0.0,
             service,
-            demandMilli: 200,
+            demand_milli: 200,
             workers: 0,
             working: 0,
             queue: Default::default(),
             load: 0.0,
-            loadAt: Duration::ZERO,
-            inHand: 0,
+            load_at: Duration::ZERO,
+            in_hand: 0,
             back: Vec::new(),
-            lostPower: false,
-            wasWatched: false,
-            downAt: None,
+            lost_power: false,
+            was_watched: false,
+            down_at: None,
             arrivals: Vec::new(),
             runs: HashMap::new(),
-            saysCold: false,
+            says_cold: false,
         });
         let index = self.world.servers.len() - 1;
-        self.world.serverByHost.insert(host, index);
+        self.world.server_by_host.insert(host, index);
         self.net.hosts[host].up = true;
         self.net.hosts[host].life = 1;
         index
     }
 
     /// Whether any proxy is there and ready.
-    fn isWatched(&self) -> bool {
+    fn is_watched(&self) -> bool {
         (0..self.daemons.len()).any(|index| {
             let daemon = &self.daemons[index];
-            daemon.card.role == wire::Role::Proxy && daemon.isWell && self.isUp(index)
+            daemon.card.role == wire::Role::Proxy && daemon.is_well && self.is_up(index)
         })
     }
 
     /// Ends a server's process; with `power`, its machine.
-    pub fn stopServer(&mut self, index: usize, power: bool) {
+    pub fn stop_server(&mut self, index: usize, power: bool) {
         let host = self.world.servers[index].host;
         if power {
             self.net.hosts[host].powered = false;
         }
         self.net.stop(host);
-        self.world.servers[index].downAt.get_or_insert(self.net.now);
-        self.world.servers[index].wasWatched = self.isWatched();
-        self.world.servers[index].lostPower = power;
+        self.world.servers[index].down_at.get_or_insert(self.net.now);
+        self.world.servers[index].was_watched = self.is_watched();
+        self.world.servers[index].lost_power = power;
         self.world.servers[index].working = 0;
         self.world.servers[index].queue.clear();
-        self.world.servers[index].inHand = 0;
-        let learnedAt = self.net.now + Duration::from_millis(2);
+        self.world.servers[index].in_hand = 0;
+        let learned_at = self.net.now + Duration::from_millis(2);
         for connection in self.world.connections.values_mut() {
             if connection.server == index && !power {
-                connection.closedAt.get_or_insert(learnedAt);
+                connection.closed_at.get_or_insert(learned_at);
             }
         }
         let id = self.world.servers[index].id.clone();
@@ -271,7 +271,7 @@
         self.world.servers[index].part = part;
     }
 
-    pub fn startServer(&mut self, index: usize) {
+    pub fn start_server(&mut self, index: usize) {
         let host = self.world.servers[index].host;
         self.net.over(host, Ill::Down);
         self.net.hosts[host].powered = true;
@@ -279,23 +279,23 @@
         self.net.hosts[host].frozen = false;
         self.net.hosts[host].life += 1;
         let now = self.net.now;
-        let isWatched = self.isWatched();
+        let is_watched = self.is_watched();
         let server = &mut self.world.servers[index];
-        let away = now - server.downAt.take().unwrap_or(now);
+        let away = now - server.down_at.take().unwrap_or(now);
         // A process that is gone is found out at the next probe; a silent machine takes two
         // probes that wait in vain.
-        let lost = server.lostPower;
+        let lost = server.lost_power;
         let noticeable = Duration::from_millis(if lost { 5000 } else { 1500 });
         // Gone and back while no proxy watched: nobody was there who could know of it.
-        let isNoticeable = away >= noticeable && (server.wasWatched || isWatched);
-        server.back.push((now, away, isNoticeable));
+        let is_noticeable = away >= noticeable && (server.was_watched || is_watched);
+        server.back.push((now, away, is_noticeable));
         let id = server.id.clone();
         self.note(|| format!("server {id} is back, cold"));
     }
 
-    pub fn addCaller(&mut self, name: &str, zone: &str, region: &str) -> usize {
+    pub fn add_caller(&mut self, name: &str, zone: &str, region: &str) -> usize {
         // Outside all zones: only its own distance counts.
-        let host = self.net.addHost(name, "", "");
+        let host = self.net.add_host(name, "", "");
         self.net.hosts[host].up = true;
         self.net.hosts[host].life = 1;
         let query = format!("/v1/steer?caller={name}&zone={zone}&region={region}");
@@ -313,21 +313,21 @@
         self.world.callers.len() - 1
     }
 
-    pub fn startCaller(&mut self, caller: usize) {
+    pub fn start_caller(&mut self, caller: usize) {
         let host = self.world.callers[caller].host;
         let spread = Duration::from_millis(self.net.random.draw() % 1000);
         self.net.timer(host, spread, Timer::Poll(caller));
         self.net.timer(host, spread + Duration::from_secs(1), Timer::NextRequest(caller));
     }
 
-    pub fn dataTimer(&mut self, host: HostId, what: Timer) {
+    pub fn data_timer(&mut self, host: HostId, what: Timer) {
         match what {
             Timer::Poll(caller) => self.poll(caller),
-            Timer::NextRequest(caller) => self.nextRequest(caller),
+            Timer::NextRequest(caller) => self.next_request(caller),
             Timer::Leave { request, target, call } if self.net.call(call).is_some() => {
                 let caller = self.world.requests[request].caller;
-                let (now, address) = (self.net.now, Net::addressOf(target));
-                if self.world.callers[caller].steering.isDoubted(now, &address) {
+                let (now, address) = (self.net.now, Net::address_of(target));
+                if self.world.callers[caller].steering.is_doubted(now, &address) {
                     self.net.forget(call);
                     self.carried(request, target, None, false);
                 } else {
@@ -335,14 +335,14 @@
                 }
             }
             Timer::Stale { request, target } => self.carried(request, target, None, true),
-            Timer::ServerDone { call, request } => self.serverDone(host, call, request),
+            Timer::ServerDone { call, request } => self.server_done(host, call, request),
             Timer::WayReady(_)
             | Timer::WayChoose(_)
             | Timer::WayLate(_)
             | Timer::WaySoon(..)
             | Timer::Close => {
-                if let Some(index) = self.byHost.get(&host).copied() {
-                    self.wayTimer(index, what);
+                if let Some(index) = self.by_host.get(&host).copied() {
+                    self.way_timer(index, what);
                 }
             }
             _ => {}
@@ -355,17 +355,17 @@
         let now = self.net.now;
         let own = &mut self.world.callers[caller];
         let host = own.host;
-        if let Some((directory, uri)) = own.steering.startPoll(now) {
-            let target = Net::hostAt(directory);
+        if let Some((directory, uri)) = own.steering.start_poll(now) {
+            let target = Net::host_at(directory);
             let limit = vanepath_caller::client::POLL_LIMIT;
             self.net.ask(host, target, limit, Body::Steer(uri), Purpose::Poll { caller });
         }
-        let pause = self.world.callers[caller].steering.pollAt().saturating_sub(now);
+        let pause = self.world.callers[caller].steering.poll_at().saturating_sub(now);
         let pause = pause.clamp(Duration::from_millis(20), Duration::from_millis(200));
         self.net.timer(host, pause, Timer::Poll(caller));
     }
 
-    fn nextRequest(&mut self, caller: usize) {
+    fn next_request(&mut self, caller: usize) {
         if self.world.stopped {
             return;
         }
@@ -393,72 +393,72 @@
         let path = self.world.paths[what as usize];
         let steering = &mut self.world.callers[caller].steering;
         let order = steering.order(now, method(what), "h", path);
-        let isOnce = steering.isOnce(method(what), "h", path);
+        let is_once = steering.is_once(method(what), "h", path);
         self.world.requests.push(Request {
             what,
             caller,
-            startedAt: now,
-            endedAt: None,
+            started_at: now,
+            ended_at: None,
             verdict: Verdict::NotRun,
             status: 0,
             tries: 0,
             drops: 0,
             order,
             at: 0,
-            mayHaveRun: false,
-            isOnce,
+            may_have_run: false,
+            is_once,
             connecting: false,
-            isStale: false,
+            is_stale: false,
             carriers: Vec::new(),
             asked: Vec::new(),
-            sentTo: Vec::new(),
-            ranAt: Vec::new(),
+            sent_to: Vec::new(),
+            ran_at: Vec::new(),
             why: String::new(),
         });
         let request = self.world.requests.len() - 1;
-        self.goOn(request);
+        self.go_on(request);
     }
 
     /// The next place of a request's order, as the caller library goes on.
-    fn goOn(&mut self, number: usize) {
+    fn go_on(&mut self, number: usize) {
         let request = &mut self.world.requests[number];
         let most = vanepath_caller::client::TRIES_MOST;
         let Some(address) = request.order.get(request.at).copied().filter(|_| request.at < most)
         else {
-            return self.endRequest(number);
+            return self.end_request(number);
         };
         request.at += 1;
-        if !self.world.callers[request.caller].steering.isListed(&address) {
-            return self.goOn(number);
+        if !self.world.callers[request.caller].steering.is_listed(&address) {
+            return self.go_on(number);
         }
         request.tries += 1;
-        let target = Net::hostAt(address);
+        let target = Net::host_at(address);
         let caller = request.caller;
         let host = self.world.callers[caller].host;
         let life = self.net.hosts[target].life;
         let now = self.net.now;
-        let isOnce = self.world.requests[number].isOnce;
-        let mayUseOpen = self.world.callers[caller].steering.mayUseOpen(now, &address, isOnce);
+        let is_once = self.world.requests[number].is_once;
+        let may_use_open = self.world.callers[caller].steering.may_use_open(now, &address, is_once);
         let open = &mut self.world.callers[caller].open;
-        let isOpen = mayUseOpen && open.contains(&(target, life));
+        let is_open = may_use_open && open.contains(&(target, life));
         // One that its machine forgot when it lost power, of which nothing told this side: what is
         // written to it comes back as a reset.
-        let silentLives = &self.net.hosts[target].silentLives;
-        let stale = silentLives.iter().map(|life| (target, *life)).find(|one| open.contains(one));
-        let isStale = mayUseOpen && !isOpen && stale.is_some();
+        let silent_lives = &self.net.hosts[target].silent_lives;
+        let stale = silent_lives.iter().map(|life| (target, *life)).find(|one| open.contains(one));
+        let is_stale = may_use_open && !is_open && stale.is_some();
         if let Some(stale) = stale {
             open.remove(&stale);
         }
-        let isThere = self.net.hosts[target].powered && !self.net.isCut(host, target);
+        let is_there = self.net.hosts[target].powered && !self.net.is_cut(host, target);
         let request = &mut self.world.requests[number];
-        request.isStale = isStale;
-        request.connecting = !isOpen && !isThere && !isStale;
-        let isLast = request.at >= request.order.len().min(most);
+        request.is_stale = is_stale;
+        request.connecting = !is_open && !is_there && !is_stale;
+        let is_last = request.at >= request.order.len().min(most);
         let limit = if request.connecting { Duration::from_secs(1) } else { CALL_LIMIT };
-        let mayLeave = !request.isOnce && !isLast && !request.connecting;
+        let may_leave = !request.is_once && !is_last && !request.connecting;
         self.world.callers[caller].steering.sent(now, address);
         self.world.requests[number].asked.push(target);
-        if isStale && isThere {
+        if is_stale && is_there {
             let delay = 2 * self.net.delays.caller;
             let what = Timer::Stale { request: number, target };
             self.net.timer(host, delay, what);
@@ -466,44 +466,44 @@
         }
         let purpose = Purpose::Carry { request: number };
         let call = self.net.ask(host, target, limit, Body::Carry(number), purpose);
-        if mayLeave {
+        if may_leave {
             let what = Timer::Leave { request: number, target, call };
             self.net.timer(host, vanepath_caller::client::TRY_LIMIT, what);
         }
     }
 
-    fn endRequest(&mut self, number: usize) {
+    fn end_request(&mut self, number: usize) {
         let now = self.net.now;
         let request = &mut self.world.requests[number];
-        request.endedAt = Some(now);
-        if request.mayHaveRun && request.verdict == Verdict::NotRun {
+        request.ended_at = Some(now);
+        if request.may_have_run && request.verdict == Verdict::NotRun {
             request.verdict = Verdict::MayHaveRun;
         }
     }
 
-    fn carried(&mut self, number: usize, target: HostId, body: Option<Body>, isReset: bool) {
+    fn carried(&mut self, number: usize, target: HostId, body: Option<Body>, is_reset: bool) {
         let now = self.net.now;
         let life = self.net.hosts[target].life;
         let request = &mut self.world.requests[number];
         let caller = &mut self.world.callers[request.caller];
-        let address = Net::addressOf(target);
+        let address = Net::address_of(target);
         caller.steering.heard(now, address, body.is_some());
         match body {
             Some(Body::Carried { verdict, status, named }) => {
                 caller.open.insert((target, life));
                 request.verdict = verdict;
                 request.status = status;
-                request.mayHaveRun |= verdict != Verdict::NotRun;
-                let isDone = verdict == Verdict::Ran
+                request.may_have_run |= verdict != Verdict::NotRun;
+                let is_done = verdict == Verdict::Ran
                     || ![421, 502, 503, 504].contains(&status)
                     || self.breaks == Some(Break::LookupsGiveUp);
                 request.drops += u32::from(status == 503);
-                let isDone = isDone || (status != 421 && !caller.steering.takeTry(now));
-                if isDone
-                    || (request.isOnce && request.mayHaveRun)
+                let is_done = is_done || (status != 421 && !caller.steering.take_try(now));
+                if is_done
+                    || (request.is_once && request.may_have_run)
                     || request.drops >= vanepath_caller::client::DROPS_MOST
                 {
-                    return self.endRequest(number);
+                    return self.end_request(number);
                 }
                 if status == 421 {
                     caller.steering.misplaced(now, &mut request.order, request.at, &named);
@@ -511,33 +511,33 @@
             }
             _ => {
                 // A reset before anything was sent is a refused connection.
-                let isUnsent = (request.connecting
-                    || (isReset && !caller.open.contains(&(target, life)))
-                    || (isReset && !self.net.hosts[target].up))
-                    && !request.isStale;
+                let is_unsent = (request.connecting
+                    || (is_reset && !caller.open.contains(&(target, life)))
+                    || (is_reset && !self.net.hosts[target].up))
+                    && !request.is_stale;
                 caller.open.remove(&(target, life));
                 // A caller cannot see into the proxy: once a byte went out it must assume that.
-                let wasConnected = !isUnsent || request.carriers.contains(&target);
-                request.verdict = if wasConnected { Verdict::MayHaveRun } else { Verdict::NotRun };
-                request.mayHaveRun |= wasConnected;
+                let was_connected = !is_unsent || request.carriers.contains(&target);
+                request.verdict = if was_connected { Verdict::MayHaveRun } else { Verdict::NotRun };
+                request.may_have_run |= was_connected;
                 request.status = 0;
                 caller.steering.penalise(now, address);
-                if request.isOnce && request.mayHaveRun {
-                    return self.endRequest(number);
+                if request.is_once && request.may_have_run {
+                    return self.end_request(number);
                 }
             }
         }
-        self.goOn(number);
+        self.go_on(number);
     }
 
-    pub fn dataReplied(
+    pub fn data_replied(
         &mut self,
         asker: HostId,
         target: HostId,
         _call: CallId,
         purpose: Purpose,
         body: Option<Body>,
-        isReset: bool,
+        is_reset: bool,
     ) {
         match purpose {
             Purpose::Poll { caller } => {
@@ -546,7 +546,7 @@
                         // The judge goes by what the directory said, not by what is made of it.
                         let said = jzon::parse(&text).ok().and_then(|all| all["TTL"].as_f64());
                         if let Some(said) = said {
-                            self.world.longestReceipt = self.world.longestReceipt.max(said);
+                            self.world.longest_receipt = self.world.longest_receipt.max(said);
                         }
                         parse(&text)
                     }
@@ -560,20 +560,20 @@
                 }
                 own.steering.polled(now, receipt);
             }
-            Purpose::Carry { request } => self.carried(request, target, body, isReset),
+            Purpose::Carry { request } => self.carried(request, target, body, is_reset),
             Purpose::Greet { way } => {
-                if let Some(index) = self.byHost.get(&asker).copied() {
-                    self.greeted(index, way, body, isReset);
+                if let Some(index) = self.by_host.get(&asker).copied() {
+                    self.greeted(index, way, body, is_reset);
                 }
             }
             Purpose::Probe { slot, index: entry } => {
-                if let Some(index) = self.byHost.get(&asker).copied() {
-                    self.probed(index, slot, entry, body, isReset);
+                if let Some(index) = self.by_host.get(&asker).copied() {
+                    self.probed(index, slot, entry, body, is_reset);
                 }
             }
             Purpose::Work { way } => {
-                if let Some(index) = self.byHost.get(&asker).copied() {
-                    self.worked(index, way, body, isReset);
+                if let Some(index) = self.by_host.get(&asker).copied() {
+                    self.worked(index, way, body, is_reset);
                 }
             }
             _ => {}
@@ -582,15 +582,15 @@
 
     // ---- servers -------------------------------------------------------------------------------
 
-    pub fn arriveAtServer(&mut self, host: HostId, asker: HostId, call: CallId, body: Body) {
-        let Some(index) = self.world.serverByHost.get(&host).copied() else { return };
+    pub fn arrive_at_server(&mut self, host: HostId, asker: HostId, call: CallId, body: Body) {
+        let Some(index) = self.world.server_by_host.get(&host).copied() else { return };
         let life = self.net.hosts[host].life;
         self.gauge(index);
         match body {
             Body::Greet => {
-                self.world.nextConnection += 1;
-                let connection = self.world.nextConnection;
-                let entry = Connection { server: index, serverLife: life, closedAt: None };
+                self.world.next_connection += 1;
+                let connection = self.world.next_connection;
+                let entry = Connection { server: index, server_life: life, closed_at: None };
                 self.world.connections.insert(connection, entry);
                 let server = &self.world.servers[index];
                 if server.manner == Manner::Silent && server.part >= 1.0 {
@@ -599,33 +599,33 @@
                 let reply = Body::Greeted {
                     server: server.id.clone(),
                     connection,
-                    isCold: server.saysCold,
-                    demandMilli: server.demandMilli,
+                    is_cold: server.says_cold,
+                    demand_milli: server.demand_milli,
                 };
                 self.net.reply(call, reply);
             }
-            Body::Work { request, connection, sentAt } => {
-                let isSame = self
+            Body::Work { request, connection, sent_at } => {
+                let is_same = self
                     .world
                     .connections
                     .get(&connection)
-                    .is_some_and(|one| one.server == index && one.serverLife == life);
-                if !isSame {
+                    .is_some_and(|one| one.server == index && one.server_life == life);
+                if !is_same {
                     return self.net.reply(call, Body::Reset);
                 }
                 let now = self.net.now;
-                let byManner = self.net.random.part() < self.world.servers[index].part;
+                let by_manner = self.net.random.part() < self.world.servers[index].part;
                 let server = &mut self.world.servers[index];
                 server.arrivals.push((now, request, asker));
-                self.judgeArrival(index, request, asker, sentAt);
+                self.judge_arrival(index, request, asker, sent_at);
                 let server = &mut self.world.servers[index];
-                let manner = if byManner { server.manner } else { Manner::Good };
+                let manner = if by_manner { server.manner } else { Manner::Good };
                 if manner == Manner::Silent {
                     return;
                 }
                 *server.runs.entry(request).or_default() += 1;
-                server.inHand += 1;
-                self.world.requests[request].ranAt.push(index);
+                server.in_hand += 1;
+                self.world.requests[request].ran_at.push(index);
                 if self.world.servers[index].workers > 0 {
                     self.gauge(index);
                     let server = &mut self.world.servers[index];
@@ -653,17 +653,17 @@
         let now = self.net.now;
         let server = &mut self.world.servers[index];
         if server.workers > 0 {
-            let part = 1.0 - (-(now - server.loadAt).as_secs_f64()).exp();
+            let part = 1.0 - (-(now - server.load_at).as_secs_f64()).exp();
             let wanted = f64::from(server.working) + server.queue.len() as f64;
             server.load += part * (wanted / f64::from(server.workers) - server.load);
-            self.world.worstLoad = self.world.worstLoad.max(server.load);
-            server.loadAt = now;
-            server.demandMilli = (server.load * 1000.0).min(5000.0) as u32;
+            self.world.worst_load = self.world.worst_load.max(server.load);
+            server.load_at = now;
+            server.demand_milli = (server.load * 1000.0).min(5000.0) as u32;
         }
     }
 
-    fn serverDone(&mut self, host: HostId, call: CallId, _request: usize) {
-        let Some(index) = self.world.serverByHost.get(&host).copied() else { return };
+    fn server_done(&mut self, host: HostId, call: CallId, _request: usize) {
+        let Some(index) = self.world.server_by_host.get(&host).copied() else { return };
         if self.world.servers[index].workers > 0 {
             self.gauge(index);
             let server = &mut self.world.servers[index];
@@ -672,14 +672,14 @@
                 None => server.working = server.working.saturating_sub(1),
             }
         }
-        let byManner = self.net.random.part() < self.world.servers[index].part;
+        let by_manner = self.net.random.part() < self.world.servers[index].part;
         let server = &mut self.world.servers[index];
-        server.inHand = server.inHand.saturating_sub(1);
-        let manner = if byManner { server.manner } else { Manner::Good };
-        let demandMilli = server.demandMilli;
+        server.in_hand = server.in_hand.saturating_sub(1);
+        let manner = if by_manner { server.manner } else { Manner::Good };
+        let demand_milli = server.demand_milli;
         let body = match manner {
             Manner::RunAndLose => Body::Reset,
-            manner => Body::Worked { demandMilli, isTruncated: manner == Manner::Truncate },
+            manner => Body::Worked { demand_milli, is_truncated: manner == Manner::Truncate },
         };
         self.net.reply(call, body);
     }
@@ -687,12 +687,12 @@
     // ---- proxies -------------------------------------------------------------------------------
 
     /// News is in force at once: servers and classes as it wants them.
-    pub fn adoptView(&mut self, index: usize) {
+    pub fn adopt_view(&mut self, index: usize) {
         let now = self.net.local(self.daemons[index].host);
         let view = self.daemons[index].view.clone();
         let name = self.daemons[index].card.name.clone();
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
-        let revision = vanepath_proxy::servers::revisionOf(&view);
+        let revision = vanepath_proxy::servers::revision_of(&view);
         if proxy.revision == Some(revision) {
             return;
         }
@@ -704,7 +704,7 @@
         }
         proxy.revision = Some(revision);
         let cold = |server: &vanepath_setup::platform::Server, services: &[usize]| {
-            vanepath_proxy::servers::coldRate(&view, &name, server, services)
+            vanepath_proxy::servers::cold_rate(&view, &name, server, services)
         };
         let mut list = (*view.platform).clone();
         if self.breaks == Some(Break::IgnoresLeaving) {
@@ -712,11 +712,11 @@
         }
         proxy.servers.adopt(now, revision, &view.setup, &list, cold);
         proxy.paces.renew();
-        self.wakeWays(index, woken);
+        self.wake_ways(index, woken);
     }
 
-    pub fn pulseProxy(&mut self, index: usize) {
-        self.adoptView(index);
+    pub fn pulse_proxy(&mut self, index: usize) {
+        self.adopt_view(index);
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let view = self.daemons[index].view.clone();
@@ -724,19 +724,19 @@
         let card = self.daemons[index].card.clone();
         let leaving = self.daemons[index].leaving;
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
-        proxy.pulsedAt = now;
-        let revision = vanepath_proxy::servers::revisionOf(&view);
+        proxy.pulsed_at = now;
+        let revision = vanepath_proxy::servers::revision_of(&view);
         let table = proxy.servers.table.load_full();
-        let blindTo: &[Phase] = match self.breaks {
+        let blind_to: &[Phase] = match self.breaks {
             Some(Break::FloodsCold) => &[Phase::Cold, Phase::Ramping],
             // Who is not avoided is tried again and again.
             Some(Break::UnboundRetries) => &[Phase::Cold, Phase::Ramping, Phase::Suspect],
             _ => &[],
         };
-        for entry in table.entries.iter().filter(|_| !blindTo.is_empty()) {
+        for entry in table.entries.iter().filter(|_| !blind_to.is_empty()) {
             proxy.servers.moved(entry.slot, |liveness| {
                 liveness.forgive();
-                if blindTo.contains(&liveness.phase) {
+                if blind_to.contains(&liveness.phase) {
                     liveness.phase = Phase::Live;
                 }
             });
@@ -744,20 +744,20 @@
         let plan = (view.plan.epoch, view.plan.counter);
         if proxy.plan != Some((plan, revision)) {
             proxy.plan = Some((plan, revision));
-            proxy.servers.hearPlan(now, &view.plan);
+            proxy.servers.hear_plan(now, &view.plan);
         }
         proxy.paces.pulse(now, &view, &card, &table);
         let pulsed = proxy.servers.pulse(now, &proxy.paces);
         self.world.probes += pulsed.probes.len() as u64;
-        let isFresh = view.isFresh || self.breaks == Some(Break::StartsStale);
-        let ready = proxy.servers.isFit(now, isFresh, revision) && !leaving;
+        let is_fresh = view.is_fresh || self.breaks == Some(Break::StartsStale);
+        let ready = proxy.servers.is_fit(now, is_fresh, revision) && !leaving;
         let mut detail = None;
-        let isNews = pulsed.isNews || std::mem::take(&mut proxy.moved);
-        if proxy.telling.isDue(now, isNews) {
+        let is_news = pulsed.is_news || std::mem::take(&mut proxy.moved);
+        if proxy.telling.is_due(now, is_news) {
             let counts = proxy.classes.counts();
             detail = Some(wire::Detail {
                 sights: proxy.servers.sights(now),
-                inHand: counts.iter().map(|one| one.2 as u32).collect(),
+                in_hand: counts.iter().map(|one| one.2 as u32).collect(),
                 waiting: counts.iter().map(|one| one.3 as u32).collect(),
                 taken: proxy.takings.tell(now),
             });
@@ -766,14 +766,14 @@
             let address = table.entries[entry].server.address;
             let purpose = Purpose::Probe { slot: table.entries[entry].slot, index: entry };
             let limit = vanepath_proxy::pool::LIMIT;
-            self.net.ask(host, Net::hostAt(address), limit, Body::Greet, purpose);
+            self.net.ask(host, Net::host_at(address), limit, Body::Greet, purpose);
         }
         for note in pulsed.notes {
             self.note(|| format!("{name}: {note}"));
         }
-        self.daemons[index].isWell = ready;
+        self.daemons[index].is_well = ready;
         if ready {
-            self.judgeService(index);
+            self.judge_service(index);
         }
         let report = wire::Report {
             ready,
@@ -781,9 +781,9 @@
             revision: view.word.revision,
             ..wire::Report::default()
         };
-        self.stepNews(index, news::Event::Report(report));
+        self.step_news(index, news::Event::Report(report));
         if let Some(detail) = detail {
-            self.stepNews(index, news::Event::Detail(detail));
+            self.step_news(index, news::Event::Detail(detail));
         }
         let Duty::Proxy(proxy) = &self.daemons[index].duty else { return };
         if proxy.closed && proxy.ways.is_empty() {
@@ -808,7 +808,7 @@
         slot: usize,
         entry: usize,
         body: Option<Body>,
-        isReset: bool,
+        is_reset: bool,
     ) {
         let now = self.net.local(self.daemons[index].host);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
@@ -818,23 +818,23 @@
             return;
         };
         let phase = match body {
-            Some(Body::Greeted { server, connection, isCold, demandMilli })
+            Some(Body::Greeted { server, connection, is_cold, demand_milli })
                 if server == entry.server.id =>
             {
-                proxy.servers.told(now, slot, demandMilli);
-                if isCold {
+                proxy.servers.told(now, slot, demand_milli);
+                if is_cold {
                     proxy.servers.moved(slot, |liveness| {
                         if liveness.phase == Phase::Live {
                             liveness.chill(now, Duration::ZERO);
                         }
                     });
                 }
-                let idle = Idle { connection, greetedAt: now, quietSince: now, isUsed: false };
-                proxy.servers.putIdle(slot, idle);
+                let idle = Idle { connection, greeted_at: now, quiet_since: now, is_used: false };
+                proxy.servers.put_idle(slot, idle);
                 proxy.servers.good(now, slot)
             }
             Some(_) => proxy.servers.bad(now, slot, Failure::Refused),
-            None if isReset => proxy.servers.bad(now, slot, Failure::Refused),
+            None if is_reset => proxy.servers.bad(now, slot, Failure::Refused),
             None => proxy.servers.bad(now, slot, Failure::Silent),
         };
         if let Some(phase) = phase {
@@ -844,17 +844,17 @@
         }
     }
 
-    fn isFit(&self, index: usize) -> bool {
+    fn is_fit(&self, index: usize) -> bool {
         let now = self.net.local(self.daemons[index].host);
         let Duty::Proxy(proxy) = &self.daemons[index].duty else { return false };
         let view = &self.daemons[index].view;
-        let isFresh = view.isFresh || self.has(Break::StartsStale);
-        let revision = vanepath_proxy::servers::revisionOf(view);
-        now.saturating_sub(proxy.pulsedAt) < news::FREEZE
-            && proxy.servers.isFit(now, isFresh, revision)
+        let is_fresh = view.is_fresh || self.has(Break::StartsStale);
+        let revision = vanepath_proxy::servers::revision_of(view);
+        now.saturating_sub(proxy.pulsed_at) < news::FREEZE
+            && proxy.servers.is_fit(now, is_fresh, revision)
     }
 
-    pub fn startWay(&mut self, index: usize, request: usize, call: CallId) {
+    pub fn start_way(&mut self, index: usize, request: usize, call: CallId) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
@@ -863,8 +863,8 @@
         }
         self.world.requests[request].carriers.push(host);
         self.world.doors.push((self.net.now, request));
-        proxy.nextWay += 1;
-        let way = proxy.nextWay;
+        proxy.next_way += 1;
+        let way = proxy.next_way;
         let table = proxy.servers.table.load_full();
         proxy.ways.insert(
             way,
@@ -875,25 +875,25 @@
                 table,
                 rule: 0,
                 tried: Vec::new(),
-                receivedAt: now,
+                received_at: now,
                 deadline: now + news::HOLD,
                 held: None,
                 waits: None,
-                inHand: None,
+                in_hand: None,
                 index: 0,
                 connection: None,
                 work: None,
             },
         );
-        self.wayReady(index, way);
+        self.way_ready(index, way);
     }
 
-    fn wayTimer(&mut self, index: usize, what: Timer) {
+    fn way_timer(&mut self, index: usize, what: Timer) {
         match what {
-            Timer::WayReady(way) => self.wayReady(index, way),
-            Timer::WayChoose(way) => self.wayChoose(index, way),
-            Timer::WayLate(way) => self.wayLate(index, way),
-            Timer::WaySoon(way, go) => self.waySoon(index, way, go),
+            Timer::WayReady(way) => self.way_ready(index, way),
+            Timer::WayChoose(way) => self.way_choose(index, way),
+            Timer::WayLate(way) => self.way_late(index, way),
+            Timer::WaySoon(way, go) => self.way_soon(index, way, go),
             Timer::Close => {
                 if let Duty::Proxy(proxy) = &mut self.daemons[index].duty {
                     proxy.closed = true;
@@ -908,14 +908,14 @@
         }
     }
 
-    fn wayReady(&mut self, index: usize, way: usize) {
+    fn way_ready(&mut self, index: usize, way: usize) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
-        if !self.isFit(index) {
+        if !self.is_fit(index) {
             let Duty::Proxy(proxy) = &self.daemons[index].duty else { return };
             let Some(own) = proxy.ways.get(&way) else { return };
-            if now.saturating_sub(own.receivedAt) >= news::HOLD {
-                return self.endWay(index, way, Err(Refusal::NotReady));
+            if now.saturating_sub(own.received_at) >= news::HOLD {
+                return self.end_way(index, way, Err(Refusal::NotReady));
             }
             return self.net.timer(host, Duration::from_millis(10), Timer::WayReady(way));
         }
@@ -923,69 +923,69 @@
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
         own.table = proxy.servers.table.load_full();
-        self.judgeService(index);
-        self.judgeDoor(index);
+        self.judge_service(index);
+        self.judge_door(index);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
         let request = &self.world.requests[own.request];
         let (verb, path) = (method(request.what), self.world.paths[request.what as usize]);
         let setup = own.table.setup.clone();
-        let rule = setup.ruleFor(verb, "h", path);
+        let rule = setup.rule_for(verb, "h", path);
         let Some(rule) = rule else {
-            return self.endWay(index, way, Err(Refusal::Unmatched));
+            return self.end_way(index, way, Err(Refusal::Unmatched));
         };
         own.rule = rule;
         let facts = &setup.rules[rule];
         let class = &setup.classes[facts.class];
         own.chart.state = State::Matched;
         own.chart.kind = class.kind;
-        own.chart.isReplayable = true;
-        own.deadline = own.receivedAt + class.deadline;
+        own.chart.is_replayable = true;
+        own.deadline = own.received_at + class.deadline;
         if !facts.allows(&region) {
-            return self.endWay(index, way, Err(Refusal::Misplaced));
+            return self.end_way(index, way, Err(Refusal::Misplaced));
         }
-        let isSpoilt = class.kind == Kind::Once && own.request.is_multiple_of(50);
-        if self.breaks == Some(Break::RefusesFilings) && isSpoilt {
-            return self.endWay(index, way, Err(Refusal::NoServer));
+        let is_spoilt = class.kind == Kind::Once && own.request.is_multiple_of(50);
+        if self.breaks == Some(Break::RefusesFilings) && is_spoilt {
+            return self.end_way(index, way, Err(Refusal::NoServer));
         }
         proxy.takings.took(facts.service);
         proxy.budget.took(now);
         self.world.took.push(self.net.now);
         own.chart.state = State::Queued;
         let late = own.deadline.saturating_sub(now);
-        let classIndex = proxy.classes.index(&class.name);
-        let Some(classIndex) = classIndex else {
-            return self.endWay(index, way, Err(Refusal::NotReady));
+        let class_index = proxy.classes.index(&class.name);
+        let Some(class_index) = class_index else {
+            return self.end_way(index, way, Err(Refusal::NotReady));
         };
-        let entered = proxy.classes.enter(classIndex, own.deadline);
+        let entered = proxy.classes.enter(class_index, own.deadline);
         match entered {
             Entered::Taken(slot) => own.held = Some(slot),
-            Entered::Dropped => return self.endWay(index, way, Err(Refusal::NoRoom)),
+            Entered::Dropped => return self.end_way(index, way, Err(Refusal::NoRoom)),
             Entered::Waits(number) => {
                 own.waits = Some(number);
                 proxy.waiting.insert(number, way);
             }
         }
-        let isIn = own.held.is_some();
+        let is_in = own.held.is_some();
         self.net.timer(host, late, Timer::WayLate(way));
-        if isIn {
-            self.wayChoose(index, way);
+        if is_in {
+            self.way_choose(index, way);
         }
     }
 
-    fn wakeWays(&mut self, index: usize, woken: Vec<(u64, Slot)>) {
+    fn wake_ways(&mut self, index: usize, woken: Vec<(u64, Slot)>) {
         for (number, slot) in woken {
             let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
             let Some(way) = proxy.waiting.remove(&number) else { continue };
             if let Some(own) = proxy.ways.get_mut(&way) {
                 own.waits = None;
                 own.held = Some(slot);
-                self.wayChoose(index, way);
+                self.way_choose(index, way);
             }
         }
     }
 
-    fn wayChoose(&mut self, index: usize, way: usize) {
+    fn way_choose(&mut self, index: usize, way: usize) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let (zone, region) = {
@@ -996,23 +996,23 @@
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
         if now >= own.deadline {
-            return self.endWay(index, way, Err(Refusal::Late));
+            return self.end_way(index, way, Err(Refusal::Late));
         }
         own.chart.state = State::Choosing;
         let latest = proxy.servers.table.load_full();
         if !Arc::ptr_eq(&latest.setup, &own.table.setup) {
             let request = &self.world.requests[own.request];
             let (verb, path) = (method(request.what), self.world.paths[request.what as usize]);
-            match latest.setup.ruleFor(verb, "h", path) {
+            match latest.setup.rule_for(verb, "h", path) {
                 Some(rule) => {
-                    let isWithin = latest.setup.rules[rule].allows(&region);
+                    let is_within = latest.setup.rules[rule].allows(&region);
                     own.rule = rule;
                     own.table = latest.clone();
-                    if !isWithin {
-                        return self.endWay(index, way, Err(Refusal::Misplaced));
+                    if !is_within {
+                        return self.end_way(index, way, Err(Refusal::Misplaced));
                     }
                 }
-                None => return self.endWay(index, way, Err(Refusal::Unmatched)),
+                None => return self.end_way(index, way, Err(Refusal::Unmatched)),
             }
         }
         own.table = latest;
@@ -1032,59 +1032,61 @@
                 let pause = pause.min(Duration::from_millis(50));
                 return self.net.timer(host, pause, Timer::WayChoose(way));
             }
-            _ => return self.endWay(index, way, Err(Refusal::NoServer)),
+            _ => return self.end_way(index, way, Err(Refusal::NoServer)),
         };
         let slot = own.table.entries[entry].slot;
         let address = own.table.entries[entry].server.address;
         own.index = entry;
         own.tried.push(slot);
-        own.inHand = Some(slot);
+        own.in_hand = Some(slot);
         own.chart.goes += 1;
         own.chart.state = State::Connecting;
         self.world.goes += 1;
         if own.chart.goes > 1 {
-            self.world.furtherGoes.push(self.net.now);
+            self.world.further_goes.push(self.net.now);
         }
         if own.table.entries[entry].server.zone != zone {
-            self.world.goesOtherZone += 1;
+            self.world.goes_other_zone += 1;
         }
-        let (connections, netNow) = (&self.world.connections, self.net.now);
+        let (connections, net_now) = (&self.world.connections, self.net.now);
         let fit = |idle: &Idle<u64>| {
             connections
                 .get(&idle.connection)
-                .is_some_and(|one| one.closedAt.is_none_or(|closedAt| closedAt > netNow))
+                .is_some_and(|one| one.closed_at.is_none_or(|closed_at| closed_at > net_now))
         };
-        let idle = proxy.servers.takeIdle(now, slot, fit);
+        let idle = proxy.servers.take_idle(now, slot, fit);
         if self.passes(index, Point::BeforeConnect) {
             return;
         }
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
-        let isLately = |idle: &Idle<u64>| {
+        let is_lately = |idle: &Idle<u64>| {
             own.chart.kind == Kind::Repeatable
-                || now.saturating_sub(idle.greetedAt) <= Duration::from_secs(1)
+                || now.saturating_sub(idle.greeted_at) <= Duration::from_secs(1)
         };
         match idle {
-            Some(idle) if isLately(&idle) => {
-                own.connection = Some((idle.connection, idle.greetedAt));
-                self.wayWork(index, way);
+            Some(idle) if is_lately(&idle) => {
+                own.connection = Some((idle.connection, idle.greeted_at));
+                self.way_work(index, way);
             }
             _ => {
                 let limit = vanepath_proxy::pool::LIMIT.min(own.deadline - now);
                 let purpose = Purpose::Greet { way };
-                self.net.ask(host, Net::hostAt(address), limit, Body::Greet, purpose);
+                self.net.ask(host, Net::host_at(address), limit, Body::Greet, purpose);
             }
         }
     }
 
-    fn greeted(&mut self, index: usize, way: usize, body: Option<Body>, isReset: bool) {
+    fn greeted(&mut self, index: usize, way: usize, body: Option<Body>, is_reset: bool) {
         let now = self.net.local(self.daemons[index].host);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
         let entry = &own.table.entries[own.index];
         match body {
-            Some(Body::Greeted { server, connection, isCold, .. }) if server == entry.server.id => {
-                if isCold {
+            Some(Body::Greeted { server, connection, is_cold, .. })
+                if server == entry.server.id =>
+            {
+                if is_cold {
                     proxy.servers.moved(entry.slot, |liveness| {
                         if liveness.phase == Phase::Live {
                             liveness.chill(now, Duration::ZERO);
@@ -1093,18 +1095,18 @@
                 }
                 own.chart.state = State::Greeted;
                 own.connection = Some((connection, now));
-                self.wayWork(index, way);
+                self.way_work(index, way);
             }
             other => {
                 let failure =
-                    if other.is_some() || isReset { Failure::Refused } else { Failure::Silent };
+                    if other.is_some() || is_reset { Failure::Refused } else { Failure::Silent };
                 proxy.servers.bad(now, entry.slot, failure);
                 self.missed(index, way, Miss::NotConnected);
             }
         }
     }
 
-    fn wayWork(&mut self, index: usize, way: usize) {
+    fn way_work(&mut self, index: usize, way: usize) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
@@ -1114,16 +1116,16 @@
         let left = own.deadline.saturating_sub(now);
         own.chart.state = State::Sent;
         proxy.servers.sent(now, entry.slot);
-        let body = Body::Work { request: own.request, connection, sentAt: self.net.now };
-        let target = Net::hostAt(entry.server.address);
+        let body = Body::Work { request: own.request, connection, sent_at: self.net.now };
+        let target = Net::host_at(entry.server.address);
         if self.passes(index, Point::BeforeSend) {
             return;
         }
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
-        self.world.requests[own.request].sentTo.push(target);
+        self.world.requests[own.request].sent_to.push(target);
         own.work = Some(self.net.ask(host, target, left, body, Purpose::Work { way }));
-        if let Some(pause) = own.chart.leaveAfter(left) {
+        if let Some(pause) = own.chart.leave_after(left) {
             let go = own.chart.goes;
             self.net.timer(host, pause, Timer::WaySoon(way, go));
         }
@@ -1131,12 +1133,12 @@
     }
 
     /// A third of the time left is gone without a reply: to another server, if there is one.
-    fn waySoon(&mut self, index: usize, way: usize, go: u32) {
+    fn way_soon(&mut self, index: usize, way: usize, go: u32) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let card = self.daemons[index].card.clone();
         let view = self.daemons[index].view.clone();
-        let live = vanepath_proxy::servers::liveProxies(&view);
+        let live = vanepath_proxy::servers::live_proxies(&view);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
         if own.chart.goes != go || own.chart.state != State::Sent {
@@ -1150,87 +1152,87 @@
             tried: &own.tried,
             looks: true,
         };
-        let hasOther =
+        let has_other =
             matches!(proxy.servers.choose(now, &own.table, &want, 0), Choice::Server(..));
-        if hasOther && proxy.budget.mayGo(now, live) {
+        if has_other && proxy.budget.may_go(now, live) {
             let slot = own.table.entries[own.index].slot;
             proxy.servers.worked(now, slot, Err(Miss::Silent));
             if let Some(call) = own.work.take() {
                 self.net.forget(call);
             }
             self.missed(index, way, Miss::Silent);
-        } else if let Some(pause) = own.chart.leaveAfter(own.deadline.saturating_sub(now)) {
+        } else if let Some(pause) = own.chart.leave_after(own.deadline.saturating_sub(now)) {
             self.net.timer(host, pause, Timer::WaySoon(way, go));
         }
     }
 
-    fn wayLate(&mut self, index: usize, way: usize) {
+    fn way_late(&mut self, index: usize, way: usize) {
         let Duty::Proxy(proxy) = &self.daemons[index].duty else { return };
         // What is with a server ends by its own limit.
         if proxy.ways.get(&way).is_some_and(|own| own.waits.is_some()) {
-            self.endWay(index, way, Err(Refusal::Late));
+            self.end_way(index, way, Err(Refusal::Late));
         }
     }
 
-    fn worked(&mut self, index: usize, way: usize, body: Option<Body>, isReset: bool) {
+    fn worked(&mut self, index: usize, way: usize, body: Option<Body>, is_reset: bool) {
         let now = self.net.local(self.daemons[index].host);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
         let slot = own.table.entries[own.index].slot;
         own.work = None;
         let outcome = match body {
-            Some(Body::Worked { demandMilli, isTruncated: false }) => {
-                proxy.servers.told(now, slot, demandMilli);
+            Some(Body::Worked { demand_milli, is_truncated: false }) => {
+                proxy.servers.told(now, slot, demand_milli);
                 Ok(())
             }
             Some(_) => Err(Miss::Truncated),
-            None if isReset => Err(Miss::LostAfterSend),
+            None if is_reset => Err(Miss::LostAfterSend),
             None => Err(Miss::Silent),
         };
         proxy.servers.worked(now, slot, outcome);
         if let Err(miss) = outcome {
             return self.missed(index, way, miss);
         }
-        if let Some((connection, greetedAt)) = own.connection.take() {
-            let idle = Idle { connection, greetedAt, quietSince: now, isUsed: true };
-            proxy.servers.putIdle(slot, idle);
+        if let Some((connection, greeted_at)) = own.connection.take() {
+            let idle = Idle { connection, greeted_at, quiet_since: now, is_used: true };
+            proxy.servers.put_idle(slot, idle);
         }
         own.chart.state = State::Done;
-        self.endWay(index, way, Ok(()));
+        self.end_way(index, way, Ok(()));
     }
 
     fn missed(&mut self, index: usize, way: usize, miss: Miss) {
         let now = self.net.local(self.daemons[index].host);
-        let live = vanepath_proxy::servers::liveProxies(&self.daemons[index].view);
+        let live = vanepath_proxy::servers::live_proxies(&self.daemons[index].view);
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
-        if let Some(slot) = own.inHand.take() {
+        if let Some(slot) = own.in_hand.take() {
             proxy.servers.release(slot);
         }
         own.connection = None;
-        let isLate = now >= own.deadline;
+        let is_late = now >= own.deadline;
         let budget = &mut proxy.budget;
         match self.breaks {
             Some(Break::FilingsGoAgain) => own.chart.kind = Kind::Repeatable,
             Some(Break::LookupsGiveUp) => own.chart.goes = GOES_MOST,
             _ => {}
         }
-        let isUnbound = self.breaks == Some(Break::UnboundRetries);
-        let next = own.chart.missed(miss, isLate, || isUnbound || budget.takeGo(now, live));
+        let is_unbound = self.breaks == Some(Break::UnboundRetries);
+        let next = own.chart.missed(miss, is_late, || is_unbound || budget.take_go(now, live));
         let request = own.request;
         match next {
-            Next::Again => self.wayChoose(index, way),
+            Next::Again => self.way_choose(index, way),
             Next::End(refusal) => {
                 self.world.requests[request].why += &format!("{miss}; ");
-                self.endWay(index, way, Err(refusal));
+                self.end_way(index, way, Err(refusal));
             }
         }
     }
 
-    fn endWay(&mut self, index: usize, way: usize, end: Result<(), Refusal>) {
+    fn end_way(&mut self, index: usize, way: usize, end: Result<(), Refusal>) {
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.remove(&way) else { return };
-        if let Some(slot) = own.inHand {
+        if let Some(slot) = own.in_hand {
             proxy.servers.release(slot);
         }
         if let Some(number) = own.waits {
@@ -1238,15 +1240,15 @@
             proxy.waiting.remove(&number);
         }
         let woken = own.held.map(|slot| proxy.classes.release(slot)).unwrap_or_default();
-        let isSpoilt = own.chart.kind == Kind::Once && own.request.is_multiple_of(50);
+        let is_spoilt = own.chart.kind == Kind::Once && own.request.is_multiple_of(50);
         let verdict = match self.breaks {
             Some(Break::LiesNotRun) if end.is_err() => Verdict::NotRun,
-            Some(Break::DoubtsFilings) if isSpoilt => Verdict::MayHaveRun,
+            Some(Break::DoubtsFilings) if is_spoilt => Verdict::MayHaveRun,
             _ => own.chart.verdict(),
         };
-        let isMisplaced = end == Err(Refusal::Misplaced);
+        let is_misplaced = end == Err(Refusal::Misplaced);
         let view = &self.daemons[index].view;
-        let named: Vec<std::net::SocketAddr> = if isMisplaced {
+        let named: Vec<std::net::SocketAddr> = if is_misplaced {
             let rule = &own.table.setup.rules[own.rule];
             vanepath_proxy::servers::carriers(view, rule).map(|card| card.address).collect()
         } else {
@@ -1267,6 +1269,6 @@
         if self.passes(index, Point::AfterPassing) {
             return;
         }
-        self.wakeWays(index, woken);
+        self.wake_ways(index, woken);
     }
 }
--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -95,12 +95,12 @@
     Cut {
         left: Vec<usize>,
         right: Vec<usize>,
-        oneWay: bool,
+        one_way: bool,
     },
     Uncut {
         left: Vec<usize>,
         right: Vec<usize>,
-        oneWay: bool,
+        one_way: bool,
     },
     Slow(Duration),
     DiskFull(usize, bool),
@@ -148,7 +148,7 @@
     pub faults: Vec<Fault>,
     /// Part of the deployment's rate of requests.
     pub rate: f64,
-    pub operatorEvery: Duration,
+    pub operator_every: Duration,
     pub traces: bool,
     /// The faults run at one time, a little after each other, and not one after the other.
     pub overlap: bool,
@@ -164,7 +164,7 @@
             deployment,
             faults: faults.to_vec(),
             rate: 0.5,
-            operatorEvery: Duration::from_millis(900),
+            operator_every: Duration::from_millis(900),
             traces: false,
             overlap: false,
             breaks: None,
@@ -179,7 +179,7 @@
 /// After the last fault is over.
 pub const REST: Duration = Duration::from_secs(30);
 
-pub fn shapeOf(deployment: Deployment) -> crate::shape::Shape {
+pub fn shape_of(deployment: Deployment) -> crate::shape::Shape {
     match deployment {
         Deployment::Raiocerto => crate::shape::raiocerto(),
         Deployment::Guild => crate::shape::guild(),
@@ -215,14 +215,14 @@
 pub struct Run {
     pub sim: Sim,
     pub seed: u64,
-    pub lastFaultOver: Duration,
+    pub last_fault_over: Duration,
     pub end: Duration,
     pub faults: Vec<Fault>,
 }
 
 /// One whole day from one seed.
 pub fn run(seed: u64, plan: &Plan) -> Run {
-    let shape = shapeOf(plan.deployment);
+    let shape = shape_of(plan.deployment);
     let delays = match plan.deployment {
         Deployment::Raiocerto => Delays {
             zone: Duration::from_millis(1),
@@ -239,27 +239,27 @@
     sim.traces = plan.traces;
     sim.breaks = plan.breaks;
     sim.visit = plan.visit;
-    sim.world.setupText = shape.setup.clone();
+    sim.world.setup_text = shape.setup.clone();
     if plan.faults.contains(&Fault::Downloads) {
-        let text = &mut sim.world.setupText;
+        let text = &mut sim.world.setup_text;
         *text =
             text.replace("\"room\": 64", "\"room\": 16").replace("\"most\": 128", "\"most\": 16");
         *text =
             text.replacen("\"kind\": \"repeatable\"", "\"kind\": \"repeatable\", \"room\": 32", 1);
     }
     for (seat, (zone, region)) in shape.zones[..3].iter().enumerate() {
-        sim.addDaemon(Role::Store, &format!("store-{seat}"), zone, region, Some(seat as u8));
-        sim.addDaemon(Role::Registry, &format!("registry-{seat}"), zone, region, None);
+        sim.add_daemon(Role::Store, &format!("store-{seat}"), zone, region, Some(seat as u8));
+        sim.add_daemon(Role::Registry, &format!("registry-{seat}"), zone, region, None);
     }
     for index in 0..shape.proxies {
         let (zone, region) = shape.zones[index % shape.zones.len()];
-        sim.addDaemon(Role::Proxy, &format!("proxy-{index:02}"), zone, region, None);
+        sim.add_daemon(Role::Proxy, &format!("proxy-{index:02}"), zone, region, None);
     }
     let seeds: Vec<std::net::SocketAddr> = sim
         .daemons
         .iter()
         .filter(|daemon| daemon.card.role == Role::Registry)
-        .map(|daemon| daemon.card.siblingAddress)
+        .map(|daemon| daemon.card.sibling_address)
         .collect();
     sim.world.directories = seeds.clone();
     for daemon in &mut sim.daemons {
@@ -268,7 +268,7 @@
     for (app, count) in &shape.servers {
         for index in 0..*count {
             let (zone, region) = shape.zones[index % shape.zones.len()];
-            sim.addServer(&format!("{app}-{index}"), app, zone, region);
+            sim.add_server(&format!("{app}-{index}"), app, zone, region);
         }
     }
     publish(&mut sim, |_| {});
@@ -276,10 +276,10 @@
     if plan.faults.contains(&Fault::Surge) {
         // At the day's ordinary rate the servers are 45 % busy.
         let first = shape.servers[0];
-        let perSecond = sim.world.rate * 0.85 / f64::from(first.1 as u32);
+        let per_second = sim.world.rate * 0.85 / f64::from(first.1 as u32);
         for server in sim.world.servers.iter_mut() {
             server.workers = 1;
-            server.service = Duration::from_secs_f64(0.45 / perSecond);
+            server.service = Duration::from_secs_f64(0.45 / per_second);
         }
     }
     match plan.deployment {
@@ -296,22 +296,22 @@
     let callers = if plan.faults.contains(&Fault::Surge) { 20 } else { 3 };
     for (zone, region) in &shape.zones {
         for index in 0..callers {
-            sim.addCaller(&format!("{zone}-c{index}"), zone, region);
+            sim.add_caller(&format!("{zone}-c{index}"), zone, region);
         }
     }
     for index in 0..sim.daemons.len() {
-        sim.startDaemon(index);
+        sim.start_daemon(index);
     }
-    sim.runUntil(Duration::from_secs(3));
+    sim.run_until(Duration::from_secs(3));
     put(&mut sim, None);
-    sim.runUntil(Duration::from_secs(6));
+    sim.run_until(Duration::from_secs(6));
     for caller in 0..sim.world.callers.len() {
-        sim.startCaller(caller);
+        sim.start_caller(caller);
     }
-    sim.world.operatorEvery = plan.operatorEvery;
-    if plan.operatorEvery > Duration::ZERO {
+    sim.world.operator_every = plan.operator_every;
+    if plan.operator_every > Duration::ZERO {
         let operator = sim.operator;
-        sim.net.timer(operator, plan.operatorEvery, Timer::NextOperation);
+        sim.net.timer(operator, plan.operator_every, Timer::NextOperation);
     }
     let mut over = BEGIN;
     for (index, fault) in plan.faults.iter().enumerate() {
@@ -322,19 +322,19 @@
         };
         over = schedule(&mut sim, *fault, start).max(over);
     }
-    sim.runUntil(over);
+    sim.run_until(over);
     // The end of the day: whatever is still down or cut comes back.
     if plan.breaks != Some(super::breaks::Break::StaysDown) {
         calm(&mut sim);
     }
     let end = over + REST;
-    sim.runUntil(end - Duration::from_secs(6));
+    sim.run_until(end - Duration::from_secs(6));
     sim.world.stopped = true;
-    sim.runUntil(end);
+    sim.run_until(end);
     // What the operator can read at the end: every revision.
-    let last = readAll(&mut sim);
+    let last = read_all(&mut sim);
     sim.world.history = last;
-    Run { sim, seed, lastFaultOver: over, end, faults: plan.faults.clone() }
+    Run { sim, seed, last_fault_over: over, end, faults: plan.faults.clone() }
 }
 
 fn calm(sim: &mut Sim) {
@@ -347,15 +347,15 @@
         if sim.net.hosts[host].frozen {
             sim.net.wake(host);
         }
-        let isBroken = match &mut sim.daemons[index].duty {
-            Duty::Store(store) => std::mem::replace(&mut store.disk.isFull, false),
+        let is_broken = match &mut sim.daemons[index].duty {
+            Duty::Store(store) => std::mem::replace(&mut store.disk.is_full, false),
             _ => false,
         };
-        if isBroken && sim.isUp(index) {
+        if is_broken && sim.is_up(index) {
             sim.crash(index, false);
         }
         if !sim.net.hosts[host].up || !sim.net.hosts[host].powered {
-            sim.startDaemon(index);
+            sim.start_daemon(index);
         }
     }
     for index in 0..sim.world.servers.len() {
@@ -364,26 +364,26 @@
         if sim.net.hosts[host].frozen {
             sim.net.wake(host);
         }
-        let isGone = sim.world.servers[index].id.contains("gone");
-        if !isGone && (!sim.net.hosts[host].up || !sim.net.hosts[host].powered) {
-            sim.startServer(index);
+        let is_gone = sim.world.servers[index].id.contains("gone");
+        if !is_gone && (!sim.net.hosts[host].up || !sim.net.hosts[host].powered) {
+            sim.start_server(index);
         }
     }
 }
 
 /// Asks for each revision in turn, at the end of the day.
-fn readAll(sim: &mut Sim) -> Vec<(u64, Option<Outcome>)> {
+fn read_all(sim: &mut Sim) -> Vec<(u64, Option<Outcome>)> {
     let registry = sim.index("registry-0");
     let registries: Vec<usize> = (0..sim.daemons.len())
-        .filter(|index| sim.daemons[*index].card.role == Role::Registry && sim.isUp(*index))
+        .filter(|index| sim.daemons[*index].card.role == Role::Registry && sim.is_up(*index))
         .collect();
     let registry = registries.first().copied().unwrap_or(registry);
     let ask = |sim: &mut Sim, what: Operate| {
         let operation = sim.operate(what, registry);
         for _ in 0..100 {
             let until = sim.net.now + Duration::from_millis(100);
-            sim.runUntil(until);
-            if sim.operations[operation].endedAt.is_some() {
+            sim.run_until(until);
+            if sim.operations[operation].ended_at.is_some() {
                 break;
             }
         }
@@ -407,7 +407,7 @@
         for server in &sim.world.servers {
             list.servers.push(vanepath_setup::platform::Server {
                 id: server.id.clone(),
-                address: super::net::Net::addressOf(server.host),
+                address: super::net::Net::address_of(server.host),
                 region: server.region.clone(),
                 zone: server.zone.clone(),
                 labels: [("app".to_string(), server.app.clone())].into(),
@@ -417,26 +417,26 @@
     }
     change(&mut list.servers);
     list.revision += 1;
-    sim.platformAt.push((sim.net.now, list.revision));
+    sim.platform_at.push((sim.net.now, list.revision));
     sim.platform = Arc::new(list);
 }
 
-fn put(sim: &mut Sim, ifRevision: Option<u64>) -> usize {
+fn put(sim: &mut Sim, if_revision: Option<u64>) -> usize {
     let tag = sim.operations.len();
-    let bytes = tagged(&sim.world.setupText.clone(), tag);
+    let bytes = tagged(&sim.world.setup_text.clone(), tag);
     let key = format!("key-{tag}");
-    let change = Change::Setup { bytes, ifRevision };
-    let registry = anyRegistry(sim);
+    let change = Change::Setup { bytes, if_revision };
+    let registry = any_registry(sim);
     sim.operate(Operate::Change { key, change }, registry)
 }
 
 /// A registry that the operator would try: one that is up as far as anyone can see.
-fn anyRegistry(sim: &mut Sim) -> usize {
+fn any_registry(sim: &mut Sim) -> usize {
     let all: Vec<usize> = (0..sim.daemons.len())
         .filter(|index| sim.daemons[*index].card.role == Role::Registry)
         .filter(|index| !sim.world.retired.contains(index))
         .collect();
-    let up: Vec<usize> = all.iter().copied().filter(|index| sim.isUp(*index)).collect();
+    let up: Vec<usize> = all.iter().copied().filter(|index| sim.is_up(*index)).collect();
     let from = if up.is_empty() { all } else { up };
     from[sim.net.random.below(from.len())]
 }
@@ -446,7 +446,7 @@
     if sim.world.stopped {
         return;
     }
-    let pause = sim.world.operatorEvery.mul_f64(0.5 + sim.net.random.part());
+    let pause = sim.world.operator_every.mul_f64(0.5 + sim.net.random.part());
     let operator = sim.operator;
     sim.net.timer(operator, pause, Timer::NextOperation);
     let turn = sim.net.random.below(100);
@@ -454,13 +454,13 @@
         .operations
         .iter()
         .filter_map(|operation| match operation.outcome {
-            Some(Outcome::Accepted { revision, setupRevision, .. }) => {
-                Some((revision, setupRevision))
+            Some(Outcome::Accepted { revision, setup_revision, .. }) => {
+                Some((revision, setup_revision))
             }
             _ => None,
         })
         .collect();
-    let registry = anyRegistry(sim);
+    let registry = any_registry(sim);
     match turn {
         0..35 => {
             put(sim, None);
@@ -475,7 +475,7 @@
             // The same submission again, under its key, at another registry.
             let earlier: Vec<usize> = (0..sim.operations.len())
                 .filter(|index| matches!(sim.operations[*index].what, Operate::Change { .. }))
-                .filter(|index| !sim.operations[*index].what.isInvalid())
+                .filter(|index| !sim.operations[*index].what.is_invalid())
                 .collect();
             if let Some(index) = earlier.last().copied() {
                 let what = sim.operations[index].what.clone();
@@ -487,9 +487,9 @@
             // Now and then one submits what is no setup.
             if turn >= 79 {
                 let way = sim.operations.len();
-                let bytes = spoilt(&sim.world.setupText.clone(), way);
+                let bytes = spoilt(&sim.world.setup_text.clone(), way);
                 let key = format!("invalid-{way}");
-                let change = Change::Setup { bytes, ifRevision: None };
+                let change = Change::Setup { bytes, if_revision: None };
                 sim.operate(Operate::Change { key, change }, registry);
             }
         }
@@ -545,12 +545,12 @@
     let count = 2 + random.below(2);
     while chosen.len() < count {
         let next = all[random.below(all.len())];
-        let isWide = |fault: &Fault| WIDE.contains(fault);
-        let isCore = |fault: &Fault| CORE.contains(fault) || isWide(fault);
-        let isTooMuch = chosen.contains(&next)
-            || (isWide(&next) && chosen.iter().any(isWide))
-            || (isCore(&next) && chosen.iter().any(isCore));
-        if !isTooMuch {
+        let is_wide = |fault: &Fault| WIDE.contains(fault);
+        let is_core = |fault: &Fault| CORE.contains(fault) || is_wide(fault);
+        let is_too_much = chosen.contains(&next)
+            || (is_wide(&next) && chosen.iter().any(is_wide))
+            || (is_core(&next) && chosen.iter().any(is_core));
+        if !is_too_much {
             chosen.push(next);
         }
     }
@@ -563,7 +563,7 @@
     sim.net.at(when, Event::Script(number));
 }
 
-fn ofRole(sim: &Sim, role: Role) -> Vec<usize> {
+fn of_role(sim: &Sim, role: Role) -> Vec<usize> {
     (0..sim.daemons.len())
         .filter(|index| sim.daemons[*index].card.role == role)
         .filter(|index| !sim.world.retired.contains(index))
@@ -574,9 +574,9 @@
 fn schedule(sim: &mut Sim, fault: Fault, start: Duration) -> Duration {
     let ms = Duration::from_millis;
     let pick = |sim: &mut Sim, from: &[usize]| from[sim.net.random.below(from.len())];
-    let proxies = ofRole(sim, Role::Proxy);
-    let registries = ofRole(sim, Role::Registry);
-    let stores = ofRole(sim, Role::Store);
+    let proxies = of_role(sim, Role::Proxy);
+    let registries = of_role(sim, Role::Registry);
+    let stores = of_role(sim, Role::Store);
     let core: Vec<usize> = registries.iter().chain(&stores).copied().collect();
     let all: Vec<usize> = core.iter().chain(&proxies).copied().collect();
     let hosts = |sim: &Sim, of: &[usize]| -> Vec<usize> {
@@ -592,10 +592,10 @@
         at(sim, from, Act::Crash { daemon: who, power });
         at(sim, to, Act::Start(who));
     };
-    let cut = |sim: &mut Sim, left: Vec<usize>, right: Vec<usize>, oneWay: bool| {
+    let cut = |sim: &mut Sim, left: Vec<usize>, right: Vec<usize>, one_way: bool| {
         let (first, second) = (left.clone(), right.clone());
-        at(sim, start, Act::Cut { left, right, oneWay });
-        at(sim, end, Act::Uncut { left: first, right: second, oneWay });
+        at(sim, start, Act::Cut { left, right, one_way });
+        at(sim, end, Act::Uncut { left: first, right: second, one_way });
     };
     // The machine of a seat: its registry and its store.
     let seat = sim.net.random.below(3);
@@ -632,13 +632,13 @@
         }
         Fault::ZonePower | Fault::RegionPower => {
             let (zone, region) = zones[sim.net.random.below(zones.len())];
-            let isHit = |hitZone: &str, hitRegion: &str| match fault {
-                Fault::ZonePower => hitZone == zone,
-                _ => hitRegion == region,
+            let is_hit = |hit_zone: &str, hit_region: &str| match fault {
+                Fault::ZonePower => hit_zone == zone,
+                _ => hit_region == region,
             };
             for who in all {
                 let card = sim.daemons[who].card.clone();
-                if isHit(&card.zone, &card.region) {
+                if is_hit(&card.zone, &card.region) {
                     kill(sim, who, start, end, true);
                 }
             }
@@ -647,7 +647,7 @@
                     let server = &sim.world.servers[server];
                     (server.zone.clone(), server.region.clone())
                 };
-                if isHit(&zone, &region) {
+                if is_hit(&zone, &region) {
                     at(sim, start, Act::StopServer { server, power: true });
                     let later = ms(sim.net.random.draw() % 2000);
                     at(sim, end + later, Act::StartServer(server));
@@ -675,9 +675,9 @@
         Fault::SplitControl => {
             let who = pick(sim, &registries);
             let region = sim.daemons[who].card.region.clone();
-            let isIn = |sim: &Sim, who: &usize| sim.daemons[*who].card.region == region;
-            let left: Vec<usize> = core.iter().copied().filter(|who| isIn(sim, who)).collect();
-            let right: Vec<usize> = core.iter().copied().filter(|who| !isIn(sim, who)).collect();
+            let is_in = |sim: &Sim, who: &usize| sim.daemons[*who].card.region == region;
+            let left: Vec<usize> = core.iter().copied().filter(|who| is_in(sim, who)).collect();
+            let right: Vec<usize> = core.iter().copied().filter(|who| !is_in(sim, who)).collect();
             let (left, right) = (hosts(sim, &left), hosts(sim, &right));
             cut(sim, left, right, false);
         }
@@ -727,8 +727,8 @@
         }
         Fault::ClockJump => {
             let who = pick(sim, &all);
-            let jumpMs = if sim.net.random.chance(0.5) { -86_400_000 } else { 3_600_000 };
-            at(sim, start, Act::WallJump(who, jumpMs));
+            let jump_ms = if sim.net.random.chance(0.5) { -86_400_000 } else { 3_600_000 };
+            at(sim, start, Act::WallJump(who, jump_ms));
             kill(sim, who, start + ms(500), start + ms(1500), false);
             return start + ms(1500);
         }
@@ -857,14 +857,14 @@
         }
         Fault::ZoneCut | Fault::RegionCut => {
             let (zone, region) = zones[sim.net.random.below(zones.len())];
-            let isHit = |host: &super::net::Host| match fault {
+            let is_hit = |host: &super::net::Host| match fault {
                 Fault::ZoneCut => host.zone == zone,
                 _ => host.region == region,
             };
-            let inside = |sim: &Sim, isIn: bool| -> Vec<usize> {
+            let inside = |sim: &Sim, is_in: bool| -> Vec<usize> {
                 (0..sim.net.hosts.len())
                     .filter(|host| !sim.net.hosts[*host].zone.is_empty())
-                    .filter(|host| isHit(&sim.net.hosts[*host]) == isIn)
+                    .filter(|host| is_hit(&sim.net.hosts[*host]) == is_in)
                     .collect()
             };
             let (left, right) = (inside(sim, true), inside(sim, false));
@@ -931,7 +931,7 @@
         Act::Start(daemon) => {
             let host = sim.daemons[daemon].host;
             if !sim.net.hosts[host].up || !sim.net.hosts[host].powered {
-                sim.startDaemon(daemon);
+                sim.start_daemon(daemon);
             } else if sim.daemons[daemon].leaving {
                 // Still finishing: it is started again once it has ended.
                 sim.net.at(sim.net.now + Duration::from_millis(200), Event::Script(number));
@@ -945,7 +945,7 @@
                 }
                 match act {
                     Act::CrashAll => sim.crash(daemon, true),
-                    _ => sim.startDaemon(daemon),
+                    _ => sim.start_daemon(daemon),
                 }
             }
         }
@@ -960,29 +960,29 @@
             sim.look();
         }
         Act::Wipe(daemon) => sim.wipe(daemon),
-        Act::Cut { left, right, oneWay } => sim.net.cut(&left, &right, oneWay),
-        Act::Uncut { left, right, oneWay } => sim.net.uncut(&left, &right, oneWay),
+        Act::Cut { left, right, one_way } => sim.net.cut(&left, &right, one_way),
+        Act::Uncut { left, right, one_way } => sim.net.uncut(&left, &right, one_way),
         Act::Slow(slowness) => sim.net.slowness = slowness,
-        Act::DiskFull(daemon, isFull) => {
+        Act::DiskFull(daemon, is_full) => {
             if let Duty::Store(store) = &mut sim.daemons[daemon].duty {
-                store.disk.isFull = isFull;
+                store.disk.is_full = is_full;
             }
         }
         Act::WallJump(daemon, ms) => {
             let host = sim.daemons[daemon].host;
-            sim.net.hosts[host].wallMs += ms;
+            sim.net.hosts[host].wall_ms += ms;
         }
-        Act::StopServer { server, power } => sim.stopServer(server, power),
+        Act::StopServer { server, power } => sim.stop_server(server, power),
         Act::StartServer(server) => {
             // Another fault may have had it started already.
             let host = &sim.net.hosts[sim.world.servers[server].host];
             if !host.up || !host.powered {
-                sim.startServer(server);
+                sim.start_server(server);
             }
         }
-        Act::FreezeServer(server, isFrozen) => {
+        Act::FreezeServer(server, is_frozen) => {
             let host = sim.world.servers[server].host;
-            if isFrozen {
+            if is_frozen {
                 sim.net.freeze(host);
             } else {
                 sim.net.wake(host);
@@ -1017,7 +1017,7 @@
             let id = format!("{old}-heir");
             sim.world.servers[server].id = id;
             sim.world.servers[server].app = "spare".to_string();
-            sim.startServer(server);
+            sim.start_server(server);
             publish(sim, |list| list.retain(|one| one.id != old));
         }
         Act::Replace { registry, .. } if sim.world.retired.contains(&registry) => {}
@@ -1032,37 +1032,37 @@
                     _ => None,
                 };
                 let name = format!("{}x", card.name);
-                let new = sim.addDaemon(card.role, &name, &card.zone, &card.region, seat);
+                let new = sim.add_daemon(card.role, &name, &card.zone, &card.region, seat);
                 // Whoever installs a machine names some that run; the others keep the first day's.
-                sim.daemons[new].seeds = ofRole(sim, Role::Registry)
+                sim.daemons[new].seeds = of_role(sim, Role::Registry)
                     .into_iter()
-                    .map(|index| sim.daemons[index].card.siblingAddress)
+                    .map(|index| sim.daemons[index].card.sibling_address)
                     .collect();
-                sim.startDaemon(new);
+                sim.start_daemon(new);
             }
         }
         Act::Downloads(extra) => {
             let world = &mut sim.world;
             let app = if world.paths[3] == "/documents" { "documents" } else { "extracts" };
-            let isFlood = extra > 0.0;
+            let is_flood = extra > 0.0;
             for server in world.servers.iter_mut().filter(|server| server.app == app) {
-                server.service = Duration::from_millis(if isFlood { 3000 } else { 20 });
+                server.service = Duration::from_millis(if is_flood { 3000 } else { 20 });
             }
-            if isFlood {
-                world.calmMix = Some((world.rate, world.mix));
+            if is_flood {
+                world.calm_mix = Some((world.rate, world.mix));
                 let part = |part: u32| (f64::from(part) * world.rate) as u32;
                 let more = (100.0 * extra) as u32;
                 let [lookups, filings, bound, bulk] = world.mix.map(part);
                 world.mix = [lookups, filings, bound, bulk + more];
                 world.rate += extra;
-            } else if let Some((rate, mix)) = world.calmMix.take() {
+            } else if let Some((rate, mix)) = world.calm_mix.take() {
                 (world.rate, world.mix) = (rate, mix);
             }
         }
-        Act::PlatformLies(lies) => sim.platformLies = lies,
-        Act::Bind(isMoved) => {
-            let (from, to) = if isMoved { (BOUND, MOVED) } else { (MOVED, BOUND) };
-            sim.world.setupText = sim.world.setupText.replace(from, to);
+        Act::PlatformLies(lies) => sim.platform_lies = lies,
+        Act::Bind(is_moved) => {
+            let (from, to) = if is_moved { (BOUND, MOVED) } else { (MOVED, BOUND) };
+            sim.world.setup_text = sim.world.setup_text.replace(from, to);
             put(sim, None);
         }
         Act::Empty(zone) | Act::Return(zone) => {
@@ -1071,7 +1071,7 @@
                 _ => Change::Return { zone: zone.to_string() },
             };
             let key = format!("zone-{}", sim.operations.len());
-            let registry = anyRegistry(sim);
+            let registry = any_registry(sim);
             sim.operate(Operate::Change { key, change }, registry);
         }
         Act::Put => {
