--- a/fleet/src/sim/judge.rs
+++ b/fleet/src/sim/judge.rs
@@ -14,35 +14,35 @@
 pub struct Judgement {
     pub faults: Vec<String>,
     pub lookups: usize,
-    pub lookupsLost: usize,
+    pub lookups_lost: usize,
     pub filings: usize,
-    pub filingsNotRun: usize,
-    pub filingsMayHaveRun: usize,
-    pub furtherGoesPart: f64,
+    pub filings_not_run: usize,
+    pub filings_may_have_run: usize,
+    pub further_goes_part: f64,
     /// What came to proxies' doors beyond the first of each request, as a part of all requests.
-    pub doorsPart: f64,
+    pub doors_part: f64,
     /// The most repeats in any ten seconds, less a fifth of the requests.
-    pub worstRepeats: f64,
+    pub worst_repeats: f64,
     /// How often a caller changed its place, on the mean.
     pub switches: f64,
     /// The highest load of one server and the mean of all, of those that tell what they are under.
-    pub worstLoad: f64,
+    pub worst_load: f64,
     /// The most requests that a cold server got in one second, in parts of its modest rate.
-    pub worstCold: f64,
-    pub worstSetup: Duration,
-    pub worstDrain: Duration,
+    pub worst_cold: f64,
+    pub worst_setup: Duration,
+    pub worst_drain: Duration,
     /// How long each accepted change took to be in force on each proxy.
     pub setups: Vec<Duration>,
-    pub resumedAfter: Option<Duration>,
+    pub resumed_after: Option<Duration>,
     pub accepted: usize,
     pub unknown: usize,
-    pub nothingDone: usize,
+    pub nothing_done: usize,
     /// Between siblings, a second, all daemons together.
-    pub siblingBytes: f64,
-    pub siblingBytesOtherZone: f64,
+    pub sibling_bytes: f64,
+    pub sibling_bytes_other_zone: f64,
     pub probes: f64,
     /// Saves of all stores for each accepted change.
-    pub savesPerChange: f64,
+    pub saves_per_change: f64,
 }
 
 pub fn judge(run: &Run) -> Judgement {
@@ -56,22 +56,22 @@
     revisions(run, &mut judgement);
     operators(run, &mut judgement);
     judgement.faults.extend(run.sim.reach.faults.iter().cloned());
-    judgement.worstSetup = run.sim.reach.worstSetup;
-    judgement.worstDrain = run.sim.reach.worstDrain;
+    judgement.worst_setup = run.sim.reach.worst_setup;
+    judgement.worst_drain = run.sim.reach.worst_drain;
     resumption(run, &mut judgement);
     let callers = &run.sim.world.callers;
     let switches: u64 = callers.iter().map(|caller| caller.steering.switches).sum();
     judgement.switches = switches as f64 / callers.len().max(1) as f64;
-    judgement.worstLoad = run.sim.world.worstLoad;
+    judgement.worst_load = run.sim.world.worst_load;
     let seconds = run.sim.net.now.as_secs_f64();
-    judgement.siblingBytes = run.sim.net.siblingBytes as f64 / seconds;
-    judgement.siblingBytesOtherZone = run.sim.net.siblingBytesOtherZone as f64 / seconds;
+    judgement.sibling_bytes = run.sim.net.sibling_bytes as f64 / seconds;
+    judgement.sibling_bytes_other_zone = run.sim.net.sibling_bytes_other_zone as f64 / seconds;
     judgement.probes = run.sim.world.probes as f64 / seconds;
     let saves = run.sim.daemons.iter().map(|daemon| match &daemon.duty {
         super::control::Duty::Store(store) => store.disk.saves,
         _ => 0,
     });
-    judgement.savesPerChange = saves.sum::<u64>() as f64 / judgement.accepted.max(1) as f64;
+    judgement.saves_per_change = saves.sum::<u64>() as f64 / judgement.accepted.max(1) as f64;
     judgement
 }
 
@@ -93,26 +93,26 @@
         }
         judgement.filings += 1;
         let count = runs.get(&number).copied().unwrap_or_default();
-        if request.endedAt.is_none() {
+        if request.ended_at.is_none() {
             if count > 1 {
                 judgement.faults.push(format!("filing {number} ran {count} times"));
             }
             continue;
         }
         match request.verdict {
-            Verdict::NotRun => judgement.filingsNotRun += 1,
-            Verdict::MayHaveRun => judgement.filingsMayHaveRun += 1,
+            Verdict::NotRun => judgement.filings_not_run += 1,
+            Verdict::MayHaveRun => judgement.filings_may_have_run += 1,
             Verdict::Ran => {}
         }
-        let isTrue = match request.verdict {
+        let is_true = match request.verdict {
             Verdict::Ran => count == 1,
             Verdict::NotRun => count == 0,
             Verdict::MayHaveRun => count <= 1,
         };
-        if !isTrue {
+        if !is_true {
             judgement.faults.push(format!(
                 "filing {number} at {} was told {} and ran {count} times: {}",
-                second(request.startedAt),
+                second(request.started_at),
                 request.verdict,
                 request.why
             ));
@@ -122,7 +122,7 @@
 
 /// A proxy that was well from a little before, since it needs the setup first; and a server of the
 /// application that was well; both within the bounds, if there are any.
-fn couldServe(
+fn could_serve(
     run: &Run,
     app: &str,
     region: Option<&str>,
@@ -132,34 +132,34 @@
     let sim = &run.sim;
     // Callers are only ever cut from the proxies of their own region.
     let caller = &sim.world.callers[caller];
-    let isCut = sim.net.wasIll(caller.host, from, to);
-    let isReached = |card: &vanepath_sibling::wire::Card| {
-        !isCut || caller.zone.split('-').next() != Some(card.region.as_str())
+    let is_cut = sim.net.was_ill(caller.host, from, to);
+    let is_reached = |card: &vanepath_sibling::wire::Card| {
+        !is_cut || caller.zone.split('-').next() != Some(card.region.as_str())
     };
-    let isWithin = |one: &str| region.is_none_or(|region| one == region);
+    let is_within = |one: &str| region.is_none_or(|region| one == region);
     // By the operator's word an emptied zone serves nothing, from when that may have been heard of
     // until its return is due everywhere.
-    let isEmptied = |zone: &str| {
+    let is_emptied = |zone: &str| {
         let soon = super::reach::SOON;
         sim.reach.emptyings.iter().any(|one| {
             one.zone == zone && one.from <= to + soon && one.to.is_none_or(|at| at + soon >= from)
         })
     };
     let before = from.saturating_sub(Duration::from_secs(3));
-    let isWell = |host: usize, from: Duration| !sim.net.wasIll(host, from, to);
-    let hasProxy = sim.daemons.iter().any(|daemon| {
+    let is_well = |host: usize, from: Duration| !sim.net.was_ill(host, from, to);
+    let has_proxy = sim.daemons.iter().any(|daemon| {
         daemon.card.role == Role::Proxy
-            && isWithin(&daemon.card.region)
-            && isReached(&daemon.card)
-            && !isEmptied(&daemon.card.zone)
-            && isWell(daemon.host, before)
+            && is_within(&daemon.card.region)
+            && is_reached(&daemon.card)
+            && !is_emptied(&daemon.card.zone)
+            && is_well(daemon.host, before)
     });
-    hasProxy
+    has_proxy
         && sim.world.servers.iter().any(|server| {
             server.app == app
-                && isWithin(&server.region)
-                && !isEmptied(&server.zone)
-                && isWell(server.host, from)
+                && is_within(&server.region)
+                && !is_emptied(&server.zone)
+                && is_well(server.host, from)
         })
 }
 
@@ -168,13 +168,13 @@
     let sim = &run.sim;
     let proxies: Vec<_> =
         sim.daemons.iter().filter(|daemon| daemon.card.role == Role::Proxy).collect();
-    let isDown = |daemon: &super::control::Daemon, at: Duration| {
+    let is_down = |daemon: &super::control::Daemon, at: Duration| {
         daemon.downs.iter().any(|(from, to)| *from <= at && to.is_none_or(|to| to > at))
     };
     let mut outages = Vec::new();
     for (from, to) in proxies.iter().flat_map(|daemon| &daemon.downs) {
         // Somebody was the last to go.
-        if proxies.iter().all(|daemon| isDown(daemon, *from)) {
+        if proxies.iter().all(|daemon| is_down(daemon, *from)) {
             let back = proxies
                 .iter()
                 .flat_map(|daemon| &daemon.downs)
@@ -202,40 +202,40 @@
             What::BoundFiling => (apps[0], Some("north")),
             What::Bulk => (apps[1], None),
         };
-        let isFiling = matches!(request.what, What::Filing | What::BoundFiling);
-        judgement.lookups += usize::from(!isFiling);
-        let end = request.endedAt.unwrap_or(run.end);
-        if request.endedAt.is_some() && request.verdict == Verdict::Ran {
+        let is_filing = matches!(request.what, What::Filing | What::BoundFiling);
+        judgement.lookups += usize::from(!is_filing);
+        let end = request.ended_at.unwrap_or(run.end);
+        if request.ended_at.is_some() && request.verdict == Verdict::Ran {
             continue;
         }
-        judgement.lookupsLost += usize::from(!isFiling);
-        if outages.iter().any(|(from, to)| request.startedAt <= *to && end >= *from) {
+        judgement.lookups_lost += usize::from(!is_filing);
+        if outages.iter().any(|(from, to)| request.started_at <= *to && end >= *from) {
             continue;
         }
-        let mayHaveRun = isFiling && request.verdict == Verdict::MayHaveRun;
-        let isFault = if mayHaveRun {
+        let may_have_run = is_filing && request.verdict == Verdict::MayHaveRun;
+        let is_fault = if may_have_run {
             // Greeted a second ago it may have died since.
-            let before = request.startedAt.saturating_sub(Duration::from_secs(1));
-            let hosts = request.asked.iter().chain(&request.carriers).chain(&request.sentTo);
+            let before = request.started_at.saturating_sub(Duration::from_secs(1));
+            let hosts = request.asked.iter().chain(&request.carriers).chain(&request.sent_to);
             let caller = &run.sim.world.callers[request.caller].host;
-            !hosts.chain([caller]).any(|host| run.sim.net.wasIll(*host, before, end))
+            !hosts.chain([caller]).any(|host| run.sim.net.was_ill(*host, before, end))
         } else {
             // Where bounds moved, both regions must have been well.
             let moves = run.faults.contains(&super::day::Fault::BoundsMove);
             let other = region.filter(|_| moves).map(|_| "middle");
             [region, other.or(region)].into_iter().all(|region| {
-                couldServe(run, app, region, request.caller, (request.startedAt, end))
+                could_serve(run, app, region, request.caller, (request.started_at, end))
             })
         };
-        if isFault && shown < 5 {
+        if is_fault && shown < 5 {
             shown += 1;
             judgement.faults.push(format!(
                 "{:?} {number} from {} at {} ended {} {}: {} {} after {} tries: {}",
                 request.what,
                 run.sim.world.callers[request.caller].name,
-                second(request.startedAt),
-                request.endedAt.map_or("never".to_string(), second),
-                if mayHaveRun { "in doubt for nothing" } else { "unanswered" },
+                second(request.started_at),
+                request.ended_at.map_or("never".to_string(), second),
+                if may_have_run { "in doubt for nothing" } else { "unanswered" },
                 request.verdict,
                 request.status,
                 request.tries,
@@ -261,7 +261,7 @@
         .map(|(revision, _)| revision)
         .collect();
     // A proxy goes by what was in force on it when it chose: up to a connection and a greeting ago.
-    let mayCarry = |proxy: usize, at: Duration| {
+    let may_carry = |proxy: usize, at: Duration| {
         let Some(daemon) = run.sim.daemons.iter().find(|daemon| daemon.host == proxy) else {
             return false;
         };
@@ -275,11 +275,11 @@
     };
     for server in &run.sim.world.servers {
         for (at, request, proxy) in &server.arrivals {
-            let isBound = run.sim.world.requests[*request].what == What::BoundFiling;
-            let proxyRegion = &run.sim.net.hosts[*proxy].region;
-            if isBound && (server.region != *proxyRegion || !mayCarry(*proxy, *at)) {
+            let is_bound = run.sim.world.requests[*request].what == What::BoundFiling;
+            let proxy_region = &run.sim.net.hosts[*proxy].region;
+            if is_bound && (server.region != *proxy_region || !may_carry(*proxy, *at)) {
                 judgement.faults.push(format!(
-                    "bound filing {request} was carried in {proxyRegion} and served in {} at {}",
+                    "bound filing {request} was carried in {proxy_region} and served in {} at {}",
                     server.region,
                     second(*at)
                 ));
@@ -294,18 +294,18 @@
 /// are counted by themselves as well, since a connection that fails comes to no server.
 fn budget(run: &Run, judgement: &mut Judgement) {
     let world = &run.sim.world;
-    judgement.furtherGoesPart = world.furtherGoes.len() as f64 / world.took.len().max(1) as f64;
-    let beyondFirst = |mut arrivals: Vec<(Duration, usize)>| {
+    judgement.further_goes_part = world.further_goes.len() as f64 / world.took.len().max(1) as f64;
+    let beyond_first = |mut arrivals: Vec<(Duration, usize)>| {
         arrivals.sort_unstable();
         let mut seen = std::collections::HashSet::new();
         arrivals.retain(|(_, request)| !seen.insert(*request));
         arrivals.into_iter().map(|(at, _)| at).collect::<Vec<Duration>>()
     };
     let arrived = world.servers.iter().flat_map(|server| &server.arrivals);
-    let atServers = beyondFirst(arrived.map(|(at, request, _)| (*at, *request)).collect());
-    let atDoors = beyondFirst(world.doors.clone());
-    judgement.doorsPart = atDoors.len() as f64 / world.requests.len().max(1) as f64;
-    let asked: Vec<Duration> = world.requests.iter().map(|request| request.startedAt).collect();
+    let at_servers = beyond_first(arrived.map(|(at, request, _)| (*at, *request)).collect());
+    let at_doors = beyond_first(world.doors.clone());
+    judgement.doors_part = at_doors.len() as f64 / world.requests.len().max(1) as f64;
+    let asked: Vec<Duration> = world.requests.iter().map(|request| request.started_at).collect();
     let window = Duration::from_secs(10);
     let within = |times: &[Duration], from: Duration| {
         let low = times.partition_point(|time| *time < from);
@@ -313,15 +313,15 @@
         high - low
     };
     for (what, repeats, traffic) in [
-        ("further goes", &world.furtherGoes, &world.took),
-        ("repeats at servers", &atServers, &asked),
-        ("repeats at proxies' doors", &atDoors, &asked),
+        ("further goes", &world.further_goes, &world.took),
+        ("repeats at servers", &at_servers, &asked),
+        ("repeats at proxies' doors", &at_doors, &asked),
     ] {
         for from in repeats {
             let count = within(repeats, *from);
             let requests = within(traffic, *from);
-            judgement.worstRepeats =
-                judgement.worstRepeats.max(count as f64 - 0.2 * requests as f64);
+            judgement.worst_repeats =
+                judgement.worst_repeats.max(count as f64 - 0.2 * requests as f64);
             if count as f64 > 0.2 * requests as f64 + 36.0 {
                 judgement.faults.push(format!(
                     "{count} {what} on {requests} requests in the 10 s from {}",
@@ -335,7 +335,7 @@
 
 /// No receipt holds longer than 5 s.
 fn receipts(run: &Run, judgement: &mut Judgement) {
-    let longest = run.sim.world.longestReceipt;
+    let longest = run.sim.world.longest_receipt;
     if longest > 5.0 {
         judgement.faults.push(format!("a receipt holds {longest} s"));
     }
@@ -357,8 +357,8 @@
     const RATE: usize = 10;
     let period = Duration::from_secs(4);
     for server in &run.sim.world.servers {
-        for (back, away, isNoticeable) in &server.back {
-            if !isNoticeable {
+        for (back, away, is_noticeable) in &server.back {
+            if !is_noticeable {
                 continue;
             }
             let times: Vec<Duration> = server
@@ -371,7 +371,7 @@
                 let within =
                     times[index..].iter().filter(|at| **at < *from + Duration::from_secs(1));
                 let count = within.count();
-                judgement.worstCold = judgement.worstCold.max(count as f64 / RATE as f64);
+                judgement.worst_cold = judgement.worst_cold.max(count as f64 / RATE as f64);
                 if count > RATE {
                     judgement.faults.push(format!(
                         "cold server {} (back at {}, away {}) got {count} requests in the second \
@@ -407,15 +407,15 @@
     }
     // How long setups took, for the record; whether too long, `reach` judges.
     for operation in &sim.operations {
-        let (Some(Outcome::Accepted { revision, repeat: false, .. }), Some(endedAt)) =
-            (&operation.outcome, operation.endedAt)
+        let (Some(Outcome::Accepted { revision, repeat: false, .. }), Some(ended_at)) =
+            (&operation.outcome, operation.ended_at)
         else {
             continue;
         };
         for daemon in sim.daemons.iter().filter(|daemon| daemon.card.role == Role::Proxy) {
             if sim.net.hosts[daemon.host].life == 1 {
                 let reached = daemon.revisions.iter().find(|one| one.2 >= *revision);
-                judgement.setups.extend(reached.map(|one| one.0.saturating_sub(endedAt)));
+                judgement.setups.extend(reached.map(|one| one.0.saturating_sub(ended_at)));
             }
         }
     }
@@ -429,19 +429,19 @@
     // What each revision holds, by whoever saw it.
     let mut held: BTreeMap<u64, (u64, Vec<u8>)> = BTreeMap::new();
     let mut see =
-        |revision: u64, setupRevision: u64, setup: &[u8], who: &str| match held.get(&revision) {
+        |revision: u64, setup_revision: u64, setup: &[u8], who: &str| match held.get(&revision) {
             None => {
-                held.insert(revision, (setupRevision, setup.to_vec()));
+                held.insert(revision, (setup_revision, setup.to_vec()));
             }
-            Some((other, bytes)) if *other == setupRevision && bytes == setup => {}
+            Some((other, bytes)) if *other == setup_revision && bytes == setup => {}
             Some(_) => faults.push(format!("revision {revision} has two contents, by {who}")),
         };
     for (revision, outcome) in &sim.world.history {
         match outcome {
             Some(Outcome::Value { value }) => {
-                see(value.revision, value.setupRevision, &value.setup, "the end of the day");
+                see(value.revision, value.setup_revision, &value.setup, "the end of the day");
                 if value.revision != *revision {
-                    see(*revision, value.setupRevision, &value.setup, "another revision's reply");
+                    see(*revision, value.setup_revision, &value.setup, "another revision's reply");
                 }
             }
             // Leaps of a rescue and changes of seats have no setup of their own to miss.
@@ -452,13 +452,13 @@
     }
     for operation in &sim.operations {
         if let Some(Outcome::Value { value }) = &operation.outcome {
-            see(value.revision, value.setupRevision, &value.setup, "a read");
+            see(value.revision, value.setup_revision, &value.setup, "a read");
         }
     }
     // Tags and where they came into force at the end.
     let mut tags: HashMap<Vec<u8>, Vec<u64>> = HashMap::new();
-    for (revision, (setupRevision, setup)) in &held {
-        if revision == setupRevision && *revision > 0 {
+    for (revision, (setup_revision, setup)) in &held {
+        if revision == setup_revision && *revision > 0 {
             tags.entry(setup.clone()).or_default().push(*revision);
         }
     }
@@ -479,19 +479,19 @@
     }
     let mut done: Vec<(Duration, Duration, u64, bool, usize)> = Vec::new();
     for (number, operation) in sim.operations.iter().enumerate() {
-        let endedAt = operation.endedAt.unwrap_or(Duration::MAX);
+        let ended_at = operation.ended_at.unwrap_or(Duration::MAX);
         match (&operation.what, &operation.outcome) {
             (
                 Operate::Change { change, .. },
-                Some(Outcome::Accepted { revision, setupRevision, repeat }),
+                Some(Outcome::Accepted { revision, setup_revision, repeat }),
             ) => {
                 judgement.accepted += usize::from(!repeat);
-                if operation.what.isInvalid() {
+                if operation.what.is_invalid() {
                     faults.push(format!("operation {number}: an invalid setup was accepted"));
                 }
-                done.push((operation.startedAt, endedAt, *revision, !repeat, number));
+                done.push((operation.started_at, ended_at, *revision, !repeat, number));
                 if let Change::Setup { bytes, .. } = change
-                    && held.get(setupRevision).is_some_and(|(_, setup)| setup != bytes)
+                    && held.get(setup_revision).is_some_and(|(_, setup)| setup != bytes)
                 {
                     faults.push(format!(
                         "operation {number} was accepted as revision {revision}, which holds \
@@ -500,12 +500,12 @@
                 }
             }
             (Operate::Change { change: Change::Setup { bytes, .. }, key }, Some(outcome)) => {
-                let isDenied =
+                let is_denied =
                     matches!(outcome, Outcome::NothingDone { .. } | Outcome::Conflict { .. });
-                judgement.nothingDone += usize::from(isDenied);
+                judgement.nothing_done += usize::from(is_denied);
                 judgement.unknown += usize::from(*outcome == Outcome::Unknown);
                 // Another submission under the same key may have got through.
-                let isOnly = sim
+                let is_only = sim
                     .operations
                     .iter()
                     .filter(|other| {
@@ -513,12 +513,12 @@
                     })
                     .count()
                     == 1;
-                if isDenied && isOnly && tags.contains_key(bytes) {
+                if is_denied && is_only && tags.contains_key(bytes) {
                     faults.push(format!("operation {number} was told nothing done, and was done"));
                 }
             }
             (Operate::Read, Some(Outcome::Value { value })) => {
-                done.push((operation.startedAt, endedAt, value.revision, false, number));
+                done.push((operation.started_at, ended_at, value.revision, false, number));
             }
             _ => {}
         }
@@ -528,12 +528,12 @@
         for earlier in &done[..index] {
             // `earlier` ended before `later` began.
             if earlier.1 < later.0 {
-                let isOlder = later.2 < earlier.2 || (later.3 && later.2 <= earlier.2);
-                let isRepeat = matches!(
+                let is_older = later.2 < earlier.2 || (later.3 && later.2 <= earlier.2);
+                let is_repeat = matches!(
                     sim.operations[later.4].outcome,
                     Some(Outcome::Accepted { repeat: true, .. })
                 );
-                if isOlder && !isRepeat {
+                if is_older && !is_repeat {
                     faults.push(format!(
                         "operation {} saw revision {} after operation {} had seen {}",
                         later.4, later.2, earlier.4, earlier.2
@@ -549,28 +549,28 @@
 /// After the last fault all is back within 15 s, each kind of service by itself: from some moment
 /// within them on, each of its calls gets what it asked for.
 fn resumption(run: &Run, judgement: &mut Judgement) {
-    let over = run.lastFaultOver;
+    let over = run.last_fault_over;
     let world = &run.sim.world;
     let requests = |wanted: &'static [What]| {
-        let ofKind = world.requests.iter().filter(move |request| wanted.contains(&request.what));
-        let told = ofKind.map(|request| {
-            (request.startedAt, request.endedAt.is_some() && request.verdict == Verdict::Ran)
+        let of_kind = world.requests.iter().filter(move |request| wanted.contains(&request.what));
+        let told = of_kind.map(|request| {
+            (request.started_at, request.ended_at.is_some() && request.verdict == Verdict::Ran)
         });
         told.collect::<Vec<(Duration, bool)>>()
     };
-    let operations = |isWrite: bool| {
-        let ofKind = run
+    let operations = |is_write: bool| {
+        let of_kind = run
             .sim
             .operations
             .iter()
-            .filter(|one| !one.what.isInvalid())
-            .filter(move |one| matches!(one.what, Operate::Change { .. }) == isWrite);
-        let told = ofKind.map(|one| {
-            let isGood = match &one.outcome {
+            .filter(|one| !one.what.is_invalid())
+            .filter(move |one| matches!(one.what, Operate::Change { .. }) == is_write);
+        let told = of_kind.map(|one| {
+            let is_good = match &one.outcome {
                 Some(Outcome::NothingDone { .. } | Outcome::Unknown) | None => false,
                 Some(_) => true,
             };
-            (one.startedAt, isGood)
+            (one.started_at, is_good)
         });
         told.collect::<Vec<(Duration, bool)>>()
     };
@@ -583,14 +583,15 @@
     ];
     for (kind, calls) in kinds {
         let after = calls.iter().filter(|(at, _)| *at >= over);
-        let served = after.clone().filter(|(_, isGood)| *isGood).count();
-        let lost = after.filter(|(_, isGood)| !isGood).map(|(at, _)| *at - over).max();
+        let served = after.clone().filter(|(_, is_good)| *is_good).count();
+        let lost = after.filter(|(_, is_good)| !is_good).map(|(at, _)| *at - over).max();
         let lost = lost.unwrap_or_default();
         if kind == "lookups" {
-            judgement.resumedAfter = (served > 0).then_some(lost);
+            judgement.resumed_after = (served > 0).then_some(lost);
         }
-        let isQuiet = kind.starts_with("operators") && world.operatorEvery > Duration::from_secs(1);
-        if (served == 0 && !isQuiet) || lost > Duration::from_secs(15) {
+        let is_quiet =
+            kind.starts_with("operators") && world.operator_every > Duration::from_secs(1);
+        if (served == 0 && !is_quiet) || lost > Duration::from_secs(15) {
             judgement.faults.push(format!(
                 "{served} {kind} served after the last fault; the last one lost {} after it",
                 second(lost)
--- a/fleet/src/sim/mod.rs
+++ b/fleet/src/sim/mod.rs
@@ -10,7 +10,7 @@
 pub mod reach;
 
 /// Does `count` pieces of work by their numbers on so many threads; days know nothing of each other.
-pub fn onThreads(threads: usize, count: usize, work: impl Fn(usize) + Sync) {
+pub fn on_threads(threads: usize, count: usize, work: impl Fn(usize) + Sync) {
     let next = std::sync::atomic::AtomicUsize::new(0);
     std::thread::scope(|scope| {
         for _ in 0..threads.max(1) {
--- a/fleet/src/sim/net.rs
+++ b/fleet/src/sim/net.rs
@@ -21,11 +21,11 @@
     /// Rises with each start; what belongs to an earlier life is dropped.
     pub life: u32,
     /// Monotonic clocks start anywhere, and wall clocks show anything.
-    pub clockOffset: Duration,
-    pub wallMs: i64,
+    pub clock_offset: Duration,
+    pub wall_ms: i64,
     deferred: Vec<Event>,
     /// Lives that ended with the machine's power: nobody was told.
-    pub silentLives: Vec<u32>,
+    pub silent_lives: Vec<u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -56,17 +56,17 @@
     Greeted {
         server: String,
         connection: u64,
-        isCold: bool,
-        demandMilli: u32,
+        is_cold: bool,
+        demand_milli: u32,
     },
     Work {
         request: usize,
         connection: u64,
-        sentAt: Duration,
+        sent_at: Duration,
     },
     Worked {
-        demandMilli: u32,
-        isTruncated: bool,
+        demand_milli: u32,
+        is_truncated: bool,
     },
     /// Nobody listens, or the connection was reset.
     Reset,
@@ -111,9 +111,9 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     pub asker: HostId,
-    askerLife: u32,
+    asker_life: u32,
     pub target: HostId,
-    targetLife: Option<u32>,
+    target_life: Option<u32>,
     pub purpose: Purpose,
 }
 
@@ -214,10 +214,10 @@
     pub slowness: Duration,
     calls: BTreeMap<CallId, Call>,
     queue: BinaryHeap<Queued>,
-    nextCall: CallId,
-    eventNumber: u64,
-    pub siblingBytes: u64,
-    pub siblingBytesOtherZone: u64,
+    next_call: CallId,
+    event_number: u64,
+    pub sibling_bytes: u64,
+    pub sibling_bytes_other_zone: u64,
     pub messages: u64,
     /// When a host was down, frozen, cut off or misbehaved, for the judges.
     pub troubles: Vec<Trouble>,
@@ -250,17 +250,17 @@
             slowness: Duration::ZERO,
             calls: BTreeMap::new(),
             queue: BinaryHeap::new(),
-            nextCall: 0,
-            eventNumber: 0,
-            siblingBytes: 0,
-            siblingBytesOtherZone: 0,
+            next_call: 0,
+            event_number: 0,
+            sibling_bytes: 0,
+            sibling_bytes_other_zone: 0,
             messages: 0,
             troubles: Vec::new(),
         }
     }
 
-    pub fn addHost(&mut self, name: &str, zone: &str, region: &str) -> HostId {
-        let clockOffset = Duration::from_millis(self.random.draw() % 1_000_000);
+    pub fn add_host(&mut self, name: &str, zone: &str, region: &str) -> HostId {
+        let clock_offset = Duration::from_millis(self.random.draw() % 1_000_000);
         self.hosts.push(Host {
             name: name.to_string(),
             zone: zone.to_string(),
@@ -269,20 +269,20 @@
             powered: true,
             frozen: false,
             life: 0,
-            clockOffset,
-            wallMs: 1_700_000_000_000,
+            clock_offset,
+            wall_ms: 1_700_000_000_000,
             deferred: Vec::new(),
-            silentLives: Vec::new(),
+            silent_lives: Vec::new(),
         });
         self.hosts.len() - 1
     }
 
-    pub fn addressOf(host: HostId) -> std::net::SocketAddr {
+    pub fn address_of(host: HostId) -> std::net::SocketAddr {
         let octets = [10, 0, (host / 250) as u8, (host % 250) as u8 + 1];
         std::net::SocketAddr::from((octets, 7001))
     }
 
-    pub fn hostAt(address: std::net::SocketAddr) -> HostId {
+    pub fn host_at(address: std::net::SocketAddr) -> HostId {
         match address {
             std::net::SocketAddr::V4(v4) => {
                 let octets = v4.ip().octets();
@@ -294,12 +294,12 @@
 
     /// The host's own monotonic clock.
     pub fn local(&self, host: HostId) -> Duration {
-        self.now + self.hosts[host].clockOffset
+        self.now + self.hosts[host].clock_offset
     }
 
     pub fn at(&mut self, at: Duration, event: Event) {
-        self.eventNumber += 1;
-        self.queue.push(Queued(at, self.eventNumber, event));
+        self.event_number += 1;
+        self.queue.push(Queued(at, self.event_number, event));
     }
 
     pub fn timer(&mut self, host: HostId, after: Duration, what: Timer) {
@@ -307,14 +307,14 @@
         self.at(self.now + after, Event::Timer { host, life, what });
     }
 
-    pub fn isCut(&self, from: HostId, to: HostId) -> bool {
+    pub fn is_cut(&self, from: HostId, to: HostId) -> bool {
         self.cuts.contains_key(&(from, to))
     }
 
     fn delay(&mut self, from: HostId, to: HostId) -> Duration {
         let (left, right) = (&self.hosts[from], &self.hosts[to]);
-        let isOutside = left.zone.is_empty() || right.zone.is_empty();
-        let base = if isOutside {
+        let is_outside = left.zone.is_empty() || right.zone.is_empty();
+        let base = if is_outside {
             self.delays.caller
         } else if left.zone == right.zone {
             self.delays.zone / 4
@@ -335,7 +335,7 @@
         delay
     }
 
-    fn isAlive(&self, host: HostId) -> bool {
+    fn is_alive(&self, host: HostId) -> bool {
         self.hosts[host].up && self.hosts[host].powered
     }
 
@@ -348,14 +348,14 @@
         body: Body,
         purpose: Purpose,
     ) -> CallId {
-        self.nextCall += 1;
+        self.next_call += 1;
         self.messages += 1;
-        let call = self.nextCall;
-        let askerLife = self.hosts[asker].life;
-        let entry = Call { asker, askerLife, target, targetLife: None, purpose };
+        let call = self.next_call;
+        let asker_life = self.hosts[asker].life;
+        let entry = Call { asker, asker_life, target, target_life: None, purpose };
         self.calls.insert(call, entry);
         self.at(self.now + limit, Event::Expire { call });
-        if !self.isCut(asker, target) {
+        if !self.is_cut(asker, target) {
             let delay = self.delay(asker, target);
             self.at(self.now + delay, Event::Arrive { call, body });
         }
@@ -370,7 +370,7 @@
         let Some(entry) = self.calls.get(&call) else { return };
         let (from, to) = (entry.target, entry.asker);
         self.messages += 1;
-        if self.isCut(from, to) || !self.hosts[from].powered {
+        if self.is_cut(from, to) || !self.hosts[from].powered {
             return;
         }
         let delay = self.delay(from, to);
@@ -384,7 +384,7 @@
 
     /// The next event that really happens, with the clock moved to it. Calls end here: an event
     /// of an ended one is skipped.
-    pub fn nextEvent(&mut self) -> Option<(Event, Option<Call>)> {
+    pub fn next_event(&mut self) -> Option<(Event, Option<Call>)> {
         loop {
             let Queued(at, _, event) = self.queue.pop()?;
             self.now = self.now.max(at);
@@ -392,7 +392,7 @@
                 Event::Pulse { host, life }
                 | Event::DiskDone { host, life }
                 | Event::Timer { host, life, .. } => {
-                    if self.hosts[*host].life != *life || !self.isAlive(*host) {
+                    if self.hosts[*host].life != *life || !self.is_alive(*host) {
                         continue;
                     }
                     *host
@@ -400,12 +400,12 @@
                 Event::Script(_) => return Some((event, None)),
                 Event::Arrive { call, .. } => {
                     let Some(entry) = self.calls.get(call) else { continue };
-                    let (target, wanted) = (entry.target, entry.targetLife);
+                    let (target, wanted) = (entry.target, entry.target_life);
                     if !self.hosts[target].powered {
                         continue;
                     }
-                    let isOther = wanted.is_some_and(|life| life != self.hosts[target].life);
-                    if !self.hosts[target].up || isOther {
+                    let is_other = wanted.is_some_and(|life| life != self.hosts[target].life);
+                    if !self.hosts[target].up || is_other {
                         let call = *call;
                         self.reply(call, Body::Reset);
                         continue;
@@ -414,8 +414,8 @@
                 }
                 Event::Reply { call, .. } | Event::Expire { call } => {
                     let Some(entry) = self.calls.get(call) else { continue };
-                    let (asker, life) = (entry.asker, entry.askerLife);
-                    if self.hosts[asker].life != life || !self.isAlive(asker) {
+                    let (asker, life) = (entry.asker, entry.asker_life);
+                    if self.hosts[asker].life != life || !self.is_alive(asker) {
                         self.calls.remove(call);
                         continue;
                     }
@@ -430,7 +430,7 @@
                 Event::Arrive { call, .. } => {
                     let life = self.hosts[host].life;
                     let entry = self.calls.get_mut(call).expect("seen above");
-                    entry.targetLife = Some(life);
+                    entry.target_life = Some(life);
                     let entry = entry.clone();
                     return Some((event, Some(entry)));
                 }
@@ -457,7 +457,7 @@
     }
 
     /// Whether a host had any trouble within this time.
-    pub fn wasIll(&self, host: HostId, from: Duration, to: Duration) -> bool {
+    pub fn was_ill(&self, host: HostId, from: Duration, to: Duration) -> bool {
         self.troubles.iter().any(|one| {
             one.host == host && one.from <= to && one.to.is_none_or(|ended| ended >= from)
         })
@@ -488,7 +488,7 @@
         self.trouble(host, Ill::Down);
         if !self.hosts[host].powered {
             let life = self.hosts[host].life;
-            self.hosts[host].silentLives.push(life);
+            self.hosts[host].silent_lives.push(life);
         }
         self.hosts[host].up = false;
         self.hosts[host].frozen = false;
@@ -496,7 +496,7 @@
         let open: Vec<CallId> = self
             .calls
             .iter()
-            .filter(|(_, entry)| entry.target == host && entry.targetLife.is_some())
+            .filter(|(_, entry)| entry.target == host && entry.target_life.is_some())
             .map(|(call, _)| *call)
             .collect();
         for call in open {
@@ -514,21 +514,21 @@
 
     /// Cuts between every host of one side and every other of the other; only what the left ones
     /// send, where it is one way.
-    pub fn cut(&mut self, left: &[HostId], right: &[HostId], isOneWay: bool) {
+    pub fn cut(&mut self, left: &[HostId], right: &[HostId], is_one_way: bool) {
         for host in left {
             self.trouble(*host, Ill::Cut);
         }
-        for pair in pairs(left, right, isOneWay) {
+        for pair in pairs(left, right, is_one_way) {
             *self.cuts.entry(pair).or_default() += 1;
         }
     }
 
     /// Ends one cut; others between the same hosts stay.
-    pub fn uncut(&mut self, left: &[HostId], right: &[HostId], isOneWay: bool) {
+    pub fn uncut(&mut self, left: &[HostId], right: &[HostId], is_one_way: bool) {
         for host in left {
             self.over(*host, Ill::Cut);
         }
-        for pair in pairs(left, right, isOneWay) {
+        for pair in pairs(left, right, is_one_way) {
             if let Some(count) = self.cuts.get_mut(&pair) {
                 *count -= 1;
                 if *count == 0 {
@@ -547,12 +547,12 @@
     }
 }
 
-fn pairs(left: &[HostId], right: &[HostId], isOneWay: bool) -> Vec<(HostId, HostId)> {
+fn pairs(left: &[HostId], right: &[HostId], is_one_way: bool) -> Vec<(HostId, HostId)> {
     let mut pairs = Vec::new();
     for one in left {
         for other in right.iter().filter(|other| *other != one) {
             pairs.push((*one, *other));
-            if !isOneWay {
+            if !is_one_way {
                 pairs.push((*other, *one));
             }
         }
--- a/fleet/src/sim/reach.rs
+++ b/fleet/src/sim/reach.rs
@@ -38,7 +38,7 @@
 
 #[derive(Default)]
 pub struct Reach {
-    sampledAt: Duration,
+    sampled_at: Duration,
     pub known: Vec<Known>,
     /// The highest revisions that were in force on every proxy that ran, at some moment.
     everywhere: (u64, u64),
@@ -48,15 +48,15 @@
     /// When that life began, or when it woke.
     begun: Vec<Duration>,
     /// Since when a registry has reached a majority of stores that vote and reach each other.
-    pub majoritySince: Vec<Option<Duration>>,
+    pub majority_since: Vec<Option<Duration>>,
     pub emptyings: Vec<Emptying>,
     /// The highest revision of which an operator has a receipt.
     receipted: u64,
     /// What was found, once for each daemon and kind.
     told: std::collections::BTreeSet<(usize, &'static str, u64)>,
     pub faults: Vec<String>,
-    pub worstSetup: Duration,
-    pub worstDrain: Duration,
+    pub worst_setup: Duration,
+    pub worst_drain: Duration,
 }
 
 impl Reach {
@@ -73,14 +73,14 @@
 
 impl Sim {
     /// Whether a call from one daemon to the other, and its reply, would get through.
-    fn isPath(&self, one: usize, other: usize) -> bool {
+    fn is_path(&self, one: usize, other: usize) -> bool {
         let (one, other) = (self.daemons[one].host, self.daemons[other].host);
-        !self.net.isCut(one, other) && !self.net.isCut(other, one)
+        !self.net.is_cut(one, other) && !self.net.is_cut(other, one)
     }
 
     /// Looks at the fleet now and then.
     pub fn sample(&mut self) {
-        if self.net.now >= self.reach.sampledAt + EVERY {
+        if self.net.now >= self.reach.sampled_at + EVERY {
             self.look();
         }
     }
@@ -89,29 +89,29 @@
     pub fn look(&mut self) {
         let now = self.net.now;
         let mut reach = std::mem::take(&mut self.reach);
-        reach.sampledAt = now;
+        reach.sampled_at = now;
         reach.known.resize(self.daemons.len(), Known::default());
         reach.floors.resize(self.daemons.len(), (0, 0));
         reach.lives.resize(self.daemons.len(), (0, false));
         reach.begun.resize(self.daemons.len(), Duration::ZERO);
-        reach.majoritySince.resize(self.daemons.len(), None);
+        reach.majority_since.resize(self.daemons.len(), None);
         for part in self.parts() {
             self.learn(&mut reach, &part);
         }
         let mut everywhere: Option<(u64, u64)> = None;
         for index in 0..self.daemons.len() {
             let daemon = &self.daemons[index];
-            let isUp = self.isUp(index);
-            if !isUp {
+            let is_up = self.is_up(index);
+            if !is_up {
                 reach.known[index] = Known::default();
-                reach.majoritySince[index] = None;
+                reach.majority_since[index] = None;
             }
-            let life = (self.net.hosts[daemon.host].life, isUp);
-            if std::mem::replace(&mut reach.lives[index], life) != life && isUp {
+            let life = (self.net.hosts[daemon.host].life, is_up);
+            if std::mem::replace(&mut reach.lives[index], life) != life && is_up {
                 reach.floors[index] = reach.everywhere;
                 reach.begun[index] = now;
             }
-            if isUp && daemon.card.role == Role::Proxy {
+            if is_up && daemon.card.role == Role::Proxy {
                 let own = (daemon.view.word.revision, daemon.view.platform.revision);
                 let least = everywhere.unwrap_or(own);
                 everywhere = Some((least.0.min(own.0), least.1.min(own.1)));
@@ -127,7 +127,7 @@
     /// The parts of the fleet within which each can hear of what any other knows.
     fn parts(&self) -> Vec<Vec<usize>> {
         let mut left: Vec<usize> =
-            (0..self.daemons.len()).filter(|index| self.isUp(*index)).collect();
+            (0..self.daemons.len()).filter(|index| self.is_up(*index)).collect();
         let mut parts = Vec::new();
         while let Some(first) = left.pop() {
             let mut part = vec![first];
@@ -135,7 +135,7 @@
             while next < part.len() {
                 let from = part[next];
                 next += 1;
-                let (found, rest) = left.iter().partition(|index| self.isPath(from, **index));
+                let (found, rest) = left.iter().partition(|index| self.is_path(from, **index));
                 part.extend::<Vec<usize>>(found);
                 left = rest;
             }
@@ -154,7 +154,7 @@
         let mut list = lists.max().unwrap_or(0);
         if of(Role::Registry).any(|index| {
             let host = self.daemons[index].host;
-            !self.net.isCut(host, self.platformHost) && !self.net.isCut(self.platformHost, host)
+            !self.net.is_cut(host, self.platform_host) && !self.net.is_cut(self.platform_host, host)
         }) {
             list = list.max(self.platform.revision);
         }
@@ -164,11 +164,11 @@
                 _ => false,
             })
             .collect();
-        let isKept = |index: &&usize| match &self.daemons[**index].duty {
+        let is_kept = |index: &&usize| match &self.daemons[**index].duty {
             Duty::Store(store) => store.core.summary().accepted >= reach.receipted,
             _ => false,
         };
-        if holders.iter().filter(isKept).count() >= 2 {
+        if holders.iter().filter(is_kept).count() >= 2 {
             // What two of them accepted they can settle between them.
             words = words.max(reach.receipted);
         }
@@ -181,15 +181,15 @@
         }
         for registry in of(Role::Registry) {
             let near: Vec<usize> =
-                holders.iter().copied().filter(|store| self.isPath(registry, *store)).collect();
+                holders.iter().copied().filter(|store| self.is_path(registry, *store)).collect();
             // One that nobody but the registry reaches may be asked first, in vain.
-            let hasOther =
-                |one: &usize| near.iter().any(|other| one != other && self.isPath(*one, *other));
-            let isMajority = !near.is_empty() && near.iter().all(hasOther);
-            if !isMajority || self.daemons[registry].leaving {
-                reach.majoritySince[registry] = None;
+            let has_other =
+                |one: &usize| near.iter().any(|other| one != other && self.is_path(*one, *other));
+            let is_majority = !near.is_empty() && near.iter().all(has_other);
+            if !is_majority || self.daemons[registry].leaving {
+                reach.majority_since[registry] = None;
             } else {
-                reach.majoritySince[registry].get_or_insert(now);
+                reach.majority_since[registry].get_or_insert(now);
             }
         }
     }
@@ -204,7 +204,7 @@
             let newer = all.range(own + 1..).min_by_key(|(_, since)| **since);
             let Some((revision, since)) = newer else { continue };
             let took = now - *since;
-            reach.worstSetup = reach.worstSetup.max(took);
+            reach.worst_setup = reach.worst_setup.max(took);
             if took > SOON {
                 let name = &self.daemons[index].card.name;
                 let text = format!(
@@ -219,7 +219,7 @@
     }
 
     /// A proxy says that it is ready, or takes a request: by what does it go?
-    pub fn judgeService(&mut self, index: usize) {
+    pub fn judge_service(&mut self, index: usize) {
         let own = {
             let daemon = &self.daemons[index];
             // Its servers are those of the list that it went over to, not of the one that it heard of.
@@ -235,14 +235,14 @@
         // It must wait for what it could hear of from its beginning on; what a cut kept from it
         // then is due like all news.
         let begun = self.reach.begun[index];
-        let couldKnow = |all: &BTreeMap<u64, Duration>, floor| {
+        let could_know = |all: &BTreeMap<u64, Duration>, floor| {
             since(all, floor).is_some_and(|since| since <= begun)
         };
-        for (own, floor, isKnown, kind) in [
-            (own.0, floor.0, couldKnow(&known.word, floor.0), "word"),
-            (own.1, floor.1, couldKnow(&known.platform, floor.1), "list"),
+        for (own, floor, is_known, kind) in [
+            (own.0, floor.0, could_know(&known.word, floor.0), "word"),
+            (own.1, floor.1, could_know(&known.platform, floor.1), "list"),
         ] {
-            if own < floor && isKnown {
+            if own < floor && is_known {
                 let name = self.daemons[index].card.name.clone();
                 let text = format!(
                     "{name} serves by {kind} {own} at {:.3} s, and {floor} was in force everywhere \
@@ -255,16 +255,16 @@
     }
 
     /// Work comes to a server: could the proxy that sent it have known better?
-    pub fn judgeArrival(
+    pub fn judge_arrival(
         &mut self,
         server: usize,
         request: usize,
-        proxyHost: usize,
-        sentAt: Duration,
+        proxy_host: usize,
+        sent_at: Duration,
     ) {
         // A frozen server finds it later than it was sent.
-        let now = sentAt;
-        let Some(proxy) = self.byHost.get(&proxyHost).copied() else { return };
+        let now = sent_at;
+        let Some(proxy) = self.by_host.get(&proxy_host).copied() else { return };
         let Some(known) = self.reach.known.get(proxy) else { return };
         let (id, zone) = {
             let server = &self.world.servers[server];
@@ -272,15 +272,15 @@
         };
         let mut found = Vec::new();
         let mark = self.world.leaves.iter().find(|(_, one, _)| *one == server);
-        if let Some((leftAt, _, revision)) = mark
+        if let Some((left_at, _, revision)) = mark
             && let Some(since) = since(&known.platform, *revision)
         {
-            let late = now.saturating_sub(since.max(*leftAt));
+            let late = now.saturating_sub(since.max(*left_at));
             found.push((late, SOON, format!("leaving server {id} got work")));
         }
         for emptying in self.reach.emptyings.iter().filter(|one| one.zone == zone) {
-            let isOver = emptying.to.is_some_and(|to| now >= to);
-            if let (Some(since), false) = (since(&known.word, emptying.revision), isOver) {
+            let is_over = emptying.to.is_some_and(|to| now >= to);
+            if let (Some(since), false) = (since(&known.word, emptying.revision), is_over) {
                 let late = now.saturating_sub(since.max(emptying.from));
                 let text = format!("request {request} came to {id} in emptied {zone}");
                 found.push((late, EMPTY_SOON, text));
@@ -288,7 +288,7 @@
         }
         let name = self.daemons[proxy].card.name.clone();
         for (late, limit, text) in found {
-            self.reach.worstDrain = self.reach.worstDrain.max(late);
+            self.reach.worst_drain = self.reach.worst_drain.max(late);
             if late > limit {
                 let text = format!(
                     "{text} by {name}, {:.3} s after it could have known, at {:.1} s",
@@ -301,23 +301,23 @@
     }
 
     /// Work comes to a proxy in an emptied zone: could its caller have been told by then?
-    pub fn judgeDoor(&mut self, index: usize) {
+    pub fn judge_door(&mut self, index: usize) {
         let now = self.net.now;
         let zone = self.daemons[index].card.zone.clone();
         for emptying in self.reach.emptyings.clone() {
-            let isOver = emptying.to.is_some_and(|to| now >= to);
-            if emptying.zone != zone || isOver {
+            let is_over = emptying.to.is_some_and(|to| now >= to);
+            if emptying.zone != zone || is_over {
                 continue;
             }
             // From when on any directory that callers ask could have told them.
             let told = (0..self.daemons.len())
                 .filter(|one| self.daemons[*one].card.role == Role::Registry)
-                .filter(|one| self.daemons[*one].isWell && self.isUp(*one))
+                .filter(|one| self.daemons[*one].is_well && self.is_up(*one))
                 .filter_map(|one| since(&self.reach.known.get(one)?.word, emptying.revision))
                 .min();
             let Some(told) = told else { continue };
             let late = now.saturating_sub(told.max(emptying.from));
-            self.reach.worstDrain = self.reach.worstDrain.max(late);
+            self.reach.worst_drain = self.reach.worst_drain.max(late);
             if late > EMPTY_SOON {
                 let text = format!(
                     "a caller came to {} in emptied {zone} {:.3} s after it could have been told",
@@ -330,7 +330,7 @@
     }
 
     /// An operator's receipt came, or an operator's call goes out.
-    pub fn noteOperation(&mut self, operation: usize) {
+    pub fn note_operation(&mut self, operation: usize) {
         let now = self.net.now;
         let operation = self.operations[operation].clone();
         let revision = match &operation.outcome {
@@ -338,21 +338,21 @@
             _ => None,
         };
         // Refused or left in doubt although a majority could have settled it.
-        let isUndecided = operation.endedAt.is_some()
+        let is_undecided = operation.ended_at.is_some()
             && matches!(
                 operation.outcome,
                 None | Some(Outcome::NothingDone { .. } | Outcome::Unknown)
             );
-        let majoritySince = self.reach.majoritySince.get(operation.registry).copied().flatten();
-        let isUndecided = isUndecided && !operation.what.isInvalid();
+        let majority_since = self.reach.majority_since.get(operation.registry).copied().flatten();
+        let is_undecided = is_undecided && !operation.what.is_invalid();
         // A registry that dies with a call in hand cannot end it.
         let host = self.daemons[operation.registry].host;
-        let isUndecided = isUndecided && !self.net.wasIll(host, operation.startedAt, now);
-        if isUndecided && majoritySince.is_some_and(|since| since <= operation.startedAt) {
+        let is_undecided = is_undecided && !self.net.was_ill(host, operation.started_at, now);
+        if is_undecided && majority_since.is_some_and(|since| since <= operation.started_at) {
             let text = format!(
                 "an operator's call at {:.3} s ended {:.3} s with {:?}, and {} reached a majority \
                  all the time: {:?}",
-                operation.startedAt.as_secs_f64(),
+                operation.started_at.as_secs_f64(),
                 now.as_secs_f64(),
                 operation.outcome,
                 self.daemons[operation.registry].card.name,
--- a/fleet/src/standin.rs
+++ b/fleet/src/standin.rs
@@ -36,10 +36,10 @@
     pub runs: Mutex<HashMap<String, u32>>,
     /// When requests came, liveness checks aside.
     pub arrivals: Mutex<Vec<std::time::Instant>>,
-    pub inHand: AtomicU64,
-    pub livenessChecks: AtomicU64,
-    pub demandMilli: AtomicU64,
-    pub isCold: AtomicBool,
+    pub in_hand: AtomicU64,
+    pub liveness_checks: AtomicU64,
+    pub demand_milli: AtomicU64,
+    pub is_cold: AtomicBool,
 }
 
 /// A server that listens until it is stopped.
@@ -57,16 +57,16 @@
             manner: Mutex::new(Manner::Good),
             runs: Mutex::default(),
             arrivals: Mutex::default(),
-            inHand: AtomicU64::new(0),
-            livenessChecks: AtomicU64::new(0),
-            demandMilli: AtomicU64::new(100),
-            isCold: AtomicBool::new(false),
+            in_hand: AtomicU64::new(0),
+            liveness_checks: AtomicU64::new(0),
+            demand_milli: AtomicU64::new(100),
+            is_cold: AtomicBool::new(false),
         });
-        Server::startWith(state, address).await
+        Server::start_with(state, address).await
     }
 
     /// Starts with the counts of an earlier life.
-    pub async fn startWith(state: Arc<State>, address: SocketAddr) -> std::io::Result<Server> {
+    pub async fn start_with(state: Arc<State>, address: SocketAddr) -> std::io::Result<Server> {
         let socket = tokio::net::TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
@@ -238,7 +238,7 @@
 
 impl Drop for InHand {
     fn drop(&mut self) {
-        self.0.inHand.fetch_sub(1, Ordering::Relaxed);
+        self.0.in_hand.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -249,19 +249,19 @@
 ) -> hyper::Response<Body> {
     let id = state.id.lock().expect("no panic under this lock").clone();
     let manner = *state.manner.lock().expect("no panic under this lock");
-    let demand = state.demandMilli.load(Ordering::Relaxed) as f64 / 1000.0;
+    let demand = state.demand_milli.load(Ordering::Relaxed) as f64 / 1000.0;
     let receipt = |status: u16, body: Body| {
         let mut receipt = hyper::Response::builder()
             .status(status)
             .header("server-id", &id)
             .header("endpoint-load-metrics", format!("TEXT application_utilization={demand}"));
-        if state.isCold.load(Ordering::Relaxed) {
+        if state.is_cold.load(Ordering::Relaxed) {
             receipt = receipt.header("server-state", "cold");
         }
         receipt.body(body).expect("good header values")
     };
     if request.uri().path() == "/live" {
-        state.livenessChecks.fetch_add(1, Ordering::Relaxed);
+        state.liveness_checks.fetch_add(1, Ordering::Relaxed);
         return match manner {
             Manner::Silent => std::future::pending().await,
             Manner::Unwell => receipt(500, whole("unwell")),
@@ -269,8 +269,8 @@
         };
     }
     state.arrivals.lock().expect("no panic under this lock").push(std::time::Instant::now());
-    state.inHand.fetch_add(1, Ordering::Relaxed);
-    let inHand = InHand(state.clone());
+    state.in_hand.fetch_add(1, Ordering::Relaxed);
+    let in_hand = InHand(state.clone());
     let number = request
         .headers()
         .get("x-request")
@@ -285,7 +285,7 @@
         .filter_map(|pair| pair.split_once('='))
         .map(|(key, value)| (key.to_string(), value.to_string()))
         .collect();
-    let isFiling = request.method() == hyper::Method::POST;
+    let is_filing = request.method() == hyper::Method::POST;
     let (head, body) = request.into_parts();
     let collected = http_body_util::BodyExt::collect(body).await;
     let Ok(collected) = collected else {
@@ -299,8 +299,8 @@
         return std::future::pending().await;
     }
     *state.runs.lock().expect("no panic under this lock").entry(number.clone()).or_default() += 1;
-    if let Some(waitMs) = query.get("waitMs").and_then(|text| text.parse().ok()) {
-        tokio::time::sleep(std::time::Duration::from_millis(waitMs)).await;
+    if let Some(wait_ms) = query.get("waitMs").and_then(|text| text.parse().ok()) {
+        tokio::time::sleep(std::time::Duration::from_millis(wait_ms)).await;
     }
     let size: usize = query.get("size").and_then(|text| text.parse().ok()).unwrap_or(0);
     {
@@ -322,10 +322,10 @@
     }
     if size > 0 {
         let bytes = pattern(&number, size);
-        if let Some(trickleMs) = query.get("trickleMs").and_then(|text| text.parse().ok()) {
-            let pulse = tokio::time::interval(std::time::Duration::from_millis(trickleMs));
+        if let Some(trickle_ms) = query.get("trickleMs").and_then(|text| text.parse().ok()) {
+            let pulse = tokio::time::interval(std::time::Duration::from_millis(trickle_ms));
             let (most, rest) = (size.div_ceil(20), bytes::Bytes::from(bytes));
-            let trickle = Trickle { pulse, rest, most, _inHand: inHand };
+            let trickle = Trickle { pulse, rest, most, _in_hand: in_hand };
             return receipt(200, http_body_util::BodyExt::boxed(trickle));
         }
         if query.contains_key("chunked") {
@@ -336,7 +336,7 @@
                     Ok::<_, std::convert::Infallible>(hyper::body::Frame::data(chunk))
                 })
                 .collect();
-            return receipt(200, chunkedBody(chunks));
+            return receipt(200, chunked_body(chunks));
         }
         return receipt(200, whole(bytes));
     }
@@ -345,7 +345,7 @@
         "request": number,
         "method": head.method.as_str(),
         "target": head.uri.to_string(),
-        "filed": isFiling,
+        "filed": is_filing,
         "bodyBytes": body.len(),
         "host": head.headers.get("host").and_then(|one| one.to_str().ok()).unwrap_or(""),
     };
@@ -357,7 +357,7 @@
     pulse: tokio::time::Interval,
     rest: bytes::Bytes,
     most: usize,
-    _inHand: InHand,
+    _in_hand: InHand,
 }
 
 impl hyper::body::Body for Trickle {
@@ -383,7 +383,7 @@
 }
 
 /// A body without a length, sent piece by piece.
-fn chunkedBody(
+fn chunked_body(
     pieces: Vec<Result<hyper::body::Frame<bytes::Bytes>, std::convert::Infallible>>,
 ) -> Body {
     struct Pieces(
@@ -459,7 +459,7 @@
     }
 
     /// Serves this text in place of the list, or the list again.
-    pub fn serveInstead(&self, text: Option<String>) {
+    pub fn serve_instead(&self, text: Option<String>) {
         self.list.lock().expect("no panic under this lock").instead = text;
     }
 }
@@ -493,7 +493,7 @@
                 "address": server.address.to_string(),
                 "region": server.region.as_str(),
                 "zone": server.zone.as_str(),
-                "labels": vanepath_setup::platform::labelsAsJson(labels),
+                "labels": vanepath_setup::platform::labels_as_json(labels),
                 "state": if server.leaving { "leaving" } else { "ready" },
             }
         })
--- a/fleet/src/traffic.rs
+++ b/fleet/src/traffic.rs
@@ -22,8 +22,8 @@
     pub kind: Kind,
     pub verdict: Verdict,
     pub status: u16,
-    pub startedAt: Duration,
-    pub tookMs: u64,
+    pub started_at: Duration,
+    pub took_ms: u64,
 }
 
 pub struct Traffic {
@@ -40,7 +40,7 @@
 
 impl Traffic {
     /// Callers in every zone send the shape's mix at `part` of its rate until told to stop.
-    pub async fn start(fleet: &Fleet, callersPerZone: usize, part: f64) -> Traffic {
+    pub async fn start(fleet: &Fleet, callers_per_zone: usize, part: f64) -> Traffic {
         let start = std::time::Instant::now();
         let mut traffic = Traffic {
             told: Arc::default(),
@@ -52,12 +52,12 @@
             sent: Arc::default(),
         };
         for (zone, region) in &fleet.shape.zones {
-            for index in 0..callersPerZone {
+            for index in 0..callers_per_zone {
                 let query = format!("caller={zone}-{index}&zone={zone}&region={region}");
                 let spread = traffic.callers.len() as u64;
                 let caller = Caller::new(fleet.registries(), &query, spread, "shop.example");
                 caller.poll().await;
-                traffic.polling.push(caller.keepPolling());
+                traffic.polling.push(caller.keep_polling());
                 traffic.callers.push(caller);
             }
         }
@@ -84,8 +84,8 @@
                     let (told, wrong) = (told.clone(), wrong.clone());
                     let (caller, shape) = (caller.clone(), shape.clone());
                     tasks.spawn(async move {
-                        let startedAt = start.elapsed();
-                        let one = one(&caller, &shape, kind, &number, startedAt, &wrong).await;
+                        let started_at = start.elapsed();
+                        let one = one(&caller, &shape, kind, &number, started_at, &wrong).await;
                         told.lock().expect("no panic under this lock").push(one);
                     });
                 }
@@ -128,17 +128,17 @@
     shape: &crate::shape::Shape,
     kind: Kind,
     number: &str,
-    startedAt: Duration,
+    started_at: Duration,
     wrong: &Mutex<Vec<String>>,
 ) -> Told {
     let start = std::time::Instant::now();
     let headers = [("x-request", number)];
     let (method, path, body) = match kind {
-        Kind::Lookup => ("GET", format!("{}/{number}", shape.lookupPath), Vec::new()),
-        Kind::Filing => ("POST", shape.filingPath.to_string(), number.as_bytes().to_vec()),
+        Kind::Lookup => ("GET", format!("{}/{number}", shape.lookup_path), Vec::new()),
+        Kind::Filing => ("POST", shape.filing_path.to_string(), number.as_bytes().to_vec()),
         Kind::Bulk => {
             let form = if number.len().is_multiple_of(2) { "&chunked=1" } else { "" };
-            ("GET", format!("{}/{number}?size={SIZE}{form}", shape.bulkPath), Vec::new())
+            ("GET", format!("{}/{number}?size={SIZE}{form}", shape.bulk_path), Vec::new())
         }
     };
     let outcome = caller.request(method, &path, &headers, body.into()).await;
@@ -146,12 +146,12 @@
     let mut status = 0;
     if let Outcome::Receipt { status: seen, body, verdict: Verdict::Ran, .. } = &outcome {
         status = *seen;
-        let isRight = match kind {
+        let is_right = match kind {
             Kind::Bulk => **body == *crate::standin::pattern(number, SIZE),
             _ => jzon::parse(&String::from_utf8_lossy(body))
                 .is_ok_and(|value| value["request"].as_str() == Some(number)),
         };
-        if *seen != 200 || !isRight {
+        if *seen != 200 || !is_right {
             let shown = String::from_utf8_lossy(&body[..body.len().min(120)]).to_string();
             wrong
                 .lock()
@@ -161,16 +161,16 @@
     } else if let Outcome::Receipt { status: seen, .. } = &outcome {
         status = *seen;
     }
-    let tookMs = start.elapsed().as_millis() as u64;
-    Told { number: number.to_string(), kind, verdict, status, startedAt, tookMs }
+    let took_ms = start.elapsed().as_millis() as u64;
+    Told { number: number.to_string(), kind, verdict, status, started_at, took_ms }
 }
 
 /// What the requests of one kind came to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sum {
     pub ran: u64,
-    pub notRun: u64,
-    pub mayHaveRun: u64,
+    pub not_run: u64,
+    pub may_have_run: u64,
 }
 
 pub fn sums(told: &[Told]) -> HashMap<Kind, Sum> {
@@ -179,24 +179,24 @@
         let sum = sums.entry(one.kind).or_default();
         match one.verdict {
             Verdict::Ran => sum.ran += 1,
-            Verdict::NotRun => sum.notRun += 1,
-            Verdict::MayHaveRun => sum.mayHaveRun += 1,
+            Verdict::NotRun => sum.not_run += 1,
+            Verdict::MayHaveRun => sum.may_have_run += 1,
         }
     }
     sums
 }
 
 /// Every filing ran at most once, and its verdict is the truth.
-pub fn judgeFilings(told: &[Told], runs: &HashMap<String, u32>) -> Vec<String> {
+pub fn judge_filings(told: &[Told], runs: &HashMap<String, u32>) -> Vec<String> {
     let mut faults = Vec::new();
     for one in told.iter().filter(|one| one.kind == Kind::Filing) {
         let count = runs.get(&one.number).copied().unwrap_or_default();
-        let isTrue = match one.verdict {
+        let is_true = match one.verdict {
             Verdict::Ran => count == 1,
             Verdict::NotRun => count == 0,
             Verdict::MayHaveRun => count <= 1,
         };
-        if !isTrue {
+        if !is_true {
             faults.push(format!(
                 "filing {} was told {} ({}) and ran {count} times",
                 one.number, one.verdict, one.status
--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -25,7 +25,7 @@
 }
 
 /// The setup in force, from the first registry that tells it.
-async fn inForce(fleet: &Fleet) -> Option<Vec<u8>> {
+async fn in_force(fleet: &Fleet) -> Option<Vec<u8>> {
     for address in fleet.registries() {
         if let Some(reply) = call(address, "GET", "/v1/setup", &[], b"").await
             && reply.status == 200
@@ -39,9 +39,9 @@
 const SOON: Duration = Duration::from_secs(15);
 
 #[tokio::test(flavor = "multi_thread")]
-async fn receiptsSayWhatWasDone() {
+async fn receipts_say_what_was_done() {
     let fleet = Fleet::start(tiny()).await;
-    let first = fleet.putSetup(&fleet.shape.setup).await;
+    let first = fleet.put_setup(&fleet.shape.setup).await;
     // Only on top of what the operator saw.
     let at = format!("\"{first}\"");
     let second = put(&fleet, 1, &[("if-match", &at)], &setup(&fleet, 2)).await;
@@ -60,7 +60,7 @@
         call(fleet.registries()[2], "GET", "/v1/submissions/spring-prices", &[], b"").await;
     assert_eq!(looked.unwrap().json()["revision"], once["revision"]);
     // What is not valid is listed fault by fault and not stored.
-    let before = inForce(&fleet).await;
+    let before = in_force(&fleet).await;
     let bad = fleet.shape.setup.replace("\"kind\": \"once\"", "\"kind\": \"twice\", \"x\": 1");
     let refused = put(&fleet, 0, &[], bad.as_bytes()).await;
     assert_eq!(refused.status, 422);
@@ -78,7 +78,7 @@
         let reply = call(fleet.registries()[1], method, path, &[], b"").await.unwrap();
         assert_eq!(reply.status, status, "{method} {path}");
     }
-    assert_eq!(inForce(&fleet).await, before);
+    assert_eq!(in_force(&fleet).await, before);
     // Racing writes: each accepted one has a revision of its own and stays readable.
     let mut race = tokio::task::JoinSet::new();
     for tag in 10..22 {
@@ -101,20 +101,20 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn anAcceptedWordOutlivesDisksAndPowerAndIsNeverBegunAnew() {
+async fn an_accepted_word_outlives_disks_and_power_and_is_never_begun_anew() {
     let mut fleet = Fleet::start(tiny()).await;
-    fleet.putSetup(&fleet.shape.setup).await;
+    fleet.put_setup(&fleet.shape.setup).await;
     let stores = fleet.of("store");
     // One disk is lost right after the receipt; an empty one takes its seat by itself.
     let body = setup(&fleet, 1);
     assert_eq!(put(&fleet, 0, &[], &body).await.status, 200);
     fleet.kill(stores[0]);
     fleet.wipe(stores[0]);
-    assert_eq!(inForce(&fleet).await.as_deref(), Some(&body[..]));
+    assert_eq!(in_force(&fleet).await.as_deref(), Some(&body[..]));
     fleet.run(stores[0]);
-    let fleetRef = &fleet;
+    let fleet_ref = &fleet;
     until("the empty disk votes", SOON, async || {
-        fleetRef.page(stores[0], "ready").await["ready"].as_bool() == Some(true)
+        fleet_ref.page(stores[0], "ready").await["ready"].as_bool() == Some(true)
     })
     .await;
     // Power is lost everywhere at once: all of it is there afterwards.
@@ -124,12 +124,14 @@
     for index in 0..fleet.members.len() {
         fleet.run(index);
     }
-    let fleetRef = &fleet;
-    until("the word is back", SOON, async || inForce(fleetRef).await.as_deref() == Some(&body[..]))
-        .await;
+    let fleet_ref = &fleet;
+    until("the word is back", SOON, async || {
+        in_force(fleet_ref).await.as_deref() == Some(&body[..])
+    })
+    .await;
     // A file of the version in force is cut short on one disk: that copy alone lacks it.
     fleet.kill(stores[2]);
-    let folder = fleet.dataFolder(stores[2]);
+    let folder = fleet.data_folder(stores[2]);
     let mut versions: Vec<_> = std::fs::read_dir(&folder)
         .unwrap()
         .map(|entry| entry.unwrap().path())
@@ -140,9 +142,9 @@
     let whole = std::fs::read(&last).unwrap();
     std::fs::write(&last, &whole[..whole.len() / 2]).unwrap();
     fleet.run(stores[2]);
-    let fleetRef = &fleet;
+    let fleet_ref = &fleet;
     until("the damaged file is mended", SOON, async || {
-        fleetRef.page(stores[2], "ready").await["ready"].as_bool() == Some(true)
+        fleet_ref.page(stores[2], "ready").await["ready"].as_bool() == Some(true)
             && std::fs::read(&last).is_ok_and(|bytes| bytes == whole)
     })
     .await;
@@ -161,34 +163,34 @@
     fleet.kill(stores[0]);
     let rescue = std::process::Command::new(fleet.program("store"))
         .arg("--settings")
-        .arg(fleet.settingsFile(stores[0]))
+        .arg(fleet.settings_file(stores[0]))
         .arg("--rescue")
         .output()
         .unwrap();
     assert!(rescue.status.success(), "{}", String::from_utf8_lossy(&rescue.stderr));
     fleet.run(stores[0]);
-    let fleetRef = &fleet;
+    let fleet_ref = &fleet;
     until("all three vote again", Duration::from_secs(30), async || {
         let mut all = true;
         for index in &stores {
-            all &= fleetRef.page(*index, "ready").await["ready"].as_bool() == Some(true);
+            all &= fleet_ref.page(*index, "ready").await["ready"].as_bool() == Some(true);
         }
         all
     })
     .await;
-    assert_eq!(inForce(&fleet).await.as_deref(), Some(&body[..]));
+    assert_eq!(in_force(&fleet).await.as_deref(), Some(&body[..]));
     let next = put(&fleet, 0, &[], &setup(&fleet, 3)).await;
     assert_eq!(next.status, 200);
     // What was in force before the rescue is still read, and revisions went on upwards.
     assert!(next.json()["revision"].as_u64().unwrap() > 1000);
-    fleet.untilInForce(next.json()["revision"].as_u64().unwrap(), SOON).await;
+    fleet.until_in_force(next.json()["revision"].as_u64().unwrap(), SOON).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn withControlGoneOrFrozenProxiesServeFromMemory() {
+async fn with_control_gone_or_frozen_proxies_serve_from_memory() {
     let mut fleet = Fleet::start(tiny()).await;
-    let revision = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(revision, SOON).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, SOON).await;
     let proxy = fleet.of("proxy")[0];
     let address = fleet.members[proxy].address;
     let lookup = async || {
@@ -215,21 +217,21 @@
     for index in fleet.of("registry").into_iter().chain(fleet.of("store")) {
         fleet.run(index);
     }
-    let next = fleet.putSetup(&String::from_utf8(setup(&fleet, 5)).unwrap()).await;
+    let next = fleet.put_setup(&String::from_utf8(setup(&fleet, 5)).unwrap()).await;
     assert!(next > revision);
-    fleet.untilInForce(next, SOON).await;
+    fleet.until_in_force(next, SOON).await;
 }
 
 /// What siblings send that makes no sense closes the connection and is counted; the platform's
 /// nonsense changes nothing.
 #[tokio::test(flavor = "multi_thread")]
-async fn nonsenseFromOutsideChangesNothing() {
+async fn nonsense_from_outside_changes_nothing() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let fleet = Fleet::start(tiny()).await;
-    let revision = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(revision, SOON).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, SOON).await;
     let registry = fleet.of("registry")[0];
-    let sibling = fleet.members[registry].siblingAddress;
+    let sibling = fleet.members[registry].sibling_address;
     let greeting = vanepath_sibling::wire::encode(&vanepath_sibling::wire::Greeting {
         system: vanepath_sibling::wire::SYSTEM.to_string(),
         fleet: "another".to_string(),
@@ -258,18 +260,18 @@
         (r#"{"revision": 9, "servers": []}"#, "empty"),
         (r#"{"revision": 0, "servers": []}"#, "older"),
     ] {
-        fleet.platform.serveInstead(Some(text.to_string()));
+        fleet.platform.serve_instead(Some(text.to_string()));
         until(wanted, SOON, async || state().await == wanted).await;
     }
     let status = fleet.page(registry, "status").await;
     assert_eq!(status["servers"].as_array().unwrap().len(), 2);
-    fleet.platform.serveInstead(None);
+    fleet.platform.serve_instead(None);
     until("good again", SOON, async || state().await == "good").await;
 }
 
 /// A wrong settings file stops the start with the key's name.
 #[test]
-fn wrongSettingsStopTheStart() {
+fn wrong_settings_stop_the_start() {
     let folder = std::env::temp_dir().join(format!("vanepath-settings-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let file = folder.join("settings.json");
@@ -310,20 +312,20 @@
 /// Links that are cut without a word, and slow ones: proxies serve on, what was accepted stays, and
 /// all of it is in force soon after the links are whole.
 #[tokio::test(flavor = "multi_thread")]
-async fn cutAndSlowLinksHoldNothingUpForLong() {
+async fn cut_and_slow_links_hold_nothing_up_for_long() {
     use vanepath_fleet::relay::Link;
-    use vanepath_fleet::traffic::{Traffic, judgeFilings, sums};
+    use vanepath_fleet::traffic::{Traffic, judge_filings, sums};
     let mut shape = tiny();
     shape.proxies = 3;
-    let fleet = Fleet::startRelayed(shape).await;
-    let revision = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(revision, SOON).await;
+    let fleet = Fleet::start_relayed(shape).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, SOON).await;
     let traffic = Traffic::start(&fleet, 1, 0.2).await;
     traffic.more(30).await;
     // Nobody reaches any core machine: callers keep their last receipt, proxies their setup.
     let core: Vec<usize> = fleet.of("registry").into_iter().chain(fleet.of("store")).collect();
     for index in &core {
-        fleet.link(*index, Link { isCut: true, ..Link::default() });
+        fleet.link(*index, Link { is_cut: true, ..Link::default() });
     }
     traffic.more(150).await;
     for index in &core {
@@ -331,20 +333,20 @@
     }
     // One store is cut off, the others are slow: a change is accepted and comes into force.
     let stores = fleet.of("store");
-    fleet.link(stores[0], Link { isCut: true, ..Link::default() });
+    fleet.link(stores[0], Link { is_cut: true, ..Link::default() });
     for index in &stores[1..] {
-        fleet.link(*index, Link { isCut: false, delay: Duration::from_millis(60) });
+        fleet.link(*index, Link { is_cut: false, delay: Duration::from_millis(60) });
     }
-    let next = fleet.putSetup(&String::from_utf8(setup(&fleet, 1)).unwrap()).await;
+    let next = fleet.put_setup(&String::from_utf8(setup(&fleet, 1)).unwrap()).await;
     assert!(next > revision);
-    fleet.untilInForce(next, SOON).await;
+    fleet.until_in_force(next, SOON).await;
     for index in &stores {
         fleet.link(*index, Link::default());
     }
     traffic.more(30).await;
     let (told, wrong) = traffic.finish().await;
     assert_eq!(wrong, Vec::<String>::new());
-    assert_eq!(judgeFilings(&told, &fleet.runs()), Vec::<String>::new());
+    assert_eq!(judge_filings(&told, &fleet.runs()), Vec::<String>::new());
     let lost = told.iter().filter(|one| one.verdict != vanepath_setup::Verdict::Ran).count();
     assert_eq!(lost, 0, "{:?}", sums(&told));
 }
@@ -352,14 +354,14 @@
 /// Servers and proxies killed and frozen under traffic: no lookup unanswered, no filing twice, and
 /// nothing goes to another service at an old address.
 #[tokio::test(flavor = "multi_thread")]
-async fn killsAndFreezesUnderTrafficLoseNoLookup() {
-    use vanepath_fleet::traffic::{Kind, Traffic, judgeFilings};
+async fn kills_and_freezes_under_traffic_lose_no_lookup() {
+    use vanepath_fleet::traffic::{Kind, Traffic, judge_filings};
     let mut shape = shape::raiocerto();
     shape.proxies = 4;
     shape.servers = vec![("ordering", 6), ("documents", 3)];
     let mut fleet = Fleet::start(shape).await;
-    let revision = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(revision, SOON).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, SOON).await;
     let traffic = Traffic::start(&fleet, 2, 0.3).await;
     traffic.more(60).await;
     let proxies = fleet.of("proxy");
@@ -384,7 +386,7 @@
     traffic.more(60).await;
     let (told, wrong) = traffic.finish().await;
     assert_eq!(wrong, Vec::<String>::new());
-    assert_eq!(judgeFilings(&told, &fleet.runs()), Vec::<String>::new());
+    assert_eq!(judge_filings(&told, &fleet.runs()), Vec::<String>::new());
     let lost: Vec<_> = told
         .iter()
         .filter(|one| one.kind != Kind::Filing && one.verdict != vanepath_setup::Verdict::Ran)
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -6,17 +6,17 @@
 use strum::IntoEnumIterator;
 use vanepath_fleet::sim::day::{Deployment, Fault, Plan, run};
 use vanepath_fleet::sim::judge::judge;
-use vanepath_fleet::sim::{cores, onThreads};
+use vanepath_fleet::sim::{cores, on_threads};
 
 /// How often an operator does something.
 const OPERATOR: Duration = Duration::from_millis(900);
 
 /// Runs days on all cores and gives what the judges found.
-fn days(operatorEvery: Duration, work: Vec<(u64, Deployment, Vec<Fault>)>) -> Vec<String> {
+fn days(operator_every: Duration, work: Vec<(u64, Deployment, Vec<Fault>)>) -> Vec<String> {
     let found = std::sync::Mutex::new(Vec::new());
-    onThreads(cores(), work.len(), |index| {
+    on_threads(cores(), work.len(), |index| {
         let (seed, deployment, faults) = &work[index];
-        let plan = Plan { operatorEvery, ..Plan::new(*deployment, faults) };
+        let plan = Plan { operator_every, ..Plan::new(*deployment, faults) };
         let judgement = judge(&run(*seed, &plan));
         assert!(judgement.lookups > 500 && judgement.filings > 100);
         for fault in judgement.faults {
@@ -28,7 +28,7 @@
 }
 
 #[test]
-fn eachKindOfFaultOnADayOfItsOwn() {
+fn each_kind_of_fault_on_a_day_of_its_own() {
     let mut work = Vec::new();
     for fault in Fault::iter() {
         for deployment in [Deployment::Raiocerto, Deployment::Guild] {
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn coreMachinesAreSwappedOneAfterTheOther() {
+fn core_machines_are_swapped_one_after_the_other() {
     let mut work = Vec::new();
     for fault in [Fault::SwapAllCore, Fault::ReplaceCore, Fault::LoseDisk] {
         for seed in 1..=4 {
@@ -56,7 +56,7 @@
 
 /// Several faults on one day, some at the heels of others.
 #[test]
-fn mixedDays() {
+fn mixed_days() {
     let faults: Vec<Fault> = Fault::iter().collect();
     let mut work = Vec::new();
     for seed in 101..=116 {
@@ -74,7 +74,7 @@
 
 /// Two and three faults at one time, no more of them wide than the users' worlds have to survive.
 #[test]
-fn overlappingFaults() {
+fn overlapping_faults() {
     use Fault::*;
     let mut work: Vec<(u64, Vec<Fault>)> =
         (201..=214).map(|seed| (seed, vanepath_fleet::sim::day::overlapping(seed))).collect();
@@ -87,7 +87,7 @@
     work.push((94, vec![FreezeProxy, KillManyProxies, Surge]));
     work.push((68, vec![RegionPower, CallersCut, IsolateProxy]));
     let found = std::sync::Mutex::new(Vec::new());
-    onThreads(cores(), 2 * work.len(), |index| {
+    on_threads(cores(), 2 * work.len(), |index| {
         let (seed, faults) = work[index / 2].clone();
         let deployment = [Deployment::Raiocerto, Deployment::Guild][index % 2];
         let plan = Plan { overlap: true, rate: 0.4, ..Plan::new(deployment, &faults) };
@@ -102,7 +102,7 @@
 /// A second fault in the middle of a surge: half of all work that the fleet can do is asked for, and a
 /// part of the fleet goes.
 #[test]
-fn faultsAtThePeakOfASurge() {
+fn faults_at_the_peak_of_a_surge() {
     use Fault::{EmptyZone, RegionPower, SplitControl, Surge, ZonePower};
     let mut work = Vec::new();
     for second in [ZonePower, EmptyZone, SplitControl] {
@@ -117,7 +117,7 @@
 
 /// Every accepted setup is still read back when all three disks are new.
 #[test]
-fn aLongHistoryOutlivesEveryDisk() {
+fn a_long_history_outlives_every_disk() {
     let often = Duration::from_millis(100);
     let work = vec![(7, Deployment::Guild, vec![Fault::None, Fault::None, Fault::SwapAllCore])];
     let found = days(often, work);
@@ -126,7 +126,7 @@
 
 /// Each judge sees what it is there for: the product is broken on purpose, one way at a time.
 #[test]
-fn everyJudgeCanFindFault() {
+fn every_judge_can_find_fault() {
     use vanepath_fleet::sim::breaks::Break;
     let cases = [
         (Break::FilingsGoAgain, Fault::ServersMisbehave, "filing"),
@@ -165,7 +165,7 @@
         (Break::DirectoriesStayDown, Fault::None, "directory polls served after the last fault"),
     ];
     let blind = std::sync::Mutex::new(Vec::new());
-    onThreads(cores(), cases.len(), |index| {
+    on_threads(cores(), cases.len(), |index| {
         let (one, fault, wanted) = &cases[index];
         // Chance may spare one day; none of the four is all right.
         let mut found = Vec::new();
@@ -187,18 +187,18 @@
 
 /// Daemons are killed at every numbered point of what they do, each in turn.
 #[test]
-fn killedAtEveryPointInTurn() {
+fn killed_at_every_point_in_turn() {
     use vanepath_fleet::sim::breaks::{Point, Visit};
     let points: Vec<(Point, u32)> =
         Point::iter().flat_map(|point| [1, 2, 3, 5, 8, 13].map(|turn| (point, turn))).collect();
     let found = std::sync::Mutex::new(Vec::new());
-    onThreads(cores(), points.len(), |index| {
+    on_threads(cores(), points.len(), |index| {
         let (point, turn) = points[index];
         let from = Duration::from_secs(13);
         let deployment = if turn % 2 == 0 { Deployment::Raiocerto } else { Deployment::Guild };
         let plan = Plan {
             visit: Some(Visit { point, turn, from }),
-            operatorEvery: Duration::from_millis(300),
+            operator_every: Duration::from_millis(300),
             rate: 0.3,
             ..Plan::new(deployment, &[Fault::None])
         };
@@ -217,11 +217,11 @@
 
 /// Thousands of changes: what the stores keep stays bounded, and the last thousand stay readable.
 #[test]
-fn monthsOfChangesStayBounded() {
+fn months_of_changes_stay_bounded() {
     use vanepath_fleet::sim::control::Duty;
     let plan = Plan {
         rate: 0.001,
-        operatorEvery: Duration::from_millis(150),
+        operator_every: Duration::from_millis(150),
         ..Plan::new(Deployment::Guild, &[Fault::None; 20])
     };
     let day = run(3, &plan);
@@ -234,18 +234,18 @@
         }
     }
     let readable = day.sim.world.history.iter().rev().take(1000);
-    let isRead = |outcome: &Option<vanepath_store::talk::Outcome>| {
+    let is_read = |outcome: &Option<vanepath_store::talk::Outcome>| {
         matches!(outcome, Some(vanepath_store::talk::Outcome::Value { .. }))
     };
-    assert!(readable.clone().count() == 1000 && readable.clone().all(|one| isRead(&one.1)));
+    assert!(readable.clone().count() == 1000 && readable.clone().all(|one| is_read(&one.1)));
 }
 
 /// With nine of twelve proxies gone, the ones that are left are found.
 #[test]
-fn theLastProxiesAreFound() {
+fn the_last_proxies_are_found() {
     let found = std::sync::Mutex::new(Vec::new());
     let seeds = [15, 16, 36];
-    onThreads(cores(), seeds.len(), |index| {
+    on_threads(cores(), seeds.len(), |index| {
         let plan = Plan { rate: 1.0, ..Plan::new(Deployment::Guild, &[Fault::KillManyProxies]) };
         found.lock().unwrap().extend(judge(&run(seeds[index], &plan)).faults);
     });
--- a/fleet/tests/edges.rs
+++ b/fleet/tests/edges.rs
@@ -33,8 +33,8 @@
     // All in the proxy's own zone's region order: the first stands in its zone.
     shape.servers = vec![("s", servers)];
     let fleet = Fleet::start(shape).await;
-    let revision = fleet.putSetup(SETUP).await;
-    fleet.untilInForce(revision, Duration::from_secs(10)).await;
+    let revision = fleet.put_setup(SETUP).await;
+    fleet.until_in_force(revision, Duration::from_secs(10)).await;
     fleet
 }
 
@@ -63,7 +63,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn requestsThatCanBeReadInTwoWaysAreRefused() {
+async fn requests_that_can_be_read_in_two_ways_are_refused() {
     let fleet = start(2).await;
     let proxy = fleet.members[fleet.of("proxy")[0]].address;
     let mut shown = String::new();
@@ -121,7 +121,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn whatPassesPassesUnchanged() {
+async fn what_passes_passes_unchanged() {
     let fleet = start(1).await;
     let proxy = fleet.members[fleet.of("proxy")[0]].address;
     let call = async |method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]| {
@@ -168,7 +168,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn badServersNeverSpoilAReceipt() {
+async fn bad_servers_never_spoil_a_receipt() {
     let fleet = start(3).await;
     let proxy = fleet.members[fleet.of("proxy")[0]].address;
     let call = async |method: &str, path: &str, number: &str| {
@@ -220,7 +220,7 @@
 /// A second reply that comes when the connection may carry the next request already cannot be told
 /// from that one's. So a server that was seen to send one gets one request on a connection.
 #[tokio::test(flavor = "multi_thread")]
-async fn aLateSecondReplyIsNobodysOnceTheServerIsKnownForIt() {
+async fn a_late_second_reply_is_nobodys_once_the_server_is_known_for_it() {
     let fleet = start(1).await;
     let index = fleet.of("proxy")[0];
     let proxy = fleet.members[index].address;
@@ -254,7 +254,7 @@
 /// A rule is bound to another region while a request of it waits for room: the bound in force when a
 /// server is chosen holds.
 #[tokio::test(flavor = "multi_thread")]
-async fn aBoundThatComesWhileARequestWaitsHolds() {
+async fn a_bound_that_comes_while_a_request_waits_holds() {
     let fleet = start(1).await;
     let index = fleet.of("proxy")[0];
     let proxy = fleet.members[index].address;
@@ -274,8 +274,8 @@
         r#""class": "narrow", "service": "s", "regions": ["south"]"#,
     );
     assert_ne!(bound, SETUP);
-    let revision = fleet.putSetup(&bound).await;
-    fleet.untilInForce(revision, limit).await;
+    let revision = fleet.put_setup(&bound).await;
+    fleet.until_in_force(revision, limit).await;
     assert_eq!(first.await.unwrap().unwrap().status, 200, "it was in a server's hands already");
     let second = second.await.unwrap().unwrap();
     assert_eq!(second.status, 421);
@@ -284,7 +284,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn aRequestGivenUpOnIsToldSoAtOnce() {
+async fn a_request_given_up_on_is_told_so_at_once() {
     let fleet = start(1).await;
     let proxy = fleet.members[fleet.of("proxy")[0]].address;
     // One in the server's hands, one in the queue; the next is dropped without delay.
--- a/fleet/tests/fleets.rs
+++ b/fleet/tests/fleets.rs
@@ -5,16 +5,16 @@
 use std::time::Duration;
 use vanepath_fleet::harness::{Fleet, until};
 use vanepath_fleet::shape::{self, Shape};
-use vanepath_fleet::traffic::{Kind, Traffic, judgeFilings, sums};
+use vanepath_fleet::traffic::{Kind, Traffic, judge_filings, sums};
 
 /// Requests in the hands of stand-in servers of a zone, by arrivals.
-fn arrivalsIn(fleet: &Fleet, zone: &str) -> usize {
-    let inZone = |index: usize| fleet.shape.zones[index % fleet.shape.zones.len()].0 == zone;
+fn arrivals_in(fleet: &Fleet, zone: &str) -> usize {
+    let in_zone = |index: usize| fleet.shape.zones[index % fleet.shape.zones.len()].0 == zone;
     let mut count = 0;
     let mut at = 0;
     for (_, servers) in &fleet.shape.servers {
         for index in 0..*servers {
-            if inZone(index) {
+            if in_zone(index) {
                 count += fleet.servers[at].state.arrivals.lock().unwrap().len();
             }
             at += 1;
@@ -23,17 +23,17 @@
     count
 }
 
-async fn wholeDay(shape: Shape) {
+async fn whole_day(shape: Shape) {
     let mut fleet = Fleet::start(shape).await;
-    let first = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(first, Duration::from_secs(15)).await;
+    let first = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(first, Duration::from_secs(15)).await;
     let traffic = Traffic::start(&fleet, 2, 0.5).await;
     traffic.more(150).await;
 
     // Another setup while requests are under way: in force everywhere soon, and none is lost.
     let changed = fleet.shape.setup.replace("\"deadlineMs\": 5000", "\"deadlineMs\": 6000");
-    let second = fleet.putSetup(&changed).await;
-    fleet.untilInForce(second, Duration::from_secs(4)).await;
+    let second = fleet.put_setup(&changed).await;
+    fleet.until_in_force(second, Duration::from_secs(4)).await;
     traffic.more(100).await;
 
     // A zone is emptied: no new work there once it is in force; then it is returned.
@@ -43,22 +43,22 @@
     let emptied = vanepath_fleet::http::call(registry, "PUT", &path, &[], b"").await.unwrap();
     assert_eq!(emptied.status, 200, "{:?}", emptied.body);
     let revision = emptied.json()["revision"].as_u64().unwrap();
-    fleet.untilInForce(revision, Duration::from_secs(4)).await;
-    let before = arrivalsIn(&fleet, zone);
+    fleet.until_in_force(revision, Duration::from_secs(4)).await;
+    let before = arrivals_in(&fleet, zone);
     traffic.more(150).await;
-    let meanwhile = arrivalsIn(&fleet, zone) - before;
+    let meanwhile = arrivals_in(&fleet, zone) - before;
     // What was chosen before the change may still arrive; nothing else.
     assert!(meanwhile <= 5, "{meanwhile} requests went to an emptied zone");
     // A new setup does not undo it.
-    fleet.putSetup(&fleet.shape.setup).await;
+    fleet.put_setup(&fleet.shape.setup).await;
     let zones = fleet.get(fleet.of("registry")[1], "/v1/zones").await.unwrap().json();
     assert_eq!(zones["emptied"][0].as_str(), Some(zone));
     let returned = vanepath_fleet::http::call(registry, "DELETE", &path, &[], b"").await.unwrap();
     assert_eq!(returned.status, 200);
     let revision = returned.json()["revision"].as_u64().unwrap();
-    fleet.untilInForce(revision, Duration::from_secs(4)).await;
+    fleet.until_in_force(revision, Duration::from_secs(4)).await;
     until("the zone gets work again", Duration::from_secs(20), || async {
-        arrivalsIn(&fleet, zone) > before + 20
+        arrivals_in(&fleet, zone) > before + 20
     })
     .await;
 
@@ -77,7 +77,7 @@
 
     let (told, wrong) = traffic.finish().await;
     assert_eq!(wrong, Vec::<String>::new(), "receipts that are not the request's own");
-    assert_eq!(judgeFilings(&told, &fleet.runs()), Vec::<String>::new());
+    assert_eq!(judge_filings(&told, &fleet.runs()), Vec::<String>::new());
     let sums = sums(&told);
     println!("{}: {sums:?}", fleet.shape.name);
     let lost: Vec<_> =
@@ -87,11 +87,11 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn raiocertosDayWithoutOneLostRequest() {
-    wholeDay(shape::raiocerto()).await;
+async fn raiocertos_day_without_one_lost_request() {
+    whole_day(shape::raiocerto()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn theGuildsDayWithoutOneLostRequest() {
-    wholeDay(shape::guild()).await;
+async fn the_guilds_day_without_one_lost_request() {
+    whole_day(shape::guild()).await;
 }
--- a/fleet/tests/losses.rs
+++ b/fleet/tests/losses.rs
@@ -8,7 +8,7 @@
 use vanepath_fleet::shape;
 use vanepath_fleet::sim::day::tagged;
 use vanepath_fleet::standin::pattern;
-use vanepath_fleet::traffic::{Kind, Told, Traffic, judgeFilings};
+use vanepath_fleet::traffic::{Kind, Told, Traffic, judge_filings};
 
 const SOON: Duration = Duration::from_secs(15);
 
@@ -21,14 +21,14 @@
 
 async fn start(shape: shape::Shape) -> Fleet {
     let fleet = Fleet::start(shape).await;
-    let revision = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(revision, SOON).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, SOON).await;
     fleet
 }
 
 fn judged(fleet: &Fleet, (told, wrong): (Vec<Told>, Vec<String>)) -> Vec<Told> {
     assert_eq!(wrong, Vec::<String>::new());
-    assert_eq!(judgeFilings(&told, &fleet.runs()), Vec::<String>::new());
+    assert_eq!(judge_filings(&told, &fleet.runs()), Vec::<String>::new());
     told
 }
 
@@ -41,25 +41,25 @@
 /// A zone goes with its proxies and servers, then a region with a core machine as well; each comes
 /// back. No lookup is lost, operators go on, and what is back gets work again.
 #[tokio::test(flavor = "multi_thread")]
-async fn aZoneAndARegionAreLostAndComeBackUnderTraffic() {
+async fn a_zone_and_a_region_are_lost_and_come_back_under_traffic() {
     let mut fleet = start(small(6)).await;
     let traffic = Traffic::start(&fleet, 1, 0.4).await;
     traffic.more(60).await;
     for place in ["north-2", "south"] {
-        let isHit = |zone: &str, region: &str| zone == place || region == place;
-        let daemons = fleet.killPlaces(isHit);
-        let servers = fleet.serversIn(isHit);
+        let is_hit = |zone: &str, region: &str| zone == place || region == place;
+        let daemons = fleet.kill_places(is_hit);
+        let servers = fleet.servers_in(is_hit);
         traffic.more(80).await;
         let body = String::from_utf8(tagged(&fleet.shape.setup, servers.len())).unwrap();
-        let next = fleet.putSetup(&body).await;
-        fleet.untilInForce(next, SOON).await;
+        let next = fleet.put_setup(&body).await;
+        fleet.until_in_force(next, SOON).await;
         for index in daemons {
             fleet.run(index);
         }
         for index in &servers {
-            fleet.restartServer(*index).await;
+            fleet.restart_server(*index).await;
         }
-        fleet.untilInForce(next, SOON).await;
+        fleet.until_in_force(next, SOON).await;
         let arrivals = |fleet: &Fleet| -> usize {
             let of = servers.iter().map(|index| &fleet.servers[*index].state.arrivals);
             of.map(|all| all.lock().unwrap().len()).sum()
@@ -76,7 +76,7 @@
 /// All three core machines in turn by others at new addresses, under traffic and changes; then each
 /// process is killed and started, the proxies with seeds of which none is left.
 #[tokio::test(flavor = "multi_thread")]
-async fn theWholeCoreIsReplacedAndThenEverythingIsKilled() {
+async fn the_whole_core_is_replaced_and_then_everything_is_killed() {
     let mut fleet = start(small(3)).await;
     let traffic = Traffic::start(&fleet, 1, 0.2).await;
     traffic.more(30).await;
@@ -87,23 +87,23 @@
         for index in old {
             fleet.kill(index);
         }
-        let store = fleet.addStore(seat, zone, region, "-new", 61 + seat as u8);
-        let seeds: Vec<_> = fleet.liveSeeds().into_iter().collect();
+        let store = fleet.add_store(seat, zone, region, "-new", 61 + seat as u8);
+        let seeds: Vec<_> = fleet.live_seeds().into_iter().collect();
         let name = format!("registry-{seat}-new");
         let registry = fleet.add("registry", &name, zone, region, 51 + seat as u8, &seeds);
         fleet.run(store);
         fleet.run(registry);
         let body = String::from_utf8(tagged(&fleet.shape.setup, seat)).unwrap();
-        let revision = fleet.putSetup(&body).await;
+        let revision = fleet.put_setup(&body).await;
         revisions.push((revision, body));
-        let fleetRef = &fleet;
+        let fleet_ref = &fleet;
         until("the new disk votes and its registry is ready", SOON, async || {
-            fleetRef.page(store, "status").await["votes"].as_bool() == Some(true)
-                && fleetRef.page(registry, "ready").await["ready"].as_bool() == Some(true)
+            fleet_ref.page(store, "status").await["votes"].as_bool() == Some(true)
+                && fleet_ref.page(registry, "ready").await["ready"].as_bool() == Some(true)
         })
         .await;
     }
-    fleet.untilInForce(revisions[2].0, SOON).await;
+    fleet.until_in_force(revisions[2].0, SOON).await;
     traffic.more(60).await;
     let told = traffic.finish().await;
     let told = judged(&fleet, told);
@@ -118,7 +118,7 @@
         fleet.run(*index);
     }
     // Brought back by what the stores wrote down: no seed of the proxies is there any more.
-    fleet.untilInForce(revisions[2].0, SOON).await;
+    fleet.until_in_force(revisions[2].0, SOON).await;
     let registry = fleet.members[fleet.index("registry-1-new")].address;
     for (revision, body) in &revisions {
         let path = format!("/v1/setup/{revision}");
@@ -130,12 +130,12 @@
 /// Every daemon is killed under traffic and started again: each kind of service is there within
 /// fifteen seconds, with the word that was accepted last.
 #[tokio::test(flavor = "multi_thread")]
-async fn everythingIsKilledAndServesAgain() {
+async fn everything_is_killed_and_serves_again() {
     let mut fleet = start(small(4)).await;
     let traffic = Traffic::start(&fleet, 1, 0.2).await;
     traffic.more(40).await;
     let body = tagged(&fleet.shape.setup, 9);
-    let revision = fleet.putSetup(&String::from_utf8(body.clone()).unwrap()).await;
+    let revision = fleet.put_setup(&String::from_utf8(body.clone()).unwrap()).await;
     for index in 0..fleet.members.len() {
         fleet.kill(index);
     }
@@ -169,7 +169,7 @@
 /// A proxy sleeps while a server is marked as leaving and a zone is emptied. Awake, it sends neither
 /// of them anything, from the first request on.
 #[tokio::test(flavor = "multi_thread")]
-async fn whoSleptThroughAMarkAndAnEmptiedZoneGoesByThem() {
+async fn who_slept_through_a_mark_and_an_emptied_zone_goes_by_them() {
     let fleet = start(small(2)).await;
     let proxy = fleet.of("proxy")[0];
     let address = fleet.members[proxy].address;
@@ -182,7 +182,7 @@
     fleet.freeze(proxy);
     let frozen = std::time::Instant::now();
     // Of its own zone one server is left, and it is marked; the rest of its region is emptied.
-    let own = fleet.serversIn(|zone, _| zone == "north-1");
+    let own = fleet.servers_in(|zone, _| zone == "north-1");
     let address0 = fleet.servers[own[0]].address;
     fleet.platform.change(|list| {
         list.iter_mut().filter(|one| one.address == address0).for_each(|one| one.leaving = true);
@@ -202,7 +202,7 @@
         },
     )
     .await;
-    let there = fleet.serversIn(|zone, region| zone == "north-1" || region == "north");
+    let there = fleet.servers_in(|zone, region| zone == "north-1" || region == "north");
     let arrivals = || -> usize {
         there.iter().map(|one| fleet.servers[*one].state.arrivals.lock().unwrap().len()).sum()
     };
@@ -220,7 +220,7 @@
 /// A download in a server's hands goes on while its server is marked, its zone emptied, its rule
 /// dropped by a new setup and its proxy asked to stop; so does a filing that takes long.
 #[tokio::test(flavor = "multi_thread")]
-async fn whatIsInHandOutlivesAllPlannedWork() {
+async fn what_is_in_hand_outlives_all_planned_work() {
     let mut fleet = start(small(2)).await;
     let proxy = fleet.of("proxy")[0];
     let address = fleet.members[proxy].address;
@@ -232,11 +232,11 @@
     let filing = tokio::spawn(async move {
         call(address, "POST", "/orders?waitMs=4000", &[("x-request", "slow")], b"x").await
     });
-    let inHand = |fleet: &Fleet| -> u64 {
-        let of = fleet.servers.iter().map(|one| &one.state.inHand);
+    let in_hand = |fleet: &Fleet| -> u64 {
+        let of = fleet.servers.iter().map(|one| &one.state.in_hand);
         of.map(|count| count.load(std::sync::atomic::Ordering::Relaxed)).sum()
     };
-    until("both are in hand", SOON, async || inHand(&fleet) == 2).await;
+    until("both are in hand", SOON, async || in_hand(&fleet) == 2).await;
     fleet.platform.change(|list| list.iter_mut().for_each(|one| one.leaving = true));
     for zone in ["north-1", "north-2", "middle-1"] {
         let path = format!("/v1/zones/{zone}/emptied");
@@ -244,9 +244,9 @@
         assert_eq!(emptied.status, 200);
     }
     let dropped = fleet.shape.setup.replace("/documents", "/papers").replace("/orders", "/filed");
-    let revision = fleet.putSetup(&dropped).await;
-    fleet.untilInForce(revision, SOON).await;
-    assert_eq!(inHand(&fleet), 2, "both are still there");
+    let revision = fleet.put_setup(&dropped).await;
+    fleet.until_in_force(revision, SOON).await;
+    assert_eq!(in_hand(&fleet), 2, "both are still there");
     assert!(fleet.terminate(proxy).await, "it did not end well");
     let download = download.await.unwrap().expect("a whole receipt");
     assert_eq!(download.status, 200);
--- a/fleet/tests/whole_path.rs
+++ b/fleet/tests/whole_path.rs
@@ -14,10 +14,10 @@
 
 /// Nodes find each other, a setup is taken and reaches all, a lookup is served.
 #[tokio::test(flavor = "multi_thread")]
-async fn aSetupIsTakenAndALookupServed() {
+async fn a_setup_is_taken_and_a_lookup_served() {
     let fleet = Fleet::start(small()).await;
-    let revision = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(revision, Duration::from_secs(10)).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, Duration::from_secs(10)).await;
     let proxy = fleet.members[fleet.of("proxy")[0]].address;
     let headers = [("x-request", "7")];
     until("the lookup is served", Duration::from_secs(5), async || {
@@ -42,10 +42,10 @@
 /// A recorded file is replayed through directory and proxies; filings only when asked for. What is no
 /// HAR file, and wrong flags, end with a message and a code of their own.
 #[tokio::test(flavor = "multi_thread")]
-async fn aRecordedFileIsReplayed() {
+async fn a_recorded_file_is_replayed() {
     let fleet = Fleet::start(small()).await;
-    let revision = fleet.putSetup(&fleet.shape.setup).await;
-    fleet.untilInForce(revision, Duration::from_secs(10)).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, Duration::from_secs(10)).await;
     let entry = |second: u32, method: &str, path: &str| {
         format!(
             r#"{{"startedDateTime": "2026-01-02T03:04:{second:02}Z", "time": 1,
@@ -80,13 +80,13 @@
     let place = ["--registry", &registry, "--zone", "north-1", "--region", "north"];
     let name = file.to_string_lossy().to_string();
     let with = |more: &[&str]| run(&[&place[..], &["--factor", "20"], more].concat());
-    let (isGood, said) = with(&[&name]);
-    assert!(isGood && said.contains("2 ran") && said.contains("1 filings left out"), "{said}");
+    let (is_good, said) = with(&[&name]);
+    assert!(is_good && said.contains("2 ran") && said.contains("1 filings left out"), "{said}");
     assert_eq!(fleet.runs().get("r6"), None);
-    let (isGood, said) = with(&["--filings", &name]);
-    assert!(isGood && said.contains("3 ran") && said.contains("3 with status 200"), "{said}");
+    let (is_good, said) = with(&["--filings", &name]);
+    assert!(is_good && said.contains("3 ran") && said.contains("3 with status 200"), "{said}");
     assert_eq!(fleet.runs()["r6"], 1);
-    let setup = fleet.settingsFile(0).to_string_lossy().to_string();
+    let setup = fleet.settings_file(0).to_string_lossy().to_string();
     for (arguments, wanted) in [
         (vec!["--registry", &registry, &setup], "no HAR file"),
         (vec!["--registry", "nowhere", &name], "--registry"),
@@ -94,7 +94,7 @@
         (vec![&*name], "--registry"),
         (vec!["--registry", &registry], "one HAR file"),
     ] {
-        let (isGood, said) = run(&arguments);
-        assert!(!isGood && said.contains(wanted), "{arguments:?}: {said}");
+        let (is_good, said) = run(&arguments);
+        assert!(!is_good && said.contains(wanted), "{arguments:?}: {said}");
     }
 }
--- a/proxy/src/budget.rs
+++ b/proxy/src/budget.rs
@@ -31,21 +31,21 @@
     }
 
     /// Whether one more further go may be made; if so it is counted.
-    pub fn takeGo(&mut self, now: Duration, liveProxies: usize) -> bool {
-        let may = self.mayGo(now, liveProxies);
+    pub fn take_go(&mut self, now: Duration, live_proxies: usize) -> bool {
+        let may = self.may_go(now, live_proxies);
         self.slot(now).2 += u64::from(may);
         may
     }
 
     /// Whether one more would be within the budget.
-    pub fn mayGo(&mut self, now: Duration, liveProxies: usize) -> bool {
+    pub fn may_go(&mut self, now: Duration, live_proxies: usize) -> bool {
         self.slot(now);
         let second = now.as_secs();
         let within = self.slots.iter().filter(|slot| slot.0 + (WINDOW_S) >= second);
         let goes: u64 = within.clone().map(|slot| slot.2).sum();
         // The oldest of the eleven seconds may lie outside the ten that are judged.
         let taken: u64 = within.filter(|slot| slot.0 + WINDOW_S > second).map(|slot| slot.1).sum();
-        let floor = (FLOOR / liveProxies.max(1) as f64).max(1.0);
+        let floor = (FLOOR / live_proxies.max(1) as f64).max(1.0);
         (goes as f64) + 1.0 <= PART * taken as f64 + floor
     }
 }
@@ -57,28 +57,29 @@
     /// Whatever the load does, no ten seconds hold more further goes than a fifth of the
     /// requests and the floor.
     #[test]
-    fn furtherGoesStayAPartOfAnyTenSeconds() {
+    fn further_goes_stay_a_part_of_any_ten_seconds() {
         let mut budget = super::Budget::default();
         let mut seed = 7_u64;
         let mut history: Vec<(u64, u64, u64)> = Vec::new();
         for step in 0..2000_u64 {
-            let nowMs = step * 50;
+            let now_ms = step * 50;
             seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
             let surge = if (step / 400) % 2 == 0 { 12 } else { 1 };
             let requests = (seed >> 33) % surge;
-            let now = Duration::from_millis(nowMs);
+            let now = Duration::from_millis(now_ms);
             let mut goes = 0;
             for _ in 0..requests {
                 budget.took(now);
                 // Every request wants three more goes.
-                goes += (0..3).filter(|_| budget.takeGo(now, 8)).count() as u64;
+                goes += (0..3).filter(|_| budget.take_go(now, 8)).count() as u64;
             }
-            history.push((nowMs, requests, goes));
+            history.push((now_ms, requests, goes));
         }
         let mut worst: f64 = 0.0;
         let mut total = 0;
-        for (startMs, ..) in &history {
-            let window = history.iter().filter(|one| one.0 >= *startMs && one.0 < startMs + 10_000);
+        for (start_ms, ..) in &history {
+            let window =
+                history.iter().filter(|one| one.0 >= *start_ms && one.0 < start_ms + 10_000);
             let requests: u64 = window.clone().map(|one| one.1).sum();
             let goes: u64 = window.map(|one| one.2).sum();
             worst = worst.max(goes as f64 - 0.2 * requests as f64);
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -76,11 +76,11 @@
         std::sync::Mutex<std::collections::HashMap<u64, tokio::sync::oneshot::Sender<(Slot, ())>>>,
     pub budget: std::sync::Mutex<crate::budget::Budget>,
     pub tally: Arc<Tally>,
-    pub isReady: AtomicBool,
-    pub isLeaving: AtomicBool,
+    pub is_ready: AtomicBool,
+    pub is_leaving: AtomicBool,
     /// A server's phase changed: registries hear of it soon.
-    pub isNews: AtomicBool,
-    pub liveProxies: std::sync::atomic::AtomicUsize,
+    pub is_news: AtomicBool,
+    pub live_proxies: std::sync::atomic::AtomicUsize,
     pub takings: std::sync::Mutex<crate::takings::Takings>,
     random: AtomicU64,
 }
@@ -94,10 +94,10 @@
             waiting: Default::default(),
             budget: Default::default(),
             tally: Default::default(),
-            isReady: AtomicBool::new(false),
-            isLeaving: AtomicBool::new(false),
-            isNews: AtomicBool::new(false),
-            liveProxies: std::sync::atomic::AtomicUsize::new(1),
+            is_ready: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
+            is_news: AtomicBool::new(false),
+            live_proxies: std::sync::atomic::AtomicUsize::new(1),
             takings: Default::default(),
             random: AtomicU64::new(daemon::random()),
         }
@@ -118,8 +118,8 @@
     pub fn wake(&self, mut woken: Vec<(u64, Slot)>) {
         while let Some((number, slot)) = woken.pop() {
             let waiting = self.waiting.lock().expect("no panic under this lock").remove(&number);
-            let isLost = waiting.is_none_or(|waiting| waiting.send((slot, ())).is_err());
-            if isLost {
+            let is_lost = waiting.is_none_or(|waiting| waiting.send((slot, ())).is_err());
+            if is_lost {
                 let mut classes = self.classes.lock().expect("no panic under this lock");
                 woken.extend(classes.release(slot));
             }
@@ -131,16 +131,16 @@
         self.wake(woken);
     }
 
-    pub fn noteBad(&self, slot: usize, id: &str, failure: Failure) {
+    pub fn note_bad(&self, slot: usize, id: &str, failure: Failure) {
         if let Some(phase) = self.servers.bad(self.now(), slot, failure) {
-            self.isNews.store(true, Ordering::Relaxed);
+            self.is_news.store(true, Ordering::Relaxed);
             log::info!("server {id} is {phase}: {failure:?}");
         }
     }
 
-    pub fn noteGood(&self, slot: usize, id: &str) {
+    pub fn note_good(&self, slot: usize, id: &str) {
         if let Some(phase) = self.servers.good(self.now(), slot) {
-            self.isNews.store(true, Ordering::Relaxed);
+            self.is_news.store(true, Ordering::Relaxed);
             log::info!("server {id} is {phase}");
         }
     }
@@ -159,9 +159,9 @@
     }
 
     /// What became of a request that a server was given.
-    fn noteWorked(&self, slot: usize, id: &str, outcome: Result<(), Miss>) {
+    fn note_worked(&self, slot: usize, id: &str, outcome: Result<(), Miss>) {
         if let Some(phase) = self.servers.worked(self.now(), slot, outcome) {
-            self.isNews.store(true, Ordering::Relaxed);
+            self.is_news.store(true, Ordering::Relaxed);
             match outcome {
                 Ok(()) => log::info!("server {id} is {phase}"),
                 Err(miss) => log::info!("server {id} is {phase}: {miss}"),
@@ -203,9 +203,9 @@
 impl Drop for Waiting {
     fn drop(&mut self) {
         let mut waiting = self.proxy.waiting.lock().expect("no panic under this lock");
-        let wasWaiting = waiting.remove(&self.number).is_some();
+        let was_waiting = waiting.remove(&self.number).is_some();
         drop(waiting);
-        if wasWaiting {
+        if was_waiting {
             let mut classes = self.proxy.classes.lock().expect("no panic under this lock");
             classes.leave(self.number);
         }
@@ -215,12 +215,12 @@
 /// Counts a caller that left before it got anything.
 struct Leave<'p> {
     proxy: &'p Proxy,
-    isAnswered: bool,
+    is_answered: bool,
 }
 
 impl Drop for Leave<'_> {
     fn drop(&mut self) {
-        if !self.isAnswered {
+        if !self.is_answered {
             self.proxy.tally.one(Counter::CallersLeft);
         }
     }
@@ -233,11 +233,11 @@
     let tally = proxy.tally.clone();
     tally.one(Counter::Requests);
     let guard = proxy.clone();
-    let mut leave = Leave { proxy: &guard, isAnswered: false };
+    let mut leave = Leave { proxy: &guard, is_answered: false };
     let mut chart = Chart::new();
     let mut more = More::default();
     let outcome = walk(&proxy, request, &mut chart, &mut more).await;
-    leave.isAnswered = true;
+    leave.is_answered = true;
     let mut receipt = match outcome {
         Ok(receipt) => receipt,
         Err(refusal) => {
@@ -245,7 +245,7 @@
             refuse(&proxy, refusal, verdict, &more)
         }
     };
-    if proxy.isLeaving.load(Ordering::Relaxed) {
+    if proxy.is_leaving.load(Ordering::Relaxed) {
         receipt.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     receipt
@@ -290,9 +290,9 @@
     let headers = receipt.headers_mut();
     headers.insert(vanepath_setup::fate::HEADER, HeaderValue::from_static(told));
     if verdict == Verdict::NotRun
-        && let Some(afterS) = refusal.retryAfterS()
+        && let Some(after_s) = refusal.retry_after_s()
     {
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(afterS));
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(after_s));
     }
     if more.closes || refusal == Refusal::Malformed {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -321,10 +321,10 @@
     chart: &mut Chart,
     more: &mut More,
 ) -> Result<hyper::Response<Body>, Refusal> {
-    let receivedAt = proxy.now();
+    let received_at = proxy.now();
     let (mut head, incoming) = request.into_parts();
     let host = check(&mut head).inspect_err(|_| more.closes = true)?;
-    awaitReady(proxy, receivedAt).await?;
+    await_ready(proxy, received_at).await?;
 
     let mut table = proxy.servers.table.load_full();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_string();
@@ -334,14 +334,14 @@
     chart.state = State::Matched;
     chart.kind = class.kind;
     proxy.takings.lock().expect("no panic under this lock").took(table.setup.rules[rule].service);
-    let ownLimit = head
+    let own_limit = head
         .headers
         .get(DEADLINE_HEADER)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .map_or(class.deadline, Duration::from_millis);
-    let deadline = receivedAt + class.deadline.min(ownLimit);
+    let deadline = received_at + class.deadline.min(own_limit);
     let length = hyper::body::Body::size_hint(&incoming).exact();
-    if length.is_some_and(|length| length > class.bodyMost) {
+    if length.is_some_and(|length| length > class.body_most) {
         more.closes = true;
         return Err(Refusal::TooLarge);
     }
@@ -350,13 +350,13 @@
     let held = enter(proxy, &class.name, deadline).await?;
     proxy.budget.lock().expect("no panic under this lock").took(proxy.now());
 
-    let untilLate = || tokio::time::Instant::now() + deadline.saturating_sub(proxy.now());
-    let readBody = readBody(incoming, class.bodyMost);
-    let body = tokio::time::timeout_at(untilLate(), readBody)
+    let until_late = || tokio::time::Instant::now() + deadline.saturating_sub(proxy.now());
+    let read_body = read_body(incoming, class.body_most);
+    let body = tokio::time::timeout_at(until_late(), read_body)
         .await
         .map_err(|_| Refusal::Late)?
         .inspect_err(|_| more.closes = true)?;
-    chart.isReplayable = matches!(body, TellBody::Whole(_));
+    chart.is_replayable = matches!(body, TellBody::Whole(_));
     let mut told = tell(head, body);
     let mut tried: Vec<usize> = Vec::new();
     let mut held = Some(held);
@@ -376,13 +376,13 @@
         let entry = &table.entries[index];
         tried.push(entry.slot);
         chart.goes += 1;
-        let inHand = InHand { proxy: proxy.clone(), slot: entry.slot };
+        let in_hand = InHand { proxy: proxy.clone(), slot: entry.slot };
         proxy.tally.one(Counter::Goes);
         if chart.goes > 1 {
             proxy.tally.one(Counter::FurtherGoes);
         }
-        let isOtherZone = entry.server.zone != proxy.daemon.settings.zone;
-        if isOtherZone {
+        let is_other_zone = entry.server.zone != proxy.daemon.settings.zone;
+        if is_other_zone {
             proxy.tally.one(Counter::GoesOtherZone);
         }
         if entry.server.region != proxy.daemon.settings.region {
@@ -393,43 +393,43 @@
             entry,
             service: &table.setup.services[service],
             deadline,
-            isOtherZone,
+            is_other_zone,
             table: &table,
             rule,
             tried: &tried,
         };
         let outcome = go.run(chart, &mut told).await;
         let worked = outcome.as_ref().map(|_| ()).map_err(|miss| *miss);
-        proxy.noteWorked(entry.slot, &entry.server.id, worked);
+        proxy.note_worked(entry.slot, &entry.server.id, worked);
         let miss = match outcome {
             Ok(reply) => {
-                let isBusy = chart.kind == Kind::Repeatable
-                    && chart.isReplayable
+                let is_busy = chart.kind == Kind::Repeatable
+                    && chart.is_replayable
                     && reply.head.status == hyper::StatusCode::SERVICE_UNAVAILABLE
                     && chart.goes < crate::chart::GOES_MOST;
                 // A server that says it is busy did not serve the lookup; another place may.
-                if isBusy && mayGo(proxy) {
-                    chart.maySent = true;
+                if is_busy && may_go(proxy) {
+                    chart.may_sent = true;
                     continue;
                 }
                 chart.state = State::Answering;
                 proxy.tally.one(Counter::Done);
-                return Ok(pass(proxy, reply, inHand, held.take()));
+                return Ok(pass(proxy, reply, in_hand, held.take()));
             }
             Err(miss) => miss,
         };
-        drop(inHand);
-        let isLate = proxy.now() >= deadline;
-        if let Next::End(refusal) = chart.missed(miss, isLate, || mayGo(proxy)) {
+        drop(in_hand);
+        let is_late = proxy.now() >= deadline;
+        if let Next::End(refusal) = chart.missed(miss, is_late, || may_go(proxy)) {
             more.detail = format!("{miss} after {} goes", chart.goes);
             return Err(refusal);
         }
     }
 }
 
-fn mayGo(proxy: &Proxy) -> bool {
-    let live = proxy.liveProxies.load(Ordering::Relaxed);
-    proxy.budget.lock().expect("no panic under this lock").takeGo(proxy.now(), live)
+fn may_go(proxy: &Proxy) -> bool {
+    let live = proxy.live_proxies.load(Ordering::Relaxed);
+    proxy.budget.lock().expect("no panic under this lock").take_go(proxy.now(), live)
 }
 
 /// What the library lets through and yet could be read in two ways is refused (design 8.3).
@@ -473,14 +473,14 @@
 }
 
 /// Until this daemon has what it needs: the setup, and after a freeze fresh news (design 5.5).
-async fn awaitReady(proxy: &Proxy, receivedAt: Duration) -> Result<(), Refusal> {
-    let isFit = || {
+async fn await_ready(proxy: &Proxy, received_at: Duration) -> Result<(), Refusal> {
+    let is_fit = || {
         let view = proxy.daemon.table.load();
-        proxy.daemon.isAwake()
-            && proxy.servers.isFit(proxy.now(), view.isFresh, crate::servers::revisionOf(&view))
+        proxy.daemon.is_awake()
+            && proxy.servers.is_fit(proxy.now(), view.is_fresh, crate::servers::revision_of(&view))
     };
-    while !isFit() {
-        if proxy.now().saturating_sub(receivedAt) >= vanepath_sibling::news::HOLD {
+    while !is_fit() {
+        if proxy.now().saturating_sub(received_at) >= vanepath_sibling::news::HOLD {
             return Err(Refusal::NotReady);
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -488,7 +488,7 @@
     Ok(())
 }
 
-fn placesFor(view: &View, rule: &vanepath_setup::model::Rule) -> Vec<jzon::JsonValue> {
+fn places_for(view: &View, rule: &vanepath_setup::model::Rule) -> Vec<jzon::JsonValue> {
     let place = |card: &vanepath_sibling::wire::Card| {
         jzon::object! {
             "zone": card.zone.as_str(),
@@ -536,7 +536,7 @@
     slot.map(|slot| Held { proxy: proxy.clone(), slot }).ok_or(Refusal::Late)
 }
 
-async fn readBody(mut incoming: hyper::body::Incoming, most: u64) -> Result<TellBody, Refusal> {
+async fn read_body(mut incoming: hyper::body::Incoming, most: u64) -> Result<TellBody, Refusal> {
     if hyper::body::Body::is_end_stream(&incoming) {
         return Ok(TellBody::Whole(bytes::Bytes::new()));
     }
@@ -572,7 +572,7 @@
     header::EXPECT,
 ];
 
-fn stripHops(headers: &mut HeaderMap) {
+fn strip_hops(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -592,12 +592,12 @@
 
 fn tell(head: hyper::http::request::Parts, body: TellBody) -> Told {
     let mut headers = head.headers;
-    stripHops(&mut headers);
+    strip_hops(&mut headers);
     headers.remove(DEADLINE_HEADER);
     if let TellBody::Whole(bytes) = &body {
         // The length is told anew from what was read.
-        let hadLength = headers.remove(header::CONTENT_LENGTH).is_some();
-        if hadLength || !bytes.is_empty() {
+        let had_length = headers.remove(header::CONTENT_LENGTH).is_some();
+        if had_length || !bytes.is_empty() {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from(bytes.len()));
         }
     }
@@ -613,10 +613,10 @@
     path: &str,
     more: &mut More,
 ) -> Result<usize, Refusal> {
-    let rule = table.setup.ruleFor(method, host, path).ok_or(Refusal::Unmatched)?;
+    let rule = table.setup.rule_for(method, host, path).ok_or(Refusal::Unmatched)?;
     let facts = &table.setup.rules[rule];
     if !facts.allows(&proxy.daemon.settings.region) {
-        more.places = placesFor(&proxy.daemon.table.load(), facts);
+        more.places = places_for(&proxy.daemon.table.load(), facts);
         return Err(Refusal::Misplaced);
     }
     Ok(rule)
@@ -666,9 +666,9 @@
     read: std::collections::VecDeque<hyper::body::Frame<bytes::Bytes>>,
     rest: Option<hyper::body::Incoming>,
     sender: Option<crate::pool::Sender>,
-    greetedAt: Duration,
+    greeted_at: Duration,
     slot: usize,
-    isOtherZone: bool,
+    is_other_zone: bool,
 }
 
 struct Go<'g> {
@@ -676,7 +676,7 @@
     entry: &'g crate::servers::Entry,
     service: &'g vanepath_setup::model::Service,
     deadline: Duration,
-    isOtherZone: bool,
+    is_other_zone: bool,
     table: &'g crate::servers::Table,
     rule: usize,
     tried: &'g [usize],
@@ -684,7 +684,7 @@
 
 impl Go<'_> {
     /// Whether a further go would find another server and be within the budget.
-    fn hasOther(&self) -> bool {
+    fn has_other(&self) -> bool {
         let proxy = self.proxy;
         let now = proxy.now();
         let emptied = &proxy.daemon.table.load().word.emptied;
@@ -696,13 +696,13 @@
             tried: self.tried,
             looks: true,
         };
-        let live = proxy.liveProxies.load(Ordering::Relaxed);
+        let live = proxy.live_proxies.load(Ordering::Relaxed);
         matches!(proxy.servers.choose(now, self.table, &want, 0), Choice::Server(..))
-            && proxy.budget.lock().expect("no panic under this lock").mayGo(now, live)
+            && proxy.budget.lock().expect("no panic under this lock").may_go(now, live)
     }
 
     fn bad(&self, failure: Failure) {
-        self.proxy.noteBad(self.entry.slot, &self.entry.server.id, failure);
+        self.proxy.note_bad(self.entry.slot, &self.entry.server.id, failure);
     }
 
     async fn run(&self, chart: &mut Chart, told: &mut Told) -> Result<Reply, Miss> {
@@ -710,7 +710,7 @@
         let until = tokio::time::Instant::now() + left;
         chart.state = State::Connecting;
         let connected = tokio::time::timeout_at(until, self.connection(chart.kind)).await;
-        let (mut sender, greetedAt) = connected.unwrap_or(Err(Miss::NotConnected))?;
+        let (mut sender, greeted_at) = connected.unwrap_or(Err(Miss::NotConnected))?;
         chart.state = State::Greeted;
 
         let body = match &mut told.body {
@@ -732,11 +732,11 @@
             loop {
                 // A lookup leaves a slow server in time for another one, as soon as there is one.
                 let left = self.deadline.saturating_sub(self.proxy.now());
-                let pause = chart.leaveAfter(left);
+                let pause = chart.leave_after(left);
                 let at = pause.map_or(until, |pause| tokio::time::Instant::now() + pause);
                 match tokio::time::timeout_at(at, &mut sending).await {
                     Ok(sent) => break Ok(sent),
-                    Err(_) if pause.is_none() || self.hasOther() => break Err(()),
+                    Err(_) if pause.is_none() || self.has_other() => break Err(()),
                     Err(_) => {}
                 }
             }
@@ -753,9 +753,9 @@
             Ok(Ok(receipt)) => receipt,
         };
         let (head, incoming) = receipt.into_parts();
-        self.hearDemand(&head.headers);
-        let isBodiless = told.method == hyper::Method::HEAD;
-        if !isBodiless && !crate::pool::isFramed(&head) {
+        self.hear_demand(&head.headers);
+        let is_bodiless = told.method == hyper::Method::HEAD;
+        if !is_bodiless && !crate::pool::is_framed(&head) {
             self.proxy.tally.one(Counter::ReceiptsTruncated);
             return Err(Miss::Truncated);
         }
@@ -767,9 +767,9 @@
             read: Default::default(),
             rest: Some(incoming),
             sender: Some(sender),
-            greetedAt,
+            greeted_at,
             slot: self.entry.slot,
-            isOtherZone: self.isOtherZone,
+            is_other_zone: self.is_other_zone,
         };
         // Held until whole, where that is little enough.
         let hold = tokio::time::timeout_at(until, hold(&mut reply));
@@ -786,13 +786,13 @@
         Ok(reply)
     }
 
-    fn hearDemand(&self, headers: &HeaderMap) {
+    fn hear_demand(&self, headers: &HeaderMap) {
         let Some(value) = headers.get(crate::demand::HEADER) else {
             return;
         };
         match value.to_str().ok().and_then(crate::demand::parse) {
-            Some(demandMilli) => {
-                self.proxy.servers.told(self.proxy.now(), self.entry.slot, demandMilli);
+            Some(demand_milli) => {
+                self.proxy.servers.told(self.proxy.now(), self.entry.slot, demand_milli);
             }
             None => self.proxy.tally.one(Counter::DemandReportsBad),
         }
@@ -803,10 +803,10 @@
         let now = self.proxy.now();
         let slot = self.entry.slot;
         let fit = |idle: &Idle<crate::pool::Sender>| idle.connection.is_ready();
-        while let Some(mut idle) = self.proxy.servers.takeIdle(now, slot, fit) {
-            if kind == Kind::Once && now.saturating_sub(idle.greetedAt) > GREETED_LATELY {
+        while let Some(mut idle) = self.proxy.servers.take_idle(now, slot, fit) {
+            if kind == Kind::Once && now.saturating_sub(idle.greeted_at) > GREETED_LATELY {
                 match crate::pool::greet(&mut idle.connection, self.entry, self.service).await {
-                    Ok(_) => idle.greetedAt = self.proxy.now(),
+                    Ok(_) => idle.greeted_at = self.proxy.now(),
                     // Closed while it rested: no sign against the server.
                     Err(Failure::Broken) => continue,
                     Err(failure) => {
@@ -816,20 +816,20 @@
                 }
             }
             self.proxy.tally.one(Counter::ConnectionsReused);
-            return Ok((idle.connection, idle.greetedAt));
+            return Ok((idle.connection, idle.greeted_at));
         }
         self.proxy.tally.one(Counter::ConnectionsOpened);
         let untidy = self.proxy.untidy(slot, &self.entry.server.id);
         match crate::pool::connect(self.entry, self.service, untidy).await {
             Ok((sender, greeted)) => {
-                if self.proxy.servers.isUntidy(slot) {
+                if self.proxy.servers.is_untidy(slot) {
                     // What the greeting may bring on top shows first.
                     tokio::time::sleep(crate::servers::QUIET).await;
                     if !sender.is_ready() {
                         return Err(Miss::NotConnected);
                     }
                 }
-                if greeted.saysCold {
+                if greeted.says_cold {
                     self.proxy.servers.moved(slot, |liveness| {
                         if liveness.phase == crate::liveness::Phase::Live {
                             liveness.chill(now, Duration::ZERO);
@@ -919,11 +919,11 @@
 fn pass(
     proxy: &Arc<Proxy>,
     reply: Reply,
-    inHand: InHand,
+    in_hand: InHand,
     held: Option<Held>,
 ) -> hyper::Response<Body> {
     let mut head = reply.head;
-    stripHops(&mut head.headers);
+    strip_hops(&mut head.headers);
     head.headers
         .insert(vanepath_setup::fate::HEADER, HeaderValue::from_static(Verdict::Ran.into()));
     let length = head
@@ -935,11 +935,11 @@
         read: reply.read,
         rest: reply.rest,
         sender: reply.sender,
-        greetedAt: reply.greetedAt,
+        greeted_at: reply.greeted_at,
         slot: reply.slot,
-        isOtherZone: reply.isOtherZone,
+        is_other_zone: reply.is_other_zone,
         length,
-        slots: Some((inHand, held)),
+        slots: Some((in_hand, held)),
     };
     let mut tail = tail;
     if tail.rest.is_none() {
@@ -955,9 +955,9 @@
     read: std::collections::VecDeque<hyper::body::Frame<bytes::Bytes>>,
     rest: Option<hyper::body::Incoming>,
     sender: Option<crate::pool::Sender>,
-    greetedAt: Duration,
+    greeted_at: Duration,
     slot: usize,
-    isOtherZone: bool,
+    is_other_zone: bool,
     length: Option<u64>,
     slots: Option<(InHand, Option<Held>)>,
 }
@@ -967,9 +967,9 @@
     fn whole(&mut self) {
         self.rest = None;
         if let Some(connection) = self.sender.take() {
-            let (greetedAt, quietSince) = (self.greetedAt, self.proxy.now());
-            let idle = Idle { connection, greetedAt, quietSince, isUsed: true };
-            self.proxy.servers.putIdle(self.slot, idle);
+            let (greeted_at, quiet_since) = (self.greeted_at, self.proxy.now());
+            let idle = Idle { connection, greeted_at, quiet_since, is_used: true };
+            self.proxy.servers.put_idle(self.slot, idle);
         }
         self.slots = None;
     }
@@ -1007,7 +1007,7 @@
             },
         };
         if let Some(Ok(frame)) = &frame
-            && self.isOtherZone
+            && self.is_other_zone
         {
             let length = frame.data_ref().map_or(0, |data| data.len()) as u64;
             self.proxy.tally.add(Counter::BytesOtherZone, length);
--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -64,10 +64,10 @@
     pub state: State,
     pub kind: Kind,
     /// Whether the request can be told a second time word for word.
-    pub isReplayable: bool,
+    pub is_replayable: bool,
     pub goes: u32,
     /// Some byte of it may have reached a server.
-    pub maySent: bool,
+    pub may_sent: bool,
 }
 
 pub const GOES_MOST: u32 = 4;
@@ -79,50 +79,50 @@
         Chart {
             state: State::Received,
             kind: Kind::Once,
-            isReplayable: false,
+            is_replayable: false,
             goes: 0,
-            maySent: false,
+            may_sent: false,
         }
     }
 
     pub fn verdict(&self) -> Verdict {
         match self.state {
             State::Answering | State::Done => Verdict::Ran,
-            _ if self.maySent => Verdict::MayHaveRun,
+            _ if self.may_sent => Verdict::MayHaveRun,
             _ => Verdict::NotRun,
         }
     }
 
     /// After how long without a reply a request that is with a server looks for another one, again
     /// and again: `left` is what remains of its time. Never for one that must not go twice.
-    pub fn leaveAfter(&self, left: std::time::Duration) -> Option<std::time::Duration> {
-        let may = self.kind == Kind::Repeatable && self.isReplayable && self.goes < GOES_MOST;
+    pub fn leave_after(&self, left: std::time::Duration) -> Option<std::time::Duration> {
+        let may = self.kind == Kind::Repeatable && self.is_replayable && self.goes < GOES_MOST;
         let pause = (left / 3).max(LEAVE_AFTER);
         (may && pause < left).then_some(pause)
     }
 
-    /// After a go that missed. `mayGo` takes one from the retry budget; it is asked last.
-    pub fn missed(&mut self, miss: Miss, isLate: bool, mayGo: impl FnOnce() -> bool) -> Next {
+    /// After a go that missed. `may_go` takes one from the retry budget; it is asked last.
+    pub fn missed(&mut self, miss: Miss, is_late: bool, may_go: impl FnOnce() -> bool) -> Next {
         let untouched = matches!(miss, Miss::NotConnected | Miss::NotSent);
         if !untouched {
-            self.maySent = true;
+            self.may_sent = true;
         }
         let refusal = match miss {
-            _ if isLate => Refusal::Late,
+            _ if is_late => Refusal::Late,
             Miss::NotConnected | Miss::NotSent => Refusal::NoServer,
             Miss::Silent => Refusal::Late,
             Miss::LostAfterSend | Miss::Truncated => Refusal::Lost,
         };
-        let mayRepeat = match self.kind {
-            Kind::Repeatable => self.isReplayable || untouched,
+        let may_repeat = match self.kind {
+            Kind::Repeatable => self.is_replayable || untouched,
             // A filing goes on only while provably no byte of it was sent.
-            Kind::Once => untouched && !self.maySent,
+            Kind::Once => untouched && !self.may_sent,
         };
-        if isLate || !mayRepeat || self.goes >= GOES_MOST {
+        if is_late || !may_repeat || self.goes >= GOES_MOST {
             return Next::End(refusal);
         }
-        if !mayGo() {
-            return Next::End(if self.maySent { refusal } else { Refusal::NoBudget });
+        if !may_go() {
+            return Next::End(if self.may_sent { refusal } else { Refusal::NoBudget });
         }
         Next::Again
     }
@@ -150,7 +150,7 @@
     }
 
     /// When it makes sense to come back.
-    pub fn retryAfterS(self) -> Option<u32> {
+    pub fn retry_after_s(self) -> Option<u32> {
         match self {
             Refusal::NotReady | Refusal::NoRoom | Refusal::NoServer => Some(1),
             Refusal::NoBudget | Refusal::Late => Some(2),
@@ -167,30 +167,30 @@
     /// A slow server is left after a third of what remains, then a third of the rest; a filing and the
     /// last go stay.
     #[test]
-    fn aLookupLooksForAnotherServerAgainAndAgain() {
+    fn a_lookup_looks_for_another_server_again_and_again() {
         let ms = std::time::Duration::from_millis;
         let mut chart =
-            Chart { kind: Kind::Repeatable, isReplayable: true, goes: 1, ..Chart::new() };
-        assert_eq!(chart.leaveAfter(ms(6000)), Some(ms(2000)));
-        assert_eq!(chart.leaveAfter(ms(4000)), Some(ms(4000) / 3));
-        assert_eq!(chart.leaveAfter(ms(600)), Some(ms(300)));
-        assert_eq!(chart.leaveAfter(ms(300)), None);
+            Chart { kind: Kind::Repeatable, is_replayable: true, goes: 1, ..Chart::new() };
+        assert_eq!(chart.leave_after(ms(6000)), Some(ms(2000)));
+        assert_eq!(chart.leave_after(ms(4000)), Some(ms(4000) / 3));
+        assert_eq!(chart.leave_after(ms(600)), Some(ms(300)));
+        assert_eq!(chart.leave_after(ms(300)), None);
         chart.goes = super::GOES_MOST;
-        assert_eq!(chart.leaveAfter(ms(6000)), None);
+        assert_eq!(chart.leave_after(ms(6000)), None);
         let filing = Chart { kind: Kind::Once, goes: 1, ..Chart::new() };
-        assert_eq!(filing.leaveAfter(ms(6000)), None);
+        assert_eq!(filing.leave_after(ms(6000)), None);
     }
 
     /// Every kind and every pair of misses: what follows, and what the caller is told.
     #[test]
-    fn whatFollowsFromEachMiss() {
+    fn what_follows_from_each_miss() {
         let misses =
             [Miss::NotConnected, Miss::NotSent, Miss::LostAfterSend, Miss::Silent, Miss::Truncated];
         let mut shown = String::new();
         for kind in [Kind::Repeatable, Kind::Once] {
             for first in misses {
                 for budget in [true, false] {
-                    let mut chart = Chart { kind, isReplayable: true, goes: 1, ..Chart::new() };
+                    let mut chart = Chart { kind, is_replayable: true, goes: 1, ..Chart::new() };
                     let next = chart.missed(first, false, || budget);
                     let told = match next {
                         Next::Again => "goes again".to_string(),
--- a/proxy/src/classes.rs
+++ b/proxy/src/classes.rs
@@ -37,7 +37,7 @@
 pub struct Classes {
     rooms: Vec<Room>,
     queue: std::collections::BTreeMap<Place, usize>,
-    nextNumber: u64,
+    next_number: u64,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -121,10 +121,10 @@
             return Entry::Dropped;
         }
         room.waiting += 1;
-        self.nextNumber += 1;
-        let place = Place { urgency: room.urgency, deadline, number: self.nextNumber };
+        self.next_number += 1;
+        let place = Place { urgency: room.urgency, deadline, number: self.next_number };
         self.queue.insert(place, class);
-        Entry::Waits(self.nextNumber)
+        Entry::Waits(self.next_number)
     }
 
     /// A waiting request whose caller left or whose deadline passed.
@@ -198,7 +198,7 @@
     }
 
     #[test]
-    fn bulkBorrowsSpareRoomAndNeverTheLast() {
+    fn bulk_borrows_spare_room_and_never_the_last() {
         let mut classes = classes();
         let soon = Duration::from_secs(1);
         let taken: Vec<Entry> = (0..5).map(|_| classes.enter(1, soon)).collect();
@@ -215,7 +215,7 @@
     }
 
     #[test]
-    fn theUrgentGoFirstThenTheSoonestDeadline() {
+    fn the_urgent_go_first_then_the_soonest_deadline() {
         let mut classes = classes();
         let second = Duration::from_secs;
         let mut slots = Vec::new();
@@ -226,7 +226,7 @@
             }
         }
         let Entry::Taken(bulk) = classes.enter(1, second(1)) else { panic!() };
-        let Entry::Waits(bulkWaits) = classes.enter(1, second(1)) else { panic!() };
+        let Entry::Waits(bulk_waits) = classes.enter(1, second(1)) else { panic!() };
         let Entry::Waits(late) = classes.enter(0, second(9)) else { panic!() };
         let Entry::Waits(early) = classes.enter(0, second(5)) else { panic!() };
         assert_eq!(classes.enter(0, second(5)), Entry::Dropped);
@@ -236,6 +236,6 @@
         classes.leave(late);
         assert_eq!(classes.release(slots[1]), []);
         let last = classes.release(bulk);
-        assert_eq!(last.iter().map(|one| one.0).collect::<Vec<_>>(), [bulkWaits]);
+        assert_eq!(last.iter().map(|one| one.0).collect::<Vec<_>>(), [bulk_waits]);
     }
 }
--- a/proxy/src/demand.rs
+++ b/proxy/src/demand.rs
@@ -40,7 +40,7 @@
 #[cfg(test)]
 mod tests {
     #[test]
-    fn goodFormsAreReadAndBadOnesIgnored() {
+    fn good_forms_are_read_and_bad_ones_ignored() {
         for (text, wanted) in [
             ("TEXT cpu_utilization=0.3,mem_utilization=0.8", Some(300)),
             ("TEXT cpu_utilization=0.3, application_utilization=1.25", Some(1250)),
--- a/proxy/src/liveness.rs
+++ b/proxy/src/liveness.rs
@@ -58,20 +58,20 @@
     pub since: Duration,
     good: u32,
     bad: u32,
-    badSince: Option<Duration>,
-    wasAway: bool,
+    bad_since: Option<Duration>,
+    was_away: bool,
     /// Its machine itself said that it is not there: no cut can feign that.
     refused: bool,
-    lastGoodAt: Option<Duration>,
+    last_good_at: Option<Duration>,
     /// Since when it was heard of again and again without a gap.
-    steadySince: Option<Duration>,
-    isDoubted: bool,
+    steady_since: Option<Duration>,
+    is_doubted: bool,
     /// When the next request may go under the cold rate.
-    nextColdAt: Duration,
+    next_cold_at: Duration,
     cold: ColdRate,
     strikes: u32,
     limps: bool,
-    restsUntil: Duration,
+    rests_until: Duration,
 }
 
 /// A part in a cold server's rate passes from one proxy to another in so long.
@@ -93,11 +93,11 @@
 
 impl ColdRate {
     /// Of so many proxies this one is at this rank for that server.
-    pub fn of(perSecond: f64, period: Duration, rank: usize, proxies: usize) -> ColdRate {
-        let whole = perSecond.floor() as usize;
+    pub fn of(per_second: f64, period: Duration, rank: usize, proxies: usize) -> ColdRate {
+        let whole = per_second.floor() as usize;
         if whole == 0 {
             // Less than one a second: one proxy alone has it all.
-            let every = (perSecond > 0.0).then(|| Duration::from_secs_f64(1.0 / perSecond));
+            let every = (per_second > 0.0).then(|| Duration::from_secs_f64(1.0 / per_second));
             let every = every.filter(|_| rank == 0);
             return ColdRate { every, turn: every.unwrap_or_default(), period };
         }
@@ -123,17 +123,17 @@
             since: now,
             good: 0,
             bad: 0,
-            badSince: None,
-            wasAway: false,
+            bad_since: None,
+            was_away: false,
             refused: false,
-            lastGoodAt: None,
-            steadySince: None,
-            isDoubted: false,
-            nextColdAt: now,
+            last_good_at: None,
+            steady_since: None,
+            is_doubted: false,
+            next_cold_at: now,
             cold: ColdRate::default(),
             strikes: 0,
             limps: false,
-            restsUntil: now,
+            rests_until: now,
         }
     }
 
@@ -142,7 +142,7 @@
         self.since = now;
         if phase == Phase::Cold {
             self.forgive();
-            self.nextColdAt = now + self.cold.turn;
+            self.next_cold_at = now + self.cold.turn;
         }
     }
 
@@ -153,35 +153,35 @@
         self.since = now.saturating_sub(age);
         if age > Duration::ZERO {
             // Others have divided its rate among them already, and hear of this one only now.
-            self.nextColdAt += HANDOVER;
+            self.next_cold_at += HANDOVER;
         }
     }
 
-    pub fn wasRefused(&self) -> bool {
+    pub fn was_refused(&self) -> bool {
         self.refused && matches!(self.phase, Phase::Suspect | Phase::Cold)
     }
 
     /// How long this proxy has been in touch with it, from sign to sign; zero after a gap.
     pub fn steady(&self, now: Duration) -> Duration {
-        let lastGoodAt = self.lastGoodAt.filter(|at| now.saturating_sub(*at) < GAP);
-        match (self.steadySince, lastGoodAt) {
-            (Some(since), Some(lastGoodAt)) => lastGoodAt.saturating_sub(since),
+        let last_good_at = self.last_good_at.filter(|at| now.saturating_sub(*at) < GAP);
+        match (self.steady_since, last_good_at) {
+            (Some(since), Some(last_good_at)) => last_good_at.saturating_sub(since),
             _ => Duration::ZERO,
         }
     }
 
     /// The fleet cannot reach it, or saw it come back so long ago. What this proxy saw itself, all
     /// the time since before, stands above that.
-    pub fn hear(&mut self, now: Duration, isAway: bool, backFor: Option<(Duration, bool)>) {
-        if isAway && self.steady(now) == Duration::ZERO {
-            self.wasAway = true;
+    pub fn hear(&mut self, now: Duration, is_away: bool, back_for: Option<(Duration, bool)>) {
+        if is_away && self.steady(now) == Duration::ZERO {
+            self.was_away = true;
             if self.phase != Phase::Suspect {
                 self.good = 0;
                 self.enter(now, Phase::Suspect);
             }
         }
         // A refusal is proof; this proxy's own probes may lie to both sides of a short absence.
-        if let Some((age, refused)) = backFor
+        if let Some((age, refused)) = back_for
             && matches!(self.phase, Phase::Live | Phase::Unknown)
             && (refused || self.steady(now) <= age + Duration::from_secs(1))
             && age < self.cold.period
@@ -191,22 +191,22 @@
     }
 
     pub fn good(&mut self, now: Duration) {
-        let isInTouch = self.lastGoodAt.is_some_and(|at| now.saturating_sub(at) < GAP);
-        if !isInTouch || self.steadySince.is_none() {
-            self.steadySince = Some(now);
+        let is_in_touch = self.last_good_at.is_some_and(|at| now.saturating_sub(at) < GAP);
+        if !is_in_touch || self.steady_since.is_none() {
+            self.steady_since = Some(now);
         }
-        self.lastGoodAt = Some(now);
-        self.isDoubted = false;
+        self.last_good_at = Some(now);
+        self.is_doubted = false;
         self.bad = 0;
-        self.badSince = None;
+        self.bad_since = None;
         match self.phase {
             Phase::Unknown => self.enter(now, Phase::Live),
             Phase::Suspect => {
                 self.good += 1;
                 if self.good >= GOOD_NEEDED {
-                    let phase = if self.wasAway { Phase::Cold } else { Phase::Live };
-                    self.refused &= self.wasAway;
-                    self.wasAway = false;
+                    let phase = if self.was_away { Phase::Cold } else { Phase::Live };
+                    self.refused &= self.was_away;
+                    self.was_away = false;
                     self.enter(now, phase);
                 }
             }
@@ -218,18 +218,18 @@
         self.good = 0;
         self.bad += 1;
         self.refused |= failure == Failure::Refused;
-        let badSince = *self.badSince.get_or_insert(now);
-        if failure == Failure::Refused || now.saturating_sub(badSince) >= AWAY_AFTER {
-            self.wasAway = true;
+        let bad_since = *self.bad_since.get_or_insert(now);
+        if failure == Failure::Refused || now.saturating_sub(bad_since) >= AWAY_AFTER {
+            self.was_away = true;
         }
         // One slow reply is no proof; nobody at the address is.
-        let isProof = failure == Failure::Refused || self.bad >= 2;
-        if isProof {
-            self.steadySince = None;
+        let is_proof = failure == Failure::Refused || self.bad >= 2;
+        if is_proof {
+            self.steady_since = None;
         }
-        if isProof && self.phase != Phase::Suspect {
+        if is_proof && self.phase != Phase::Suspect {
             // Whoever was cold already comes back cold.
-            self.wasAway |= matches!(self.phase, Phase::Cold | Phase::Ramping);
+            self.was_away |= matches!(self.phase, Phase::Cold | Phase::Ramping);
             self.enter(now, Phase::Suspect);
         }
     }
@@ -241,35 +241,35 @@
     }
 
     /// A request that it had in hand was lost, or came back whole.
-    pub fn worked(&mut self, now: Duration, isGood: bool) {
-        if isGood {
+    pub fn worked(&mut self, now: Duration, is_good: bool) {
+        if is_good {
             self.strikes = self.strikes.saturating_sub(1);
             self.limps &= self.strikes > 0;
         } else {
             self.strikes = (self.strikes + STRIKE).min(STRIKES_MOST);
             self.limps |= self.strikes >= LIMPS_FROM;
-            self.restsUntil = now + REST;
+            self.rests_until = now + REST;
         }
     }
 
-    /// Loses its work too often to be given any while others are there; with `mayTry`, not if it has
+    /// Loses its work too often to be given any while others are there; with `may_try`, not if it has
     /// rested.
-    pub fn isLimping(&self, now: Duration, mayTry: bool) -> bool {
-        self.limps && !(mayTry && now >= self.restsUntil)
+    pub fn is_limping(&self, now: Duration, may_try: bool) -> bool {
+        self.limps && !(may_try && now >= self.rests_until)
     }
 
     /// A request was not replied to in its time: no proof of anything, but a probe is due.
     pub fn doubt(&mut self) {
-        self.isDoubted = true;
+        self.is_doubted = true;
     }
 
     pub fn pulse(&mut self, now: Duration, cold: ColdRate) {
         if self.cold.every.is_none() && cold.every.is_some() {
             // A part that was another's: whoever had it may not know yet.
-            self.nextColdAt = self.nextColdAt.max(now + HANDOVER + cold.turn);
+            self.next_cold_at = self.next_cold_at.max(now + HANDOVER + cold.turn);
         }
         self.cold = cold;
-        if self.limps && now >= self.restsUntil + FORGIVEN_AFTER {
+        if self.limps && now >= self.rests_until + FORGIVEN_AFTER {
             self.forgive();
         }
         let age = now.saturating_sub(self.since);
@@ -283,18 +283,22 @@
         }
     }
 
-    pub fn mayTake(&self, now: Duration) -> bool {
+    pub fn may_take(&self, now: Duration) -> bool {
         match self.phase {
-            Phase::Cold | Phase::Ramping => self.cold.every.is_some() && now >= self.nextColdAt,
+            Phase::Cold | Phase::Ramping => self.cold.every.is_some() && now >= self.next_cold_at,
             Phase::Live | Phase::Unknown => true,
             Phase::Suspect => false,
         }
     }
 
     /// When a cold server may get its next request from here; never where this proxy has no part.
-    pub fn nextAt(&self) -> Option<Duration> {
-        let isBound = matches!(self.phase, Phase::Cold | Phase::Ramping);
-        isBound.then_some(if self.cold.every.is_some() { self.nextColdAt } else { Duration::MAX })
+    pub fn next_at(&self) -> Option<Duration> {
+        let is_bound = matches!(self.phase, Phase::Cold | Phase::Ramping);
+        is_bound.then_some(if self.cold.every.is_some() {
+            self.next_cold_at
+        } else {
+            Duration::MAX
+        })
     }
 
     /// Counts a request against the cold rate, of which this proxy has its part. While ramping the
@@ -310,15 +314,15 @@
             }
             _ => return,
         };
-        self.nextColdAt = now + every / 2_u32.pow(doublings.min(16));
+        self.next_cold_at = now + every / 2_u32.pow(doublings.min(16));
     }
 
     /// When it wants a probe: soon if it is in doubt, seldom if traffic just proved it well.
-    pub fn probeAt(&self, every: Duration) -> Duration {
-        match (self.phase, self.lastGoodAt) {
+    pub fn probe_at(&self, every: Duration) -> Duration {
+        match (self.phase, self.last_good_at) {
             (Phase::Suspect, _) => Duration::ZERO,
-            _ if self.isDoubted || self.bad > 0 => Duration::ZERO,
-            (_, Some(lastGoodAt)) => lastGoodAt + every,
+            _ if self.is_doubted || self.bad > 0 => Duration::ZERO,
+            (_, Some(last_good_at)) => last_good_at + every,
             (_, None) => Duration::ZERO,
         }
     }
@@ -334,7 +338,7 @@
     }
 
     #[test]
-    fn goneComesBackColdAndAFreezeDoesNot() {
+    fn gone_comes_back_cold_and_a_freeze_does_not() {
         let mut server = Liveness::new(second(0.0));
         server.good(second(0.0));
         assert_eq!(server.phase, Phase::Live);
@@ -362,7 +366,7 @@
     /// One miss in three makes a server limp and one in ten does not; rested it is tried, and good
     /// receipts make it whole.
     #[test]
-    fn whoLosesItsWorkLimpsThoughItsProbesAreGood() {
+    fn who_loses_its_work_limps_though_its_probes_are_good() {
         let mut limping = [0, 0];
         for (index, every) in [3, 10].into_iter().enumerate() {
             let mut server = Liveness::new(second(0.0));
@@ -370,7 +374,7 @@
                 let now = second(f64::from(turn) * 0.01);
                 server.good(now);
                 server.worked(now, turn % every != 0);
-                limping[index] += u32::from(server.isLimping(now, false));
+                limping[index] += u32::from(server.is_limping(now, false));
             }
         }
         assert!(limping[0] > 150 && limping[1] == 0, "{limping:?}");
@@ -378,45 +382,46 @@
         for _ in 0..3 {
             server.worked(second(1.0), false);
         }
-        assert!(server.isLimping(second(3.9), true));
-        assert!(!server.isLimping(second(4.0), true) && server.isLimping(second(4.0), false));
+        assert!(server.is_limping(second(3.9), true));
+        assert!(!server.is_limping(second(4.0), true) && server.is_limping(second(4.0), false));
         for _ in 0..8 {
             server.worked(second(5.0), true);
         }
-        assert!(server.isLimping(second(5.0), false), "not at the first good ones");
+        assert!(server.is_limping(second(5.0), false), "not at the first good ones");
         for _ in 0..4 {
             server.worked(second(5.0), true);
         }
-        assert!(!server.isLimping(second(5.0), false));
+        assert!(!server.is_limping(second(5.0), false));
         for _ in 0..3 {
             server.worked(second(6.0), false);
         }
         server.pulse(second(39.0), super::ColdRate::default());
-        assert!(!server.isLimping(second(39.0), false), "nobody tried it: taken for well");
+        assert!(!server.is_limping(second(39.0), false), "nobody tried it: taken for well");
     }
 
     /// So many proxies together never exceed the modest rate while it is cold, in any second and
     /// wherever each one's turn falls, and hardly any of it is lost to whole numbers.
     #[test]
-    fn coldRateHoldsForTheFleet() {
+    fn cold_rate_holds_for_the_fleet() {
         let mut shown = String::new();
-        for (perSecond, proxies) in [(10.0, 8), (10.0, 12), (5.0, 8), (2.5, 8), (0.5, 8), (40.0, 3)]
+        for (per_second, proxies) in
+            [(10.0, 8), (10.0, 12), (5.0, 8), (2.5, 8), (0.5, 8), (40.0, 3)]
         {
             let period = second(8.0);
             let mut all: Vec<Liveness> = (0..proxies).map(|_| Liveness::new(second(0.0))).collect();
             for (rank, proxy) in all.iter_mut().enumerate() {
-                let cold = super::ColdRate::of(perSecond, period, rank, proxies);
+                let cold = super::ColdRate::of(per_second, period, rank, proxies);
                 // Each saw it come back at another moment.
-                let seenAt = second(0.37 * rank as f64);
-                proxy.pulse(seenAt, cold);
-                proxy.chill(seenAt, seenAt);
+                let seen_at = second(0.37 * rank as f64);
+                proxy.pulse(seen_at, cold);
+                proxy.chill(seen_at, seen_at);
             }
             let mut taken: Vec<f64> = Vec::new();
             for tick in 0..3200 {
                 let now = second(f64::from(tick) * 0.005);
                 for (rank, proxy) in all.iter_mut().enumerate() {
-                    proxy.pulse(now, super::ColdRate::of(perSecond, period, rank, proxies));
-                    if proxy.mayTake(now) {
+                    proxy.pulse(now, super::ColdRate::of(per_second, period, rank, proxies));
+                    if proxy.may_take(now) {
                         proxy.take(now);
                         taken.push(now.as_secs_f64());
                     }
@@ -427,9 +432,9 @@
             let most =
                 (0..140).map(|turn| within(f64::from(turn) / 20.0, f64::from(turn) / 20.0 + 1.0));
             let most = most.max().unwrap_or(0);
-            assert!(most as f64 <= perSecond.max(1.0), "{perSecond}: {most} in a second");
+            assert!(most as f64 <= per_second.max(1.0), "{per_second}: {most} in a second");
             shown += &format!(
-                "{perSecond} a second among {proxies}: {} in the 4 s when all have begun, then {}\n",
+                "{per_second} a second among {proxies}: {} in the 4 s when all have begun, then {}\n",
                 within(4.0, 8.0),
                 within(8.0, 12.0)
             );
--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -17,8 +17,8 @@
 /// What a liveness check found.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Greeted {
-    pub saysCold: bool,
-    pub demandMilli: Option<u32>,
+    pub says_cold: bool,
+    pub demand_milli: Option<u32>,
 }
 
 /// A new connection, greeted. `untidy` is called if it ever brings bytes that nobody asked for.
@@ -41,7 +41,7 @@
     let (mut sender, connection) = handshake.map_err(|_| Failure::Broken)?;
     tokio::spawn(async move {
         // Ends when either side closes, or on the first byte that nobody asked for.
-        if connection.await.is_err_and(|error| isSurplus(&error)) {
+        if connection.await.is_err_and(|error| is_surplus(&error)) {
             untidy();
         }
     });
@@ -50,8 +50,8 @@
 }
 
 /// The library has a name for every other end of a connection; this one comes without a cause.
-fn isSurplus(error: &hyper::Error) -> bool {
-    let isNamed = error.is_closed()
+fn is_surplus(error: &hyper::Error) -> bool {
+    let is_named = error.is_closed()
         || error.is_canceled()
         || error.is_incomplete_message()
         || error.is_parse()
@@ -59,7 +59,7 @@
         || error.is_body_write_aborted()
         || error.is_shutdown()
         || error.is_timeout();
-    !isNamed && std::error::Error::source(error).is_none()
+    !is_named && std::error::Error::source(error).is_none()
 }
 
 /// The liveness check on a connection that is open.
@@ -68,13 +68,13 @@
     entry: &Entry,
     service: &vanepath_setup::model::Service,
 ) -> Result<Greeted, Failure> {
-    match tokio::time::timeout(LIMIT, greetUnbounded(sender, entry, service)).await {
+    match tokio::time::timeout(LIMIT, greet_unbounded(sender, entry, service)).await {
         Ok(outcome) => outcome,
         Err(_) => Err(Failure::Silent),
     }
 }
 
-async fn greetUnbounded(
+async fn greet_unbounded(
     sender: &mut Sender,
     entry: &Entry,
     service: &vanepath_setup::model::Service,
@@ -82,14 +82,14 @@
     sender.ready().await.map_err(|_| Failure::Broken)?;
     let request = hyper::Request::builder()
         .method("GET")
-        .uri(service.livenessPath.as_str())
+        .uri(service.liveness_path.as_str())
         .header(hyper::header::HOST, entry.server.address.to_string())
         .header("vanepath-liveness", entry.server.id.as_str())
         .body(daemon::body(bytes::Bytes::new()))
         .map_err(|_| Failure::Unwell)?;
     let receipt = sender.send_request(request).await.map_err(|_| Failure::Broken)?;
     let (head, body) = receipt.into_parts();
-    if !isFramed(&head) {
+    if !is_framed(&head) {
         return Err(Failure::Unwell);
     }
     let body = http_body_util::Limited::new(body, GREETING_MOST);
@@ -97,8 +97,8 @@
     if !head.status.is_success() {
         return Err(Failure::Unwell);
     }
-    if !service.identityHeader.is_empty() {
-        let named = head.headers.get(service.identityHeader.as_str());
+    if !service.identity_header.is_empty() {
+        let named = head.headers.get(service.identity_header.as_str());
         if named.is_none_or(|named| named.as_bytes() != entry.server.id.as_bytes()) {
             // Somebody else has the address now.
             return Err(Failure::Refused);
@@ -107,15 +107,15 @@
     sender.ready().await.map_err(|_| Failure::Broken)?;
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     Ok(Greeted {
-        saysCold: text("server-state") == Some("cold"),
-        demandMilli: text(crate::demand::HEADER).and_then(crate::demand::parse),
+        says_cold: text("server-state") == Some("cold"),
+        demand_milli: text(crate::demand::HEADER).and_then(crate::demand::parse),
     })
 }
 
 /// Whether the end of the receipt's body can be told from a broken connection: by its length,
 /// by chunks, or because there is none.
-pub fn isFramed(head: &hyper::http::response::Parts) -> bool {
-    let isBodiless = head.status == hyper::StatusCode::NO_CONTENT
+pub fn is_framed(head: &hyper::http::response::Parts) -> bool {
+    let is_bodiless = head.status == hyper::StatusCode::NO_CONTENT
         || head.status == hyper::StatusCode::NOT_MODIFIED;
     let chunked = head
         .headers
@@ -124,5 +124,5 @@
         .next_back()
         .and_then(|value| value.to_str().ok())
         .is_some_and(|value| value.to_ascii_lowercase().trim_end().ends_with("chunked"));
-    isBodiless || chunked || head.headers.contains_key(hyper::header::CONTENT_LENGTH)
+    is_bodiless || chunked || head.headers.contains_key(hyper::header::CONTENT_LENGTH)
 }
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -24,34 +24,34 @@
     pub revision: (u64, u64),
     pub setup: Arc<vanepath_setup::model::Setup>,
     pub entries: Vec<Entry>,
-    pub byService: Vec<Vec<usize>>,
+    pub by_service: Vec<Vec<usize>>,
     /// Each of its servers was looked at once. That stays so, and is asked with every request.
-    hasLooked: std::sync::atomic::AtomicBool,
+    has_looked: std::sync::atomic::AtomicBool,
 }
 
 /// A connection that rests, greeted by the server it belongs to for life.
 pub struct Idle<C> {
     pub connection: C,
-    pub greetedAt: Duration,
+    pub greeted_at: Duration,
     /// When its last receipt was whole; it rests a little after that, so that surplus bytes show
     /// before it is used again.
-    pub quietSince: Duration,
+    pub quiet_since: Duration,
     /// It carried a request, and not greetings alone.
-    pub isUsed: bool,
+    pub is_used: bool,
 }
 
 /// What changes with every request.
 pub struct Quick<C> {
     pub liveness: Liveness,
-    pub inHand: u64,
-    pub demandMilli: u32,
-    demandAt: Duration,
+    pub in_hand: u64,
+    pub demand_milli: u32,
+    demand_at: Duration,
     pub idle: Vec<Idle<C>>,
     pub probing: bool,
     /// It sent bytes that nobody had asked for: each connection carries one request at most.
-    isUntidy: bool,
-    probedAt: Option<Duration>,
-    wasSteady: bool,
+    is_untidy: bool,
+    probed_at: Option<Duration>,
+    was_steady: bool,
 }
 
 /// How often a server without traffic is probed: in the own zone, by its watchers in its region
@@ -65,13 +65,13 @@
 
 /// Whether this proxy is one of the few that watch a server for the whole fleet: by rendezvous
 /// hashing one of the server's own region and two of outside, who are there when the region isn't.
-fn isWatcher(view: &View, own: &str, server: &vanepath_setup::platform::Server) -> bool {
+fn is_watcher(view: &View, own: &str, server: &vanepath_setup::platform::Server) -> bool {
     let mut ranked: Vec<(u64, &str, bool)> = view
         .live
         .iter()
         .filter(|(card, _)| card.role == wire::Role::Proxy)
         .map(|(card, _)| {
-            let rank = vanepath_setup::stableHash(&["watch", &card.name, &server.id]);
+            let rank = vanepath_setup::stable_hash(&["watch", &card.name, &server.id]);
             (rank, card.name.as_str(), card.region == server.region)
         })
         .collect();
@@ -100,22 +100,22 @@
     pub fn pulse(&mut self, now: Duration, view: &View, own: &wire::Card, table: &Table) {
         if now >= self.at {
             self.at = now + PACES_EVERY;
-            self.pauses = probePauses(view, own, table);
-            self.colds = coldRates(view, &own.name, table);
+            self.pauses = probe_pauses(view, own, table);
+            self.colds = cold_rates(view, &own.name, table);
         }
     }
 }
 
 /// How often this proxy probes each server of its table.
-fn probePauses(view: &View, own: &wire::Card, table: &Table) -> Vec<Duration> {
+fn probe_pauses(view: &View, own: &wire::Card, table: &Table) -> Vec<Duration> {
     let pause = |entry: &Entry| {
         let server = &entry.server;
-        let isNear = server.region == own.region;
+        let is_near = server.region == own.region;
         if server.zone == own.zone {
             PROBE_ZONE
-        } else if isWatcher(view, &own.name, server) {
-            if isNear { PROBE_WATCHED_NEAR } else { PROBE_WATCHED_FAR }
-        } else if isNear {
+        } else if is_watcher(view, &own.name, server) {
+            if is_near { PROBE_WATCHED_NEAR } else { PROBE_WATCHED_FAR }
+        } else if is_near {
             PROBE_REGION
         } else {
             PROBE_FAR
@@ -136,12 +136,12 @@
 }
 
 impl Telling {
-    pub fn isDue(&mut self, now: Duration, isNews: bool) -> bool {
-        let isDue = now >= self.at || (isNews && now + TELL_EVERY >= self.at + TELL_PAUSE);
-        if isDue {
+    pub fn is_due(&mut self, now: Duration, is_news: bool) -> bool {
+        let is_due = now >= self.at || (is_news && now + TELL_EVERY >= self.at + TELL_PAUSE);
+        if is_due {
             self.at = now + TELL_EVERY;
         }
-        isDue
+        is_due
     }
 }
 
@@ -152,7 +152,7 @@
     pub probes: Vec<usize>,
     pub notes: Vec<String>,
     /// Registries should hear of it soon.
-    pub isNews: bool,
+    pub is_news: bool,
 }
 
 /// The proxies that may carry requests of this rule.
@@ -171,18 +171,18 @@
 }
 
 /// What a table made from this view stems from.
-pub fn revisionOf(view: &View) -> (u64, u64) {
-    (view.word.setupRevision, view.platform.revision)
+pub fn revision_of(view: &View) -> (u64, u64) {
+    (view.word.setup_revision, view.platform.revision)
 }
 
-pub fn liveProxies(view: &View) -> usize {
+pub fn live_proxies(view: &View) -> usize {
     let proxies = view.live.iter().filter(|(card, _)| card.role == wire::Role::Proxy);
     proxies.count().max(1)
 }
 
 /// This proxy's part of a cold server's modest rate: it goes to the nearest proxies first, who would
 /// choose it first, and among equals by rendezvous hashing.
-pub fn coldRate(
+pub fn cold_rate(
     view: &View,
     own: &str,
     server: &vanepath_setup::platform::Server,
@@ -193,9 +193,9 @@
         .iter()
         .filter(|(card, _)| card.role == wire::Role::Proxy)
         .map(|(card, _)| {
-            let rank = vanepath_setup::stableHash(&["cold", &card.name, &server.id]);
-            let isFar = card.region != server.region;
-            (isFar, card.zone != server.zone, rank, card.name.as_str())
+            let rank = vanepath_setup::stable_hash(&["cold", &card.name, &server.id]);
+            let is_far = card.region != server.region;
+            (is_far, card.zone != server.zone, rank, card.name.as_str())
         })
         .collect();
     ranked.sort_unstable();
@@ -204,15 +204,15 @@
     let service = services
         .iter()
         .filter_map(|index| view.setup.services.get(*index))
-        .min_by(|left, right| left.coldRate.total_cmp(&right.coldRate));
-    let perSecond = service.map_or(1.0, |service| service.coldRate);
-    let period = service.map_or(Duration::from_secs(10), |service| service.coldPeriod);
-    ColdRate::of(perSecond, period, rank, ranked.len())
+        .min_by(|left, right| left.cold_rate.total_cmp(&right.cold_rate));
+    let per_second = service.map_or(1.0, |service| service.cold_rate);
+    let period = service.map_or(Duration::from_secs(10), |service| service.cold_period);
+    ColdRate::of(per_second, period, rank, ranked.len())
 }
 
 /// Of each server of the table.
-fn coldRates(view: &View, own: &str, table: &Table) -> Vec<ColdRate> {
-    let rate = |entry: &Entry| coldRate(view, own, &entry.server, &entry.services);
+fn cold_rates(view: &View, own: &str, table: &Table) -> Vec<ColdRate> {
+    let rate = |entry: &Entry| cold_rate(view, own, &entry.server, &entry.services);
     table.entries.iter().map(rate).collect()
 }
 
@@ -238,7 +238,7 @@
 pub struct Servers<C> {
     pub table: arc_swap::ArcSwap<Table>,
     shards: Vec<std::sync::Mutex<std::collections::HashMap<usize, Quick<C>>>>,
-    nextSlot: std::sync::atomic::AtomicUsize,
+    next_slot: std::sync::atomic::AtomicUsize,
 }
 
 impl<C> Default for Servers<C> {
@@ -246,7 +246,7 @@
         Servers {
             table: arc_swap::ArcSwap::default(),
             shards: (0..SHARDS).map(|_| Default::default()).collect(),
-            nextSlot: std::sync::atomic::AtomicUsize::new(0),
+            next_slot: std::sync::atomic::AtomicUsize::new(0),
         }
     }
 }
@@ -289,7 +289,7 @@
     }
 
     /// Makes the table what the platform list and the setup want. Where nothing was known before,
-    /// what is there has most likely been there for long; `hearPlan` says what has not.
+    /// what is there has most likely been there for long; `hear_plan` says what has not.
     pub fn adopt(
         &self,
         now: Duration,
@@ -300,9 +300,9 @@
     ) -> Vec<String> {
         let mut notes = Vec::new();
         let before = self.table.load_full();
-        let isFirst = before.entries.is_empty();
+        let is_first = before.entries.is_empty();
         let mut table = Table { revision, setup: setup.clone(), ..Table::default() };
-        table.byService.resize(setup.services.len(), Vec::new());
+        table.by_service.resize(setup.services.len(), Vec::new());
         for server in &list.servers {
             let view = vanepath_setup::selector::Viewpoint::default();
             let services: Vec<usize> = (0..setup.services.len())
@@ -316,23 +316,23 @@
             let slot = match known {
                 Some(entry) => entry.slot,
                 None => {
-                    let slot = self.nextSlot.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let slot = self.next_slot.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                     let mut liveness = Liveness::new(now);
                     liveness.pulse(now, rate(server, &services));
-                    if !isFirst {
+                    if !is_first {
                         liveness.chill(now, Duration::ZERO);
                         notes.push(format!("server {} is new", server.id));
                     }
                     let quick = Quick {
                         liveness,
-                        inHand: 0,
-                        demandMilli: 0,
-                        demandAt: Duration::ZERO,
+                        in_hand: 0,
+                        demand_milli: 0,
+                        demand_at: Duration::ZERO,
                         idle: Vec::new(),
                         probing: false,
-                        isUntidy: false,
-                        probedAt: None,
-                        wasSteady: false,
+                        is_untidy: false,
+                        probed_at: None,
+                        was_steady: false,
                     };
                     self.shards[slot % SHARDS]
                         .lock()
@@ -346,7 +346,7 @@
                 notes.push(format!("server {} {what}", server.id));
             }
             for service in &services {
-                table.byService[*service].push(table.entries.len());
+                table.by_service[*service].push(table.entries.len());
             }
             table.entries.push(Entry { server: server.clone(), services, slot });
         }
@@ -366,41 +366,41 @@
     /// Whether this proxy may be given work (design 5.5): what it knows is fresh, it goes by that and
     /// not by the table from before it, it has rules, and it has looked at its servers once. Right
     /// after a start it would send work to dead ones otherwise.
-    pub fn isFit(&self, now: Duration, isFresh: bool, revision: (u64, u64)) -> bool {
+    pub fn is_fit(&self, now: Duration, is_fresh: bool, revision: (u64, u64)) -> bool {
         let table = self.table.load();
-        let isThere = table.revision == revision && !table.setup.rules.is_empty();
-        isFresh && isThere && self.hasLooked(now, &table)
+        let is_there = table.revision == revision && !table.setup.rules.is_empty();
+        is_fresh && is_there && self.has_looked(now, &table)
     }
 
-    fn hasLooked(&self, now: Duration, table: &Table) -> bool {
+    fn has_looked(&self, now: Duration, table: &Table) -> bool {
         let relaxed = std::sync::atomic::Ordering::Relaxed;
-        if table.hasLooked.load(relaxed) {
+        if table.has_looked.load(relaxed) {
             return true;
         }
-        let isAwaited = |slot| {
+        let is_awaited = |slot| {
             self.with(slot, |quick| {
                 let liveness = &quick.liveness;
                 liveness.phase == Phase::Unknown && now < liveness.since + FIRST_LOOK
             })
         };
         let mut used = table.entries.iter().filter(|entry| !entry.services.is_empty());
-        let has = !used.any(|entry| !entry.server.leaving && isAwaited(entry.slot) == Some(true));
-        table.hasLooked.store(has, relaxed);
+        let has = !used.any(|entry| !entry.server.leaving && is_awaited(entry.slot) == Some(true));
+        table.has_looked.store(has, relaxed);
         has
     }
 
     /// What the whole fleet knows of servers that are away or came back lately.
-    pub fn hearPlan(&self, now: Duration, plan: &wire::Plan) {
+    pub fn hear_plan(&self, now: Duration, plan: &wire::Plan) {
         if plan.away.is_empty() && plan.cold.is_empty() {
             return;
         }
         for entry in &self.table.load().entries {
-            let isAway = plan.away.contains(&entry.server.id);
-            let backFor = plan.cold.get(&entry.server.id);
-            let backFor = backFor
-                .map(|(ageMs, refused)| (Duration::from_millis(u64::from(*ageMs)), *refused));
-            if isAway || backFor.is_some() {
-                self.with(entry.slot, |quick| quick.liveness.hear(now, isAway, backFor));
+            let is_away = plan.away.contains(&entry.server.id);
+            let back_for = plan.cold.get(&entry.server.id);
+            let back_for = back_for
+                .map(|(age_ms, refused)| (Duration::from_millis(u64::from(*age_ms)), *refused));
+            if is_away || back_for.is_some() {
+                self.with(entry.slot, |quick| quick.liveness.hear(now, is_away, back_for));
             }
         }
     }
@@ -415,30 +415,30 @@
             }
             let cold = paces.colds.get(index).copied().unwrap_or_default();
             let every = paces.pauses.get(index).copied().unwrap_or(PROBE_FAR);
-            let isLeaving = entry.server.leaving;
+            let is_leaving = entry.server.leaving;
             let moved = self.with(entry.slot, |quick| {
                 let before = quick.liveness.phase;
                 quick.liveness.pulse(now, cold);
-                if isLeaving {
+                if is_leaving {
                     quick.idle.clear();
                 }
                 let phase = quick.liveness.phase;
-                let isSteady = quick.liveness.steady(now) > Duration::ZERO;
-                let isLost = std::mem::replace(&mut quick.wasSteady, isSteady) && !isSteady;
-                let isDoubtful = quick.liveness.probeAt(every) == Duration::ZERO;
-                let pause = if isDoubtful { PROBE_DOUBT } else { every };
+                let is_steady = quick.liveness.steady(now) > Duration::ZERO;
+                let is_lost = std::mem::replace(&mut quick.was_steady, is_steady) && !is_steady;
+                let is_doubtful = quick.liveness.probe_at(every) == Duration::ZERO;
+                let pause = if is_doubtful { PROBE_DOUBT } else { every };
                 let wants = !quick.probing
-                    && !isLeaving
-                    && now >= quick.liveness.probeAt(every)
-                    && quick.probedAt.is_none_or(|last| now >= last + pause);
+                    && !is_leaving
+                    && now >= quick.liveness.probe_at(every)
+                    && quick.probed_at.is_none_or(|last| now >= last + pause);
                 if wants {
                     quick.probing = true;
-                    quick.probedAt = Some(now);
+                    quick.probed_at = Some(now);
                 }
-                (wants, isLost, (phase != before).then_some(phase))
+                (wants, is_lost, (phase != before).then_some(phase))
             });
-            let Some((wants, isLost, moved)) = moved else { continue };
-            pulsed.isNews |= isLost || moved.is_some();
+            let Some((wants, is_lost, moved)) = moved else { continue };
+            pulsed.is_news |= is_lost || moved.is_some();
             if let Some(phase) = moved {
                 pulsed.notes.push(format!("server {} is {phase}", entry.server.id));
             }
@@ -454,18 +454,18 @@
     pub fn sights(&self, now: Duration) -> Vec<wire::Sight> {
         let table = self.table.load();
         let sights = table.entries.iter().filter_map(|entry| {
-            let isTelling = self.with(entry.slot, |quick| {
+            let is_telling = self.with(entry.slot, |quick| {
                 !matches!(quick.liveness.phase, Phase::Live | Phase::Unknown)
                     || quick.liveness.steady(now) > Duration::ZERO
             });
-            isTelling.filter(|isTelling| *isTelling)?;
+            is_telling.filter(|is_telling| *is_telling)?;
             self.with(entry.slot, |quick| wire::Sight {
                 server: entry.server.id.clone(),
                 phase: quick.liveness.phase as u8,
-                ageMs: now.saturating_sub(quick.liveness.since).as_millis() as u32,
-                steadyMs: quick.liveness.steady(now).as_millis() as u32,
-                demandMilli: quick.demand(now),
-                refused: quick.liveness.wasRefused(),
+                age_ms: now.saturating_sub(quick.liveness.since).as_millis() as u32,
+                steady_ms: quick.liveness.steady(now).as_millis() as u32,
+                demand_milli: quick.demand(now),
+                refused: quick.liveness.was_refused(),
             })
         });
         sights.collect()
@@ -491,77 +491,78 @@
                 steps.extend(places.iter().map(|place| (*service, *place)));
             }
         }
-        let isLookup = setup.classes[rule.class].kind == vanepath_setup::model::Kind::Repeatable;
-        let mut coldAt: Option<Duration> = None;
+        let is_lookup = setup.classes[rule.class].kind == vanepath_setup::model::Kind::Repeatable;
+        let mut cold_at: Option<Duration> = None;
         for pass in [Pass::Known, Pass::Later, Pass::Resort] {
-            let isResort = pass == Pass::Resort;
+            let is_resort = pass == Pass::Resort;
             // All are full or dead: the least so of all, and not the nearest with a queue that grows.
             let mut resorts: Vec<(u64, usize, usize)> = Vec::new();
             let mut piled: Option<(u64, usize, usize)> = None;
-            for (service, isThere) in &steps {
+            for (service, is_there) in &steps {
                 let mut best: Option<(u64, usize, u64)> = None;
                 let mut able: Vec<(usize, u64, u64)> = Vec::new();
-                for index in &table.byService[*service] {
+                for index in &table.by_service[*service] {
                     let entry = &table.entries[*index];
-                    let mayServe = !entry.server.leaving
+                    let may_serve = !entry.server.leaving
                         && rule.allows(&entry.server.region)
                         && !want.emptied.contains(&entry.server.zone)
-                        && isThere(&entry.server)
+                        && is_there(&entry.server)
                         && !want.tried.contains(&entry.slot);
-                    if !mayServe {
+                    if !may_serve {
                         continue;
                     }
-                    let most = setup.services[*service].serverRoom;
+                    let most = setup.services[*service].server_room;
                     let score = self.with(entry.slot, |quick| {
-                        if let Some(nextAt) = quick.liveness.nextAt()
-                            && now < nextAt
+                        if let Some(next_at) = quick.liveness.next_at()
+                            && now < next_at
                         {
                             // One that this proxy has no part in is no hope for it.
-                            if nextAt < Duration::MAX {
-                                coldAt = Some(coldAt.map_or(nextAt, |at| at.min(nextAt)));
+                            if next_at < Duration::MAX {
+                                cold_at = Some(cold_at.map_or(next_at, |at| at.min(next_at)));
                             }
                             return None;
                         }
-                        let isSuspect = quick.liveness.phase == Phase::Suspect;
-                        let demandMilli = quick.demand(now);
-                        let isFull =
-                            quick.inHand >= most || (demandMilli >= 1000 && !quick.isStale(now));
-                        if isResort {
+                        let is_suspect = quick.liveness.phase == Phase::Suspect;
+                        let demand_milli = quick.demand(now);
+                        let is_full =
+                            quick.in_hand >= most || (demand_milli >= 1000 && !quick.is_stale(now));
+                        if is_resort {
                             // Full ones before dead ones.
-                            let dead = u64::from(isSuspect) << 40;
-                            let score = dead + quick.inHand;
-                            return (quick.inHand < most).then_some((score, quick.inHand));
+                            let dead = u64::from(is_suspect) << 40;
+                            let score = dead + quick.in_hand;
+                            return (quick.in_hand < most).then_some((score, quick.in_hand));
                         }
-                        let mayTry = isLookup && quick.inHand == 0;
-                        let isLater = quick.liveness.phase == Phase::Unknown
-                            || quick.liveness.isLimping(now, mayTry);
-                        let isUsable = !isSuspect && !isFull && isLater == (pass == Pass::Later);
-                        let score = (quick.inHand + 1) * u64::from(100 + demandMilli);
-                        isUsable.then_some((score, quick.inHand))
+                        let may_try = is_lookup && quick.in_hand == 0;
+                        let is_later = quick.liveness.phase == Phase::Unknown
+                            || quick.liveness.is_limping(now, may_try);
+                        let is_usable =
+                            !is_suspect && !is_full && is_later == (pass == Pass::Later);
+                        let score = (quick.in_hand + 1) * u64::from(100 + demand_milli);
+                        is_usable.then_some((score, quick.in_hand))
                     });
-                    if let Some(Some((score, inHand))) = score {
-                        able.push((*index, score, inHand));
+                    if let Some(Some((score, in_hand))) = score {
+                        able.push((*index, score, in_hand));
                     }
                 }
-                if isResort {
+                if is_resort {
                     resorts.extend(able.iter().map(|one| (one.1, one.0, *service)));
                 } else if !able.is_empty() {
                     let first = random as usize % able.len();
                     let second = (random >> 32) as usize % able.len();
                     for pick in [first, second] {
-                        let (index, score, inHand) = able[pick];
+                        let (index, score, in_hand) = able[pick];
                         if best.is_none_or(|(lowest, ..)| score < lowest) {
-                            best = Some((score, index, inHand));
+                            best = Some((score, index, in_hand));
                         }
                     }
                 }
-                let Some((_, index, inHand)) = best else { continue };
+                let Some((_, index, in_hand)) = best else { continue };
                 // Much is piled up here already, and what servers tell of that comes later: only if
                 // it is not far less further on.
-                let isPiled = inHand >= PILED && !want.looks;
-                if isPiled || piled.is_some_and(|(least, ..)| inHand >= least / PILED_TIMES) {
-                    if piled.is_none_or(|(least, ..)| inHand < least / PILED_TIMES) {
-                        piled = Some((inHand, index, *service));
+                let is_piled = in_hand >= PILED && !want.looks;
+                if is_piled || piled.is_some_and(|(least, ..)| in_hand >= least / PILED_TIMES) {
+                    if piled.is_none_or(|(least, ..)| in_hand < least / PILED_TIMES) {
+                        piled = Some((in_hand, index, *service));
                     }
                     continue;
                 }
@@ -584,10 +585,10 @@
                 return Choice::None;
             }
             if pass == Pass::Later
-                && let Some(coldAt) = coldAt
+                && let Some(cold_at) = cold_at
             {
                 // A cold server that may be asked soon is better than a dead one.
-                return Choice::Wait(coldAt);
+                return Choice::Wait(cold_at);
             }
         }
         Choice::None
@@ -600,13 +601,13 @@
         table: &Table,
         index: usize,
         service: usize,
-        isResort: bool,
+        is_resort: bool,
     ) -> bool {
-        let most = table.setup.services[service].serverRoom;
+        let most = table.setup.services[service].server_room;
         let taken = self.with(table.entries[index].slot, |quick| {
-            let may = quick.inHand < most && (quick.liveness.mayTake(now) || isResort);
+            let may = quick.in_hand < most && (quick.liveness.may_take(now) || is_resort);
             if may {
-                quick.inHand += 1;
+                quick.in_hand += 1;
                 quick.liveness.take(now);
             }
             may
@@ -621,30 +622,30 @@
     }
 
     pub fn release(&self, slot: usize) {
-        self.with(slot, |quick| quick.inHand -= 1);
+        self.with(slot, |quick| quick.in_hand -= 1);
     }
 
     /// A resting connection that is fit for use, the last used first.
-    pub fn takeIdle(
+    pub fn take_idle(
         &self,
         now: Duration,
         slot: usize,
-        isUsable: impl Fn(&Idle<C>) -> bool,
+        is_usable: impl Fn(&Idle<C>) -> bool,
     ) -> Option<Idle<C>> {
         self.with(slot, |quick| {
-            quick.idle.retain(|idle| now.saturating_sub(idle.quietSince) < IDLE_MOST);
+            quick.idle.retain(|idle| now.saturating_sub(idle.quiet_since) < IDLE_MOST);
             let found = quick
                 .idle
                 .iter()
-                .rposition(|idle| now >= idle.quietSince + QUIET && isUsable(idle))?;
+                .rposition(|idle| now >= idle.quiet_since + QUIET && is_usable(idle))?;
             Some(quick.idle.remove(found))
         })?
     }
 
-    pub fn putIdle(&self, slot: usize, idle: Idle<C>) {
+    pub fn put_idle(&self, slot: usize, idle: Idle<C>) {
         self.with(slot, |quick| {
-            let mayRest = !(quick.isUntidy && idle.isUsed);
-            if mayRest && quick.idle.len() < IDLE_COUNT_MOST {
+            let may_rest = !(quick.is_untidy && idle.is_used);
+            if may_rest && quick.idle.len() < IDLE_COUNT_MOST {
                 quick.idle.push(idle);
             }
         });
@@ -654,15 +655,15 @@
     /// request is under way on that connection, could not be told from that one's: there is no next
     /// one from now on. Whether that is new.
     pub fn untidy(&self, slot: usize) -> bool {
-        let isNew = self.with(slot, |quick| {
-            quick.idle.retain(|idle| !idle.isUsed);
-            !std::mem::replace(&mut quick.isUntidy, true)
+        let is_new = self.with(slot, |quick| {
+            quick.idle.retain(|idle| !idle.is_used);
+            !std::mem::replace(&mut quick.is_untidy, true)
         });
-        isNew == Some(true)
+        is_new == Some(true)
     }
 
-    pub fn isUntidy(&self, slot: usize) -> bool {
-        self.with(slot, |quick| quick.isUntidy) == Some(true)
+    pub fn is_untidy(&self, slot: usize) -> bool {
+        self.with(slot, |quick| quick.is_untidy) == Some(true)
     }
 
     pub fn good(&self, now: Duration, slot: usize) -> Option<Phase> {
@@ -694,10 +695,10 @@
             Err(Miss::NotConnected) => None,
         };
         self.with(slot, |quick| {
-            let isBusy = quick.demand(now) >= BUSY;
+            let is_busy = quick.demand(now) >= BUSY;
             match outcome {
                 Ok(()) => quick.liveness.worked(now, true),
-                Err(Miss::Silent) if isBusy => {}
+                Err(Miss::Silent) if is_busy => {}
                 Err(Miss::Silent | Miss::Truncated | Miss::LostAfterSend) => {
                     quick.liveness.worked(now, false);
                 }
@@ -716,10 +717,10 @@
         })?
     }
 
-    pub fn told(&self, now: Duration, slot: usize, demandMilli: u32) {
+    pub fn told(&self, now: Duration, slot: usize, demand_milli: u32) {
         self.with(slot, |quick| {
-            quick.demandMilli = demandMilli;
-            quick.demandAt = now;
+            quick.demand_milli = demand_milli;
+            quick.demand_at = now;
         });
     }
 }
@@ -727,14 +728,14 @@
 impl<C> Quick<C> {
     /// What it told of its demand is old, and nothing of ours is there to tell more: one request
     /// will find out.
-    fn isStale(&self, now: Duration) -> bool {
-        self.inHand == 0 && now.saturating_sub(self.demandAt) > FULL_HOLDS
+    fn is_stale(&self, now: Duration) -> bool {
+        self.in_hand == 0 && now.saturating_sub(self.demand_at) > FULL_HOLDS
     }
 
     pub fn demand(&self, now: Duration) -> u32 {
         // A server that owes replies and sends none has not become idle.
-        let holds = self.inHand > 0 || now.saturating_sub(self.demandAt) < DEMAND_HOLDS;
-        if holds { self.demandMilli } else { 0 }
+        let holds = self.in_hand > 0 || now.saturating_sub(self.demand_at) < DEMAND_HOLDS;
+        if holds { self.demand_milli } else { 0 }
     }
 }
 
@@ -791,7 +792,7 @@
     }
 
     impl Case {
-        fn pick(&self, rule: usize, nowS: u64) -> String {
+        fn pick(&self, rule: usize, now_s: u64) -> String {
             let table = self.servers.table.load_full();
             let want = Want {
                 rule,
@@ -801,7 +802,7 @@
                 tried: &[],
                 looks: false,
             };
-            match self.servers.choose(Duration::from_secs(nowS), &table, &want, 5) {
+            match self.servers.choose(Duration::from_secs(now_s), &table, &want, 5) {
                 Choice::Server(index, _) => table.entries[index].server.id.clone(),
                 Choice::Wait(at) => format!("wait until {:.1} s", at.as_secs_f64()),
                 Choice::None => "none".to_string(),
@@ -815,7 +816,7 @@
     }
 
     #[test]
-    fn nearFirstThenSpillThenFarAndNeverOutOfBounds() {
+    fn near_first_then_spill_then_far_and_never_out_of_bounds() {
         let case = case();
         let order: Vec<String> = (0..8).map(|_| case.pick(1, 0)).collect();
         assert_eq!(
@@ -826,7 +827,7 @@
     }
 
     #[test]
-    fn emptiedAndLeavingGetNothingAndDeadOnesOnlyAsAResort() {
+    fn emptied_and_leaving_get_nothing_and_dead_ones_only_as_a_resort() {
         let mut case = case();
         case.emptied.insert("a1".to_string());
         assert_eq!(case.pick(1, 0), "s-a2");
@@ -849,7 +850,7 @@
     /// Where every server told that it is full, the one with the fewest requests of ours gets the next
     /// one, wherever it is; and what told so a while ago is tried with one request.
     #[test]
-    fn whenAllAreFullTheQueueIsSpreadAndOldNewsIsTried() {
+    fn when_all_are_full_the_queue_is_spread_and_old_news_is_tried() {
         let case = case();
         for id in ["s-a1", "s-a2", "s-b1", "t-a1", "t-b1"] {
             case.servers.told(Duration::from_secs(10), case.slot(id), 1500);
@@ -867,7 +868,7 @@
     /// A flood is not piled up on the own zone's servers until they tell that they are full: from
     /// sixteen in one's hands on, those with far less come before it, wherever they are.
     #[test]
-    fn aFloodGoesFurtherBeforeItPilesUp() {
+    fn a_flood_goes_further_before_it_piles_up() {
         let mut case = case();
         let text = SETUP.replace(r#""serverRoom": 2"#, r#""serverRoom": 100"#);
         let setup = std::sync::Arc::new(vanepath_setup::model::parse(text.as_bytes()).unwrap());
@@ -888,19 +889,19 @@
     /// A proxy that starts takes no work until it has looked round, and what has not replied by then
     /// comes after all that has, wherever it is.
     #[test]
-    fn whatWasNotHeardOfYetComesAfterWhatIsThere() {
+    fn what_was_not_heard_of_yet_comes_after_what_is_there() {
         let servers: Servers<()> = Servers::default();
         let ms = Duration::from_millis;
         let case = Case { servers, setup: setup(), emptied: Default::default() };
         case.servers.adopt(ms(1000), (1, 1), &case.setup, &list(), |_, _| ColdRate::default());
-        assert!(!case.servers.isFit(ms(1000), true, (1, 1)));
+        assert!(!case.servers.is_fit(ms(1000), true, (1, 1)));
         for id in ["s-b1", "t-a1", "t-b1"] {
             case.servers.good(ms(1010), case.slot(id));
         }
-        assert!(!case.servers.isFit(ms(1299), true, (1, 1)), "two may still reply");
-        let isFit = |isFresh, revision| case.servers.isFit(ms(1300), isFresh, revision);
-        assert!(isFit(true, (1, 1)));
-        assert!(!isFit(false, (1, 1)) && !isFit(true, (1, 2)) && !isFit(true, (2, 1)));
+        assert!(!case.servers.is_fit(ms(1299), true, (1, 1)), "two may still reply");
+        let is_fit = |is_fresh, revision| case.servers.is_fit(ms(1300), is_fresh, revision);
+        assert!(is_fit(true, (1, 1)));
+        assert!(!is_fit(false, (1, 1)) && !is_fit(true, (1, 2)) && !is_fit(true, (2, 1)));
         assert_eq!([case.pick(1, 2), case.pick(0, 2)], ["t-a1", "s-b1"].map(String::from));
         for id in ["s-b1", "t-a1", "t-b1"] {
             case.servers.bad(Duration::from_secs(2), case.slot(id), Failure::Refused);
@@ -910,13 +911,13 @@
 
     /// A cold server in whose rate this proxy has no part is not waited for, and hides no last resort.
     #[test]
-    fn aColdServerOfOthersHidesNoResort() {
+    fn a_cold_server_of_others_hides_no_resort() {
         let servers: Servers<()> = Servers::default();
         let case = Case { servers, setup: setup(), emptied: Default::default() };
-        let noPart = |_: &vanepath_setup::platform::Server, _: &[usize]| {
+        let no_part = |_: &vanepath_setup::platform::Server, _: &[usize]| {
             ColdRate::of(1.0, Duration::from_secs(10), 1, 2)
         };
-        case.servers.adopt(Duration::ZERO, (1, 1), &case.setup, &list(), noPart);
+        case.servers.adopt(Duration::ZERO, (1, 1), &case.setup, &list(), no_part);
         for entry in &case.servers.table.load().entries {
             case.servers.good(Duration::ZERO, entry.slot);
         }
@@ -929,7 +930,7 @@
     }
 
     #[test]
-    fn aServerAtANewAddressIsColdAndCarriesNothingOver() {
+    fn a_server_at_a_new_address_is_cold_and_carries_nothing_over() {
         let case = case();
         let mut moved = list();
         moved.servers.retain(|server| server.id == "s-b1");
