--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -42,29 +42,29 @@
 
     // Callers are still on their way when the order to stop comes: they are served for as long
     // as a receipt of the directory may hold, and told to come back elsewhere.
-    let (closeSender, close) = tokio::sync::watch::channel(false);
+    let (close_sender, close) = tokio::sync::watch::channel(false);
     let mut stop = daemon.stop.clone();
     let leaver = proxy.clone();
     let linger = Duration::from_millis(3500).min(grace / 2);
     tokio::spawn(async move {
         let _ = stop.wait_for(|stop| *stop).await;
-        leaver.isLeaving.store(true, Ordering::Relaxed);
+        leaver.is_leaving.store(true, Ordering::Relaxed);
         tokio::time::sleep(linger).await;
-        closeSender.send_replace(true);
+        close_sender.send_replace(true);
         std::future::pending::<()>().await;
     });
     let http = daemon::HttpSettings {
-        headerLimit: Duration::from_secs(30),
-        preserveHeaderCase: true,
-        bufferMost: 64 << 10,
+        header_limit: Duration::from_secs(30),
+        preserve_header_case: true,
+        buffer_most: 64 << 10,
     };
-    let handlerProxy = proxy.clone();
+    let handler_proxy = proxy.clone();
     let handler = move |request: hyper::Request<hyper::body::Incoming>| {
-        let proxy = handlerProxy.clone();
+        let proxy = handler_proxy.clone();
         async move {
             if let Some(path) = request.uri().path().strip_prefix(crate::carry::OWN_PREFIX) {
                 let path = format!("/{path}");
-                return answerOwn(&proxy, &path);
+                return answer_own(&proxy, &path);
             }
             crate::carry::carry(proxy, request).await
         }
@@ -75,7 +75,7 @@
         tokio::time::sleep(grace).await;
     };
     tokio::select! {
-        _ = daemon::serveHttp(listener, close, http, handler) => log::info!("stopped"),
+        _ = daemon::serve_http(listener, close, http, handler) => log::info!("stopped"),
         _ = cut => log::warn!("stopped at the end of the grace period with work in hand"),
     }
     Ok(())
@@ -101,14 +101,14 @@
         let view = self.proxy.daemon.table.load_full();
         let now = self.proxy.daemon.clock.now();
         self.adopt(now, &view);
-        self.pulseServers(now, &view);
+        self.pulse_servers(now, &view);
         self.tell(now, &view).await;
     }
 }
 
 impl Keeper {
     fn adopt(&mut self, now: Duration, view: &daemon::View) {
-        let revision = crate::servers::revisionOf(view);
+        let revision = crate::servers::revision_of(view);
         if revision == self.revision {
             return;
         }
@@ -129,26 +129,26 @@
             revision,
             &view.setup,
             &view.platform,
-            |server, services| crate::servers::coldRate(view, own, server, services),
+            |server, services| crate::servers::cold_rate(view, own, server, services),
         );
         for note in notes {
             log::info!("{note}");
         }
     }
 
-    fn pulseServers(&mut self, now: Duration, view: &daemon::View) {
+    fn pulse_servers(&mut self, now: Duration, view: &daemon::View) {
         let proxy = &self.proxy;
-        proxy.liveProxies.store(crate::servers::liveProxies(view), Ordering::Relaxed);
+        proxy.live_proxies.store(crate::servers::live_proxies(view), Ordering::Relaxed);
         let table = proxy.servers.table.load_full();
         let plan = (view.plan.epoch, view.plan.counter);
         if self.plan != Some((plan, self.revision)) {
             self.plan = Some((plan, self.revision));
-            proxy.servers.hearPlan(now, &view.plan);
+            proxy.servers.hear_plan(now, &view.plan);
         }
         self.paces.pulse(now, view, &proxy.daemon.card, &table);
         let pulsed = proxy.servers.pulse(now, &self.paces);
-        if pulsed.isNews {
-            proxy.isNews.store(true, Ordering::Relaxed);
+        if pulsed.is_news {
+            proxy.is_news.store(true, Ordering::Relaxed);
         }
         for note in pulsed.notes {
             log::info!("{note}");
@@ -163,22 +163,22 @@
     /// Tells siblings what is in force here, and registries what this proxy sees.
     async fn tell(&mut self, now: Duration, view: &daemon::View) {
         let proxy = &self.proxy;
-        let isLeaving = proxy.isLeaving.load(Ordering::Relaxed);
-        let ready = proxy.servers.isFit(now, view.isFresh, self.revision) && !isLeaving;
-        if proxy.isReady.swap(ready, Ordering::Relaxed) != ready {
+        let is_leaving = proxy.is_leaving.load(Ordering::Relaxed);
+        let ready = proxy.servers.is_fit(now, view.is_fresh, self.revision) && !is_leaving;
+        if proxy.is_ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!("{}", if ready { "ready" } else { "not ready" });
         }
-        let (leaving, revision) = (isLeaving, view.word.revision);
+        let (leaving, revision) = (is_leaving, view.word.revision);
         let report = wire::Report { ready, leaving, revision, ..wire::Report::default() };
         proxy.daemon.report(report).await;
-        if !self.telling.isDue(now, proxy.isNews.load(Ordering::Relaxed)) {
+        if !self.telling.is_due(now, proxy.is_news.load(Ordering::Relaxed)) {
             return;
         }
-        proxy.isNews.store(false, Ordering::Relaxed);
+        proxy.is_news.store(false, Ordering::Relaxed);
         let counts = proxy.classes.lock().expect("no panic under this lock").counts();
         let detail = wire::Detail {
             sights: proxy.servers.sights(now),
-            inHand: counts.iter().map(|one| one.2 as u32).collect(),
+            in_hand: counts.iter().map(|one| one.2 as u32).collect(),
             waiting: counts.iter().map(|one| one.3 as u32).collect(),
             taken: proxy.takings.lock().expect("no panic under this lock").tell(now),
         };
@@ -196,9 +196,9 @@
     let now = proxy.daemon.clock.now();
     let fit = |idle: &crate::servers::Idle<crate::pool::Sender>| idle.connection.is_ready();
     let mut outcome = None;
-    let mut isUsed = false;
-    if let Some(idle) = proxy.servers.takeIdle(now, entry.slot, fit) {
-        isUsed = idle.isUsed;
+    let mut is_used = false;
+    if let Some(idle) = proxy.servers.take_idle(now, entry.slot, fit) {
+        is_used = idle.is_used;
         let mut sender = idle.connection;
         match crate::pool::greet(&mut sender, &entry, &service).await {
             Ok(greeted) => outcome = Some(Ok((sender, greeted))),
@@ -210,7 +210,7 @@
     let outcome = match outcome {
         Some(outcome) => outcome,
         None => {
-            isUsed = false;
+            is_used = false;
             let untidy = proxy.untidy(entry.slot, &entry.server.id);
             crate::pool::connect(&entry, &service, untidy).await
         }
@@ -218,31 +218,32 @@
     let now = proxy.daemon.clock.now();
     match outcome {
         Ok((connection, greeted)) => {
-            proxy.noteGood(entry.slot, &entry.server.id);
-            if let Some(demandMilli) = greeted.demandMilli {
-                proxy.servers.told(now, entry.slot, demandMilli);
+            proxy.note_good(entry.slot, &entry.server.id);
+            if let Some(demand_milli) = greeted.demand_milli {
+                proxy.servers.told(now, entry.slot, demand_milli);
             }
             let moved = proxy.servers.moved(entry.slot, |liveness| {
-                if greeted.saysCold && liveness.phase == Phase::Live {
+                if greeted.says_cold && liveness.phase == Phase::Live {
                     liveness.chill(now, Duration::ZERO);
                 }
             });
             if let Some(phase) = moved {
                 log::info!("server {} says that it is {phase}", entry.server.id);
             }
-            let idle = crate::servers::Idle { connection, greetedAt: now, quietSince: now, isUsed };
-            proxy.servers.putIdle(entry.slot, idle);
+            let idle =
+                crate::servers::Idle { connection, greeted_at: now, quiet_since: now, is_used };
+            proxy.servers.put_idle(entry.slot, idle);
         }
         Err(failure) => {
             proxy.tally.one(Counter::ProbesFailed);
-            proxy.noteBad(entry.slot, &entry.server.id, failure);
+            proxy.note_bad(entry.slot, &entry.server.id, failure);
         }
     }
     proxy.servers.with(entry.slot, |quick| quick.probing = false);
 }
 
-fn answerOwn(proxy: &Proxy, path: &str) -> hyper::Response<daemon::Body> {
-    let ready = proxy.isReady.load(Ordering::Relaxed);
+fn answer_own(proxy: &Proxy, path: &str) -> hyper::Response<daemon::Body> {
+    let ready = proxy.is_ready.load(Ordering::Relaxed);
     if let Some(receipt) = daemon::common(&proxy.daemon, path, ready, |all| proxy.tally.show(all)) {
         return receipt;
     }
@@ -270,7 +271,7 @@
                         Phase::Unknown => "not yet heard of",
                         Phase::Cold => "just back: at most its modest rate",
                         Phase::Ramping => "back for a while: its rate is rising",
-                        Phase::Live if quick.liveness.isLimping(now, false) => {
+                        Phase::Live if quick.liveness.is_limping(now, false) => {
                             "no work while others are there: it lost some that it had in hand"
                         }
                         Phase::Live => "given work",
@@ -282,7 +283,7 @@
                     "zone": entry.server.zone.as_str(),
                     "phase": phase,
                     "why": why,
-                    "inHand": quick.inHand,
+                    "inHand": quick.in_hand,
                     "demand": f64::from(quick.demand(now)) / 1000.0,
                 }
             })
@@ -301,10 +302,10 @@
     let status = jzon::object! {
         "name": proxy.daemon.settings.name.as_str(),
         "ready": ready,
-        "fresh": view.isFresh,
-        "leaving": proxy.isLeaving.load(Ordering::Relaxed),
+        "fresh": view.is_fresh,
+        "leaving": proxy.is_leaving.load(Ordering::Relaxed),
         "revision": view.word.revision,
-        "setupRevision": view.word.setupRevision,
+        "setupRevision": view.word.setup_revision,
         "platformRevision": view.platform.revision,
         "emptied": view.word.emptied.iter().map(|one| one.as_str().into()).collect::<Vec<jzon::JsonValue>>(),
         "epoch": view.plan.epoch,
--- a/proxy/src/takings.rs
+++ b/proxy/src/takings.rs
@@ -9,7 +9,7 @@
 pub struct Takings {
     /// By service, as the setup has them.
     services: Vec<Taking>,
-    toldAt: Option<Duration>,
+    told_at: Option<Duration>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -40,9 +40,9 @@
 
     /// Requests in a thousand seconds, by service.
     pub fn tell(&mut self, now: Duration) -> std::collections::BTreeMap<String, u32> {
-        let span = now.saturating_sub(*self.toldAt.get_or_insert(now)).as_secs_f64();
+        let span = now.saturating_sub(*self.told_at.get_or_insert(now)).as_secs_f64();
         if span > 0.0 {
-            self.toldAt = Some(now);
+            self.told_at = Some(now);
             let part = 1.0 - (-span / SPAN_S).exp();
             for one in &mut self.services {
                 one.rate += part * (f64::from(std::mem::take(&mut one.count)) / span - one.rate);
@@ -61,22 +61,22 @@
     /// The same pace shows the same, however seldom or often it is told, and through a change of the
     /// setup; a service that is new begins with nothing.
     #[test]
-    fn thePaceIsToldWhateverTheSpan() {
+    fn the_pace_is_told_whatever_the_span() {
         let mut takings = Takings::default();
         takings.adopt(["a", "b"].into_iter());
         assert_eq!(takings.tell(Duration::ZERO)["b"], 0);
-        let mut nowMs = 0;
-        for (turn, spanMs) in
+        let mut now_ms = 0;
+        for (turn, span_ms) in
             [2000, 200, 1800, 2000, 400, 2000, 2000, 2000, 2000, 2000].iter().enumerate()
         {
-            (0..spanMs / 50).for_each(|_| takings.took(if turn < 5 { 1 } else { 0 }));
-            nowMs += spanMs;
-            takings.tell(Duration::from_millis(nowMs));
+            (0..span_ms / 50).for_each(|_| takings.took(if turn < 5 { 1 } else { 0 }));
+            now_ms += span_ms;
+            takings.tell(Duration::from_millis(now_ms));
             if turn == 4 {
                 takings.adopt(["b", "c"].into_iter());
             }
         }
-        let told = takings.tell(Duration::from_millis(nowMs));
+        let told = takings.tell(Duration::from_millis(now_ms));
         assert!((19_000..=20_000).contains(&told["b"]) && told["c"] == 0, "{told:?}");
         assert_eq!(told.len(), 2);
     }
--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -21,7 +21,7 @@
     let path = request.uri().path().to_string();
     // Every daemon has its own paths under this too.
     let path = path.strip_prefix("/vanepath").unwrap_or(&path).to_string();
-    let ready = registry.isReady.load(std::sync::atomic::Ordering::Relaxed);
+    let ready = registry.is_ready.load(std::sync::atomic::Ordering::Relaxed);
     let tally = &registry.tally;
     if let Some(receipt) = daemon::common(&registry.daemon, &path, ready, |all| tally.show(all)) {
         return receipt;
@@ -30,19 +30,19 @@
     match (request.method().as_str(), &parts[..]) {
         ("GET", ["v1", "steer"]) => steer(&registry, request.uri().query().unwrap_or_default()),
         ("GET", ["v1", "status"]) => status(&registry).await,
-        ("GET", ["v1", "setup"]) => readSetup(&registry).await,
-        ("GET", ["v1", "setup", revision]) => readHistory(&registry, revision).await,
-        ("PUT", ["v1", "setup"]) => writeSetup(&registry, request).await,
-        ("GET", ["v1", "zones"]) => readZones(&registry).await,
+        ("GET", ["v1", "setup"]) => read_setup(&registry).await,
+        ("GET", ["v1", "setup", revision]) => read_history(&registry, revision).await,
+        ("PUT", ["v1", "setup"]) => write_setup(&registry, request).await,
+        ("GET", ["v1", "zones"]) => read_zones(&registry).await,
         ("PUT", ["v1", "zones", zone, "emptied"]) => {
             let change = Change::Empty { zone: zone.to_string() };
-            writeZone(&registry, zone, change, request.headers()).await
+            write_zone(&registry, zone, change, request.headers()).await
         }
         ("DELETE", ["v1", "zones", zone, "emptied"]) => {
             let change = Change::Return { zone: zone.to_string() };
-            writeZone(&registry, zone, change, request.headers()).await
+            write_zone(&registry, zone, change, request.headers()).await
         }
-        ("GET", ["v1", "submissions", key]) => readSubmission(&registry, key).await,
+        ("GET", ["v1", "submissions", key]) => read_submission(&registry, key).await,
         (_, ["v1", "steer" | "status" | "setup" | "zones", ..] | ["v1", "submissions", _]) => {
             fault(StatusCode::METHOD_NOT_ALLOWED, "not with this method")
         }
@@ -54,9 +54,9 @@
     daemon::json(status, &jzon::object! { "error": message })
 }
 
-fn comeBack(status: StatusCode, value: &jzon::JsonValue, afterS: u32) -> Receipt {
+fn come_back(status: StatusCode, value: &jzon::JsonValue, after_s: u32) -> Receipt {
     let mut receipt = daemon::json(status, value);
-    receipt.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(afterS));
+    receipt.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(after_s));
     receipt
 }
 
@@ -65,15 +65,15 @@
 fn steer(registry: &Registry, query: &str) -> Receipt {
     registry.tally.one(Counter::SteerPolls);
     let view = registry.daemon.table.load();
-    let isReady =
-        registry.isReady.load(std::sync::atomic::Ordering::Relaxed) && registry.daemon.isAwake();
+    let is_ready =
+        registry.is_ready.load(std::sync::atomic::Ordering::Relaxed) && registry.daemon.is_awake();
     let settings = &registry.daemon.settings;
     let own = (settings.zone.as_str(), settings.region.as_str());
-    let steered = crate::directory::steer(&view, isReady, own, query, daemon::random());
-    if steered.isFirst {
+    let steered = crate::directory::steer(&view, is_ready, own, query, daemon::random());
+    if steered.is_first {
         registry.tally.one(Counter::SteerPollsFirst);
     }
-    if steered.isForged {
+    if steered.is_forged {
         registry.tally.one(Counter::SteerEchoesBad);
     }
     match steered.receipt {
@@ -85,7 +85,7 @@
                 crate::directory::NoReceipt::NotReady => Counter::SteerRefusedNotReady,
             });
             let error = jzon::object! { "error": why.to_string() };
-            comeBack(StatusCode::SERVICE_UNAVAILABLE, &error, 1)
+            come_back(StatusCode::SERVICE_UNAVAILABLE, &error, 1)
         }
     }
 }
@@ -104,10 +104,11 @@
             Step::Ask(card) => {
                 registry.tally.one(Counter::StoreTries);
                 let request = wire::Request::Store(wire::encode(&errand.question).into());
-                let otherZone = card.zone != registry.daemon.settings.zone;
+                let other_zone = card.zone != registry.daemon.settings.zone;
                 let links = &registry.daemon.links;
                 let limit = crate::errand::TRY_LIMIT;
-                let tell = match links.call(card.siblingAddress, &request, limit, otherZone).await {
+                let tell = match links.call(card.sibling_address, &request, limit, other_zone).await
+                {
                     Ok(wire::Reply::Store(bytes)) => wire::decode(&bytes),
                     _ => None,
                 };
@@ -124,7 +125,7 @@
     match run(registry, question).await {
         Outcome::NothingDone { why } => {
             let value = jzon::object! { "error": why };
-            Err(comeBack(StatusCode::SERVICE_UNAVAILABLE, &value, 2))
+            Err(come_back(StatusCode::SERVICE_UNAVAILABLE, &value, 2))
         }
         outcome => Ok(outcome),
     }
@@ -136,7 +137,7 @@
 }
 
 /// The operator's key of a submission, or one made for it.
-fn keyOf(headers: &hyper::HeaderMap) -> Result<String, Receipt> {
+fn key_of(headers: &hyper::HeaderMap) -> Result<String, Receipt> {
     match headers.get("idempotency-key") {
         None => Ok(format!("{:016x}{:016x}", daemon::random(), daemon::random())),
         Some(value) => match value.to_str() {
@@ -157,18 +158,18 @@
 }
 
 fn told(registry: &Registry, key: &str, outcome: Outcome) -> Receipt {
-    let lookUp = format!("/v1/submissions/{key}");
+    let look_up = format!("/v1/submissions/{key}");
     let (status, mut value) = match outcome {
-        Outcome::Accepted { revision, setupRevision, repeat } => (
+        Outcome::Accepted { revision, setup_revision, repeat } => (
             StatusCode::OK,
             jzon::object! {
                 "outcome": "accepted",
                 "revision": revision,
-                "setupRevision": setupRevision,
+                "setupRevision": setup_revision,
                 "repeat": repeat,
             },
         ),
-        Outcome::Conflict { revision, setupRevision } => {
+        Outcome::Conflict { revision, setup_revision } => {
             registry.tally.one(Counter::SetupsConflicting);
             (
                 StatusCode::PRECONDITION_FAILED,
@@ -176,7 +177,7 @@
                     "outcome": "nothing-done",
                     "why": "the setup in force is of another revision",
                     "revision": revision,
-                    "setupRevision": setupRevision,
+                    "setupRevision": setup_revision,
                 },
             )
         }
@@ -192,13 +193,13 @@
             registry.tally.one(Counter::WritesUnknown);
             (
                 StatusCode::GATEWAY_TIMEOUT,
-                jzon::object! { "outcome": "unknown", "lookUp": lookUp.as_str() },
+                jzon::object! { "outcome": "unknown", "lookUp": look_up.as_str() },
             )
         }
         Outcome::NothingDone { why } => {
             registry.tally.one(Counter::WritesNothingDone);
             let value = jzon::object! { "outcome": "nothing-done", "why": why };
-            return comeBack(StatusCode::SERVICE_UNAVAILABLE, &value, 2);
+            return come_back(StatusCode::SERVICE_UNAVAILABLE, &value, 2);
         }
         Outcome::Value { .. } | Outcome::NoSuchRevision { .. } => {
             return fault(StatusCode::INTERNAL_SERVER_ERROR, "a store replied to another question");
@@ -208,15 +209,15 @@
     daemon::json(status, &value)
 }
 
-async fn writeSetup(
+async fn write_setup(
     registry: &Registry,
     request: hyper::Request<hyper::body::Incoming>,
 ) -> Receipt {
-    let key = match keyOf(request.headers()) {
+    let key = match key_of(request.headers()) {
         Ok(key) => key,
         Err(receipt) => return receipt,
     };
-    let ifRevision = match request.headers().get(header::IF_MATCH).map(|value| value.to_str()) {
+    let if_revision = match request.headers().get(header::IF_MATCH).map(|value| value.to_str()) {
         None => None,
         Some(Ok(text)) => match text.trim().trim_matches('"').parse::<u64>() {
             Ok(revision) => Some(revision),
@@ -245,7 +246,7 @@
         registry.tally.one(Counter::SetupsRefusedInvalid);
         return refused(StatusCode::UNPROCESSABLE_ENTITY, &faults);
     }
-    let change = Change::Setup { bytes: bytes.to_vec(), ifRevision };
+    let change = Change::Setup { bytes: bytes.to_vec(), if_revision };
     let outcome = write(registry, &key, change).await;
     if let Outcome::Accepted { revision, repeat: false, .. } = outcome {
         registry.tally.one(Counter::SetupsAccepted);
@@ -257,27 +258,27 @@
 fn refused(status: StatusCode, faults: &[vanepath_setup::Fault]) -> Receipt {
     let value = jzon::object! {
         "outcome": "nothing-done",
-        "faults": vanepath_setup::read::faultsAsJson(faults),
+        "faults": vanepath_setup::read::faults_as_json(faults),
     };
     daemon::json(status, &value)
 }
 
-async fn writeZone(
+async fn write_zone(
     registry: &Registry,
     zone: &str,
     change: Change,
     headers: &hyper::HeaderMap,
 ) -> Receipt {
-    let key = match keyOf(headers) {
+    let key = match key_of(headers) {
         Ok(key) => key,
         Err(receipt) => return receipt,
     };
     let view = registry.daemon.table.load_full();
-    let isKnown = view.live.iter().any(|(card, _)| card.zone == zone)
+    let is_known = view.live.iter().any(|(card, _)| card.zone == zone)
         || view.platform.servers.iter().any(|server| server.zone == zone)
         || view.setup.places.iter().any(|place| place.zone == zone)
         || view.word.emptied.contains(zone);
-    if !isKnown {
+    if !is_known {
         return fault(StatusCode::NOT_FOUND, "no such zone");
     }
     registry.tally.one(Counter::ZoneChanges);
@@ -285,22 +286,22 @@
     told(registry, &key, outcome)
 }
 
-fn setupReceipt(value: &Value) -> Receipt {
+fn setup_receipt(value: &Value) -> Receipt {
     let mut receipt = hyper::Response::new(daemon::body(value.setup.clone()));
     let headers = receipt.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    if let Ok(tag) = HeaderValue::from_str(&format!("\"{}\"", value.setupRevision)) {
+    if let Ok(tag) = HeaderValue::from_str(&format!("\"{}\"", value.setup_revision)) {
         headers.insert(header::ETAG, tag);
     }
-    headers.insert("vanepath-setup-revision", HeaderValue::from(value.setupRevision));
+    headers.insert("vanepath-setup-revision", HeaderValue::from(value.setup_revision));
     headers.insert("vanepath-revision", HeaderValue::from(value.revision));
     receipt
 }
 
-async fn readSetup(registry: &Registry) -> Receipt {
+async fn read_setup(registry: &Registry) -> Receipt {
     match read(registry, Ask::Read).await {
-        Ok(Outcome::Value { value }) if value.setupRevision > 0 => setupReceipt(&value),
+        Ok(Outcome::Value { value }) if value.setup_revision > 0 => setup_receipt(&value),
         Ok(Outcome::Value { .. }) => fault(StatusCode::NOT_FOUND, "no setup was accepted yet"),
         Ok(_) => fault(StatusCode::INTERNAL_SERVER_ERROR, "a store replied to another question"),
         Err(receipt) => receipt,
@@ -308,12 +309,12 @@
 }
 
 /// The setup as it was in force at a revision, byte for byte.
-async fn readHistory(registry: &Registry, revision: &str) -> Receipt {
+async fn read_history(registry: &Registry, revision: &str) -> Receipt {
     let Ok(revision) = revision.parse::<u64>() else {
         return fault(StatusCode::BAD_REQUEST, "a revision is a whole number");
     };
     match read(registry, Ask::History { revision }).await {
-        Ok(Outcome::Value { value }) if value.setupRevision > 0 => setupReceipt(&value),
+        Ok(Outcome::Value { value }) if value.setup_revision > 0 => setup_receipt(&value),
         Ok(Outcome::NoSuchRevision { latest }) => {
             let value = jzon::object! { "error": "no such revision", "latest": latest };
             daemon::json(StatusCode::NOT_FOUND, &value)
@@ -323,7 +324,7 @@
     }
 }
 
-async fn readZones(registry: &Registry) -> Receipt {
+async fn read_zones(registry: &Registry) -> Receipt {
     match read(registry, Ask::Read).await {
         Ok(Outcome::Value { value }) => {
             let emptied: Vec<jzon::JsonValue> =
@@ -336,7 +337,7 @@
     }
 }
 
-async fn readSubmission(registry: &Registry, key: &str) -> Receipt {
+async fn read_submission(registry: &Registry, key: &str) -> Receipt {
     match read(registry, Ask::Read).await {
         Ok(Outcome::Value { value }) => match value.keys.iter().find(|known| known.key == key) {
             Some(known) => told(
@@ -344,7 +345,7 @@
                 key,
                 Outcome::Accepted {
                     revision: known.revision,
-                    setupRevision: known.setupRevision,
+                    setup_revision: known.setup_revision,
                     repeat: true,
                 },
             ),
@@ -412,10 +413,10 @@
         })
         .collect();
     let servers: Vec<jzon::JsonValue> =
-        view.platform.servers.iter().map(|server| serverStatus(&view, &sources, server)).collect();
+        view.platform.servers.iter().map(|server| server_status(&view, &sources, server)).collect();
     let emptied: Vec<jzon::JsonValue> =
         view.word.emptied.iter().map(|zone| zone.as_str().into()).collect();
-    let inForce = view
+    let in_force = view
         .live
         .iter()
         .filter(|(card, report)| {
@@ -426,8 +427,8 @@
     let value = jzon::object! {
         "name": daemon.settings.name.as_str(),
         "revision": view.word.revision,
-        "setupRevision": view.word.setupRevision,
-        "inForceEverywhere": inForce == view.live.len(),
+        "setupRevision": view.word.setup_revision,
+        "inForceEverywhere": in_force == view.live.len(),
         "emptied": emptied,
         "epoch": view.plan.epoch,
         "holder": view.plan.holder.as_str(),
@@ -441,7 +442,7 @@
 }
 
 /// A server with the reason why it is or isn't given work, as all proxies together see it.
-fn serverStatus(
+fn server_status(
     view: &daemon::View,
     sources: &[vanepath_sibling::news::Source],
     server: &vanepath_setup::platform::Server,
@@ -455,17 +456,17 @@
         .map(|service| service.name.as_str())
         .collect();
     let mut phases: std::collections::BTreeMap<&str, u32> = Default::default();
-    let mut demandMilli = 0;
-    let isLive = |source: &&vanepath_sibling::news::Source| {
+    let mut demand_milli = 0;
+    let is_live = |source: &&vanepath_sibling::news::Source| {
         view.live.iter().any(|(card, _)| card.name == source.card.name)
     };
-    for source in sources.iter().filter(isLive) {
+    for source in sources.iter().filter(is_live) {
         for sight in source.detail.sights.iter().filter(|sight| sight.server == server.id) {
             // The order of the proxy's phases (design 8.6).
             let names = ["unknown", "cold", "ramping", "live", "suspect"];
             let name = names.get(usize::from(sight.phase)).copied().unwrap_or("unknown");
             *phases.entry(name).or_default() += 1;
-            demandMilli = demandMilli.max(sight.demandMilli);
+            demand_milli = demand_milli.max(sight.demand_milli);
         }
     }
     let why = if server.leaving {
@@ -482,17 +483,17 @@
         seen.join(", ")
     };
     // Live: whoever is in touch with it finds it well.
-    let isLive = ["live", "ramping", "cold"].iter().any(|phase| phases.contains_key(phase));
+    let is_live = ["live", "ramping", "cold"].iter().any(|phase| phases.contains_key(phase));
     jzon::object! {
         "id": server.id.as_str(),
         "address": server.address.to_string(),
         "region": server.region.as_str(),
         "zone": server.zone.as_str(),
-        "labels": vanepath_setup::platform::labelsAsJson(&server.labels),
+        "labels": vanepath_setup::platform::labels_as_json(&server.labels),
         "leaving": server.leaving,
-        "live": isLive,
+        "live": is_live,
         "services": services,
-        "demand": f64::from(demandMilli) / 1000.0,
+        "demand": f64::from(demand_milli) / 1000.0,
         "why": why,
     }
 }
--- a/registry/src/directory.rs
+++ b/registry/src/directory.rs
@@ -31,13 +31,13 @@
             "{}.{}.{}.{}",
             self.revision, self.caller.bucket, self.caller.zone, self.caller.region
         );
-        format!("{body}.{:08x}", checkOf(&body))
+        format!("{body}.{:08x}", check_of(&body))
     }
 
     /// Anything but what `show` gives is no echo, and its bringer a first-time caller.
     pub fn parse(text: &str) -> Option<Echo> {
         let (body, check) = text.rsplit_once('.')?;
-        if check != format!("{:08x}", checkOf(body)) {
+        if check != format!("{:08x}", check_of(body)) {
             return None;
         }
         let parts: Vec<&str> = body.split('.').collect();
@@ -45,7 +45,7 @@
             return None;
         };
         let bucket = bucket.parse().ok().filter(|bucket| *bucket < BUCKETS)?;
-        if !vanepath_setup::read::isName(zone) || !vanepath_setup::read::isName(region) {
+        if !vanepath_setup::read::is_name(zone) || !vanepath_setup::read::is_name(region) {
             return None;
         }
         let (zone, region) = (zone.to_string(), region.to_string());
@@ -54,8 +54,8 @@
     }
 }
 
-fn checkOf(body: &str) -> u32 {
-    vanepath_setup::stableHash(&["vanepath echo", body]) as u32
+fn check_of(body: &str) -> u32 {
+    vanepath_setup::stable_hash(&["vanepath echo", body]) as u32
 }
 
 /// A place that callers can be sent to: a zone with proxies that take requests.
@@ -65,7 +65,7 @@
     pub region: String,
     pub addresses: Vec<std::net::SocketAddr>,
     /// None of its proxies is heard of: they are dead, or this directory is cut off from them.
-    pub isLost: bool,
+    pub is_lost: bool,
     labels: std::collections::BTreeMap<String, String>,
 }
 
@@ -86,16 +86,16 @@
     let mut places: Vec<Place> = Vec::new();
     let live = view.live.iter().map(|one| (one, false));
     let lost = view.lost.iter().map(|one| (one, true));
-    for ((card, report), isLost) in live.chain(lost) {
-        let isFit = card.role == Role::Proxy
+    for ((card, report), is_lost) in live.chain(lost) {
+        let is_fit = card.role == Role::Proxy
             && report.ready
             && !report.leaving
             && !view.word.emptied.contains(&card.zone);
-        if !isFit {
+        if !is_fit {
             continue;
         }
         match places.iter_mut().find(|place| place.zone == card.zone) {
-            Some(place) if place.isLost == isLost => place.addresses.push(card.address),
+            Some(place) if place.is_lost == is_lost => place.addresses.push(card.address),
             // Others of that zone are live.
             Some(_) => {}
             None => {
@@ -104,7 +104,7 @@
                     zone: card.zone.clone(),
                     region: card.region.clone(),
                     addresses: vec![card.address],
-                    isLost,
+                    is_lost,
                     labels: told.map(|place| place.labels.clone()).unwrap_or_default(),
                 });
             }
@@ -176,33 +176,33 @@
         steps.extend(drawn.into_iter().map(|(_, place, why)| Step { place, why }));
     }
     // What is not heard of comes last, in the same order among itself.
-    steps.sort_by_key(|step| places[step.place].isLost);
+    steps.sort_by_key(|step| places[step.place].is_lost);
     for step in &mut steps {
-        if places[step.place].isLost {
+        if places[step.place].is_lost {
             step.why += "; not heard of, so only if nothing else replies";
         }
     }
-    moveAway(view, places, rule, caller, &mut steps);
+    move_away(view, places, rule, caller, &mut steps);
     steps
 }
 
 /// The part of an overloaded place's callers that the plan asks elsewhere goes first to the place that
 /// each draws among those with room (design 7.4). Both draws are the caller's own, so that as few as
 /// can be change their place when the shares change.
-fn moveAway(view: &View, places: &[Place], rule: usize, caller: &Caller, steps: &mut [Step]) {
+fn move_away(view: &View, places: &[Place], rule: usize, caller: &Caller, steps: &mut [Step]) {
     let Some(first) = steps.first() else { return };
     let zone = &places[first.place].zone;
     let service = &view.setup.services[view.setup.rules[rule].service].name;
     let Some(to) = view.plan.moved.get(service).and_then(|moved| moved.get(zone)) else { return };
     let moved: u32 = to.values().sum();
-    let turn = vanepath_setup::stableHash(&["move", zone, &caller.bucket.to_string()]) % 1000;
+    let turn = vanepath_setup::stable_hash(&["move", zone, &caller.bucket.to_string()]) % 1000;
     if turn >= u64::from(moved) {
         return;
     }
     let mut best: Option<(f64, usize)> = None;
     for (index, step) in steps.iter().enumerate().skip(1) {
         let place = &places[step.place];
-        let Some(share) = to.get(&place.zone).filter(|share| **share > 0 && !place.isLost) else {
+        let Some(share) = to.get(&place.zone).filter(|share| **share > 0 && !place.is_lost) else {
             continue;
         };
         let score = -draw(caller.bucket, &place.zone).ln() / f64::from(*share);
@@ -218,7 +218,7 @@
 
 /// A number in (0, 1) that is this bucket's own for this zone.
 fn draw(bucket: u64, zone: &str) -> f64 {
-    let hash = vanepath_setup::stableHash(&["draw", zone, &bucket.to_string()]);
+    let hash = vanepath_setup::stable_hash(&["draw", zone, &bucket.to_string()]);
     ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
 }
 
@@ -226,7 +226,7 @@
 pub fn receipt(view: &View, caller: &Caller, random: u64, shows: bool) -> jzon::JsonValue {
     let places = places(view);
     let jitter = (random % 1001) as f64 / 1000.0;
-    let ttlS = (TTL.as_secs_f64() * (0.75 + 0.5 * jitter)).min(TTL_MOST.as_secs_f64());
+    let ttl_s = (TTL.as_secs_f64() * (0.75 + 0.5 * jitter)).min(TTL_MOST.as_secs_f64());
     let echo = Echo { revision: view.word.revision, caller: caller.clone() };
     let zones = |steps: &[Step]| -> jzon::JsonValue {
         let zones = steps.iter().map(|step| places[step.place].zone.as_str().into());
@@ -240,7 +240,7 @@
         let mut entry = jzon::object! {
             "NAME": rule.name.as_str(),
             "METHODS": rule.methods.iter().map(|one| one.as_str().into()).collect::<Vec<jzon::JsonValue>>(),
-            "PATH-PREFIX": rule.pathPrefix.as_str(),
+            "PATH-PREFIX": rule.path_prefix.as_str(),
             "ONCE": kind == vanepath_setup::model::Kind::Once,
             "PATHWAY-PRIORITY": zones(&steps),
         };
@@ -278,7 +278,7 @@
         .collect();
     jzon::object! {
         "VERSION": 1,
-        "TTL": (ttlS * 10.0).round() / 10.0,
+        "TTL": (ttl_s * 10.0).round() / 10.0,
         "RELOAD-URI": format!("/v1/steer?state={}", echo.show()),
         "PATHWAY-PRIORITY": zones(&general.unwrap_or_default()),
         "PATHWAYS": pathways,
@@ -303,15 +303,15 @@
 /// What became of one poll.
 pub struct Steered {
     pub receipt: Result<jzon::JsonValue, NoReceipt>,
-    pub isFirst: bool,
-    pub isForged: bool,
+    pub is_first: bool,
+    pub is_forged: bool,
 }
 
 /// Answers one poll from memory. `own` is the directory's zone and region, for callers that do
 /// not say theirs.
-pub fn steer(view: &View, isReady: bool, own: (&str, &str), query: &str, random: u64) -> Steered {
-    let none = |why| Steered { receipt: Err(why), isFirst: false, isForged: false };
-    if !isReady || view.setup.rules.is_empty() || places(view).is_empty() {
+pub fn steer(view: &View, is_ready: bool, own: (&str, &str), query: &str, random: u64) -> Steered {
+    let none = |why| Steered { receipt: Err(why), is_first: false, is_forged: false };
+    if !is_ready || view.setup.rules.is_empty() || places(view).is_empty() {
         // Without any place to name it says nothing, and callers keep what they have.
         return none(NoReceipt::NotReady);
     }
@@ -320,31 +320,31 @@
         pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
     };
     let echo = get("state").and_then(Echo::parse);
-    let isForged = get("state").is_some() && echo.is_none();
-    let isFirst = echo.is_none();
+    let is_forged = get("state").is_some() && echo.is_none();
+    let is_first = echo.is_none();
     let caller = match echo {
         // The caller has a newer order: it must not get an older one from here.
         Some(echo) if echo.revision > view.word.revision => return none(NoReceipt::Behind),
         // Cut off from all others it would hold its callers to what was so before. Another may know
         // more, and if there is none the caller keeps what it has; who has nothing gets this.
-        Some(_) if view.isAlone => return none(NoReceipt::CutOff),
+        Some(_) if view.is_alone => return none(NoReceipt::CutOff),
         Some(echo) => echo.caller,
         None => {
-            let name = |key: &str| get(key).filter(|name| vanepath_setup::read::isName(name));
+            let name = |key: &str| get(key).filter(|name| vanepath_setup::read::is_name(name));
             let zone = name("zone").unwrap_or(own.0);
             // The region of a zone that is known here; what a caller says of others is taken.
             let known = view.live.iter().find(|(card, _)| card.zone == zone);
             let region =
                 known.map(|(card, _)| card.region.as_str()).or(name("region")).unwrap_or(own.1);
             let bucket = match get("caller") {
-                Some(id) => vanepath_setup::stableHash(&["caller", id]) % BUCKETS,
+                Some(id) => vanepath_setup::stable_hash(&["caller", id]) % BUCKETS,
                 None => random % BUCKETS,
             };
             Caller { zone: zone.to_string(), region: region.to_string(), bucket }
         }
     };
     let receipt = receipt(view, &caller, random >> 20, get("why").is_some());
-    Steered { receipt: Ok(receipt), isFirst, isForged }
+    Steered { receipt: Ok(receipt), is_first, is_forged }
 }
 
 #[cfg(test)]
@@ -371,7 +371,7 @@
                 region: zone[..1].to_string(),
                 zone: zone.to_string(),
                 address,
-                siblingAddress: address,
+                sibling_address: address,
                 seat: None,
             };
             live.push((card, wire::Report { ready: true, ..wire::Report::default() }));
@@ -392,7 +392,7 @@
     }
 
     #[test]
-    fn nearestFirstWithinBoundsAndWithoutTheEmptied() {
+    fn nearest_first_within_bounds_and_without_the_emptied() {
         let mut open = view(r#"{"name": "r", "class": "c", "service": "s"}"#);
         assert!(zones(&open, 3).starts_with("a2 a1 "), "{}", zones(&open, 3));
         assert_eq!(zones(&open, 3).split(' ').count(), 5);
@@ -414,7 +414,7 @@
 
     /// Shares hold over many callers, and a change moves hardly more than it must.
     #[test]
-    fn sharesHoldAndAChangeMovesTheFewest() {
+    fn shares_hold_and_a_change_moves_the_fewest() {
         let with = |low: u32| {
             view(&format!(
                 r#"{{"name": "r", "class": "c", "service": "s", "prefer": [[
@@ -439,20 +439,20 @@
 
     /// Who is cut off helps only those who have nothing yet.
     #[test]
-    fn aDirectoryThatIsCutOffSendsItsCallersToAnother() {
+    fn a_directory_that_is_cut_off_sends_its_callers_to_another() {
         let mut cut = view(r#"{"name": "r", "class": "c", "service": "s"}"#);
         let caller = Caller { zone: "a2".into(), region: "a".into(), bucket: 77 };
         let echo = format!("state={}", Echo { revision: 0, caller }.show());
-        let isTold = |view: &View, query: &str| {
+        let is_told = |view: &View, query: &str| {
             super::steer(view, true, ("a1", "a"), query, 1).receipt.is_ok()
         };
-        assert!(isTold(&cut, &echo) && isTold(&cut, "zone=a2"));
-        cut.isAlone = true;
-        assert!(!isTold(&cut, &echo) && isTold(&cut, "zone=a2"));
+        assert!(is_told(&cut, &echo) && is_told(&cut, "zone=a2"));
+        cut.is_alone = true;
+        assert!(!is_told(&cut, &echo) && is_told(&cut, "zone=a2"));
     }
 
     #[test]
-    fn echoesComeBackWholeAndForgeriesDoNot() {
+    fn echoes_come_back_whole_and_forgeries_do_not() {
         let caller = Caller { zone: "a2".into(), region: "a".into(), bucket: 77 };
         let shown = Echo { revision: 12, caller: caller.clone() }.show();
         assert_eq!(Echo::parse(&shown), Some(Echo { revision: 12, caller }));
--- a/registry/src/duty.rs
+++ b/registry/src/duty.rs
@@ -9,53 +9,54 @@
 /// duty only after a while, and the last plan stays meanwhile.
 #[derive(Debug, Default)]
 pub struct Tenure {
-    freshSince: Option<std::time::Duration>,
+    fresh_since: Option<std::time::Duration>,
 }
 
 /// Twice what a proxy takes to tell all that it sees.
 const SETTLED_AFTER: std::time::Duration = std::time::Duration::from_millis(4000);
 
 impl Tenure {
-    pub fn mayHold(&mut self, now: std::time::Duration, isFresh: bool) -> bool {
-        if !isFresh {
-            self.freshSince = None;
+    pub fn may_hold(&mut self, now: std::time::Duration, is_fresh: bool) -> bool {
+        if !is_fresh {
+            self.fresh_since = None;
             return false;
         }
-        now.saturating_sub(*self.freshSince.get_or_insert(now)) >= SETTLED_AFTER
+        now.saturating_sub(*self.fresh_since.get_or_insert(now)) >= SETTLED_AFTER
     }
 }
 
-/// The next plan if this daemon has the duty and something changed. `mayMove`: enough time went
+/// The next plan if this daemon has the duty and something changed. `may_move`: enough time went
 /// by since the last step for its effect to show (a receipt's TTL and the way of the news).
-pub fn next(view: &View, own: &str, sources: &[Source], mayMove: bool) -> Option<wire::Plan> {
+pub fn next(view: &View, own: &str, sources: &[Source], may_move: bool) -> Option<wire::Plan> {
     let holder = view.holder(wire::Role::Registry)?;
-    if holder.name != own || !view.isFresh {
+    if holder.name != own || !view.is_fresh {
         return None;
     }
     let before = &view.plan;
-    let isMine = before.holder == own;
+    let is_mine = before.holder == own;
     // The last word of a proxy that is dead is no news of servers.
-    let isLive = |source: &&Source| view.live.iter().any(|(card, _)| card.name == source.card.name);
+    let is_live =
+        |source: &&Source| view.live.iter().any(|(card, _)| card.name == source.card.name);
     let proxies: Vec<&Source> = sources
         .iter()
         .filter(|source| source.card.role == wire::Role::Proxy)
-        .filter(isLive)
+        .filter(is_live)
         .collect();
     let Absent { cold, away } = absent(&proxies);
-    let moved = if mayMove { moved(view, &proxies) } else { before.moved.clone() };
-    let isSame = isMine
+    let moved = if may_move { moved(view, &proxies) } else { before.moved.clone() };
+    let is_same = is_mine
         && before.moved == moved
-        && before.revision == view.word.setupRevision
+        && before.revision == view.word.setup_revision
         && before.cold.keys().eq(cold.keys())
         && before.away == away;
-    if isSame {
+    if is_same {
         return None;
     }
     Some(wire::Plan {
-        epoch: if isMine { before.epoch } else { before.epoch + 1 },
-        counter: if isMine { before.counter + 1 } else { 1 },
+        epoch: if is_mine { before.epoch } else { before.epoch + 1 },
+        counter: if is_mine { before.counter + 1 } else { 1 },
         holder: own.to_string(),
-        revision: view.word.setupRevision,
+        revision: view.word.setup_revision,
         moved,
         cold,
         away,
@@ -77,21 +78,21 @@
     #[derive(Default)]
     struct Seen {
         suspects: u32,
-        refusedSuspects: u32,
+        refused_suspects: u32,
         ages: Vec<u32>,
-        refusedAges: Vec<u32>,
-        steadyMs: u32,
+        refused_ages: Vec<u32>,
+        steady_ms: u32,
     }
     let mut all: std::collections::BTreeMap<&str, Seen> = Default::default();
     for source in proxies {
         for sight in &source.detail.sights {
             let seen = all.entry(&sight.server).or_default();
-            seen.steadyMs = seen.steadyMs.max(sight.steadyMs);
+            seen.steady_ms = seen.steady_ms.max(sight.steady_ms);
             // The numbers of the proxy's phases: 1 cold, 4 suspect.
             match (sight.phase, sight.refused) {
-                (1, true) => seen.refusedAges.push(sight.ageMs),
-                (1, false) => seen.ages.push(sight.ageMs),
-                (4, true) => seen.refusedSuspects += 1,
+                (1, true) => seen.refused_ages.push(sight.age_ms),
+                (1, false) => seen.ages.push(sight.age_ms),
+                (4, true) => seen.refused_suspects += 1,
                 (4, false) => seen.suspects += 1,
                 _ => {}
             }
@@ -100,13 +101,13 @@
     let mut absent = Absent::default();
     for (server, seen) in all {
         // The oldest: who heard of it later reckons from the first who saw it.
-        let refusedMs = seen.refusedAges.iter().max().copied();
-        let ageMs = seen.ages.iter().max().copied();
+        let refused_ms = seen.refused_ages.iter().max().copied();
+        let age_ms = seen.ages.iter().max().copied();
         // Who is in touch refutes silence, not a refusal: a short one falls between two probes.
-        let isSeen = seen.ages.len() >= 2 && seen.steadyMs <= ageMs.unwrap_or_default() + 1500;
-        if let Some(ageMs) = refusedMs.or(ageMs.filter(|_| isSeen)) {
-            absent.cold.insert(server.to_string(), (ageMs, refusedMs.is_some()));
-        } else if seen.refusedSuspects > 0 || (seen.suspects >= 2 && seen.steadyMs == 0) {
+        let is_seen = seen.ages.len() >= 2 && seen.steady_ms <= age_ms.unwrap_or_default() + 1500;
+        if let Some(age_ms) = refused_ms.or(age_ms.filter(|_| is_seen)) {
+            absent.cold.insert(server.to_string(), (age_ms, refused_ms.is_some()));
+        } else if seen.refused_suspects > 0 || (seen.suspects >= 2 && seen.steady_ms == 0) {
             absent.away.insert(server.to_string());
         }
     }
@@ -138,7 +139,7 @@
     for source in proxies {
         for sight in &source.detail.sights {
             let (sum, count) = demand.entry(&sight.server).or_default();
-            *sum += sight.demandMilli.min(DEMAND_MOST);
+            *sum += sight.demand_milli.min(DEMAND_MOST);
             *count += 1;
         }
     }
@@ -147,7 +148,7 @@
     for source in proxies {
         let zone = zones.entry(source.card.zone.clone()).or_default();
         zone.region = source.card.region.clone();
-        zone.isPlace |= source.report.ready
+        zone.is_place |= source.report.ready
             && !source.report.leaving
             && !view.word.emptied.contains(&source.card.zone);
         let own = source.detail.taken.get(&view.setup.services[service].name);
@@ -158,11 +159,11 @@
     let mut work = Vec::new();
     let mut silent = 0.0;
     for server in &view.platform.servers {
-        let isThere = !server.leaving
+        let is_there = !server.leaving
             && !view.plan.away.contains(&server.id)
             && !view.word.emptied.contains(&server.zone)
             && view.setup.services[service].selector.matches(server, none);
-        if !isThere {
+        if !is_there {
             continue;
         }
         match demand.get(server.id.as_str()) {
@@ -200,7 +201,7 @@
             region: zone[..1].to_string(),
             zone: zone.to_string(),
             address,
-            siblingAddress: address,
+            sibling_address: address,
             seat: None,
         }
     }
@@ -208,12 +209,12 @@
     fn sight(
         server: &str,
         phase: u8,
-        steadyMs: u32,
-        demandMilli: u32,
+        steady_ms: u32,
+        demand_milli: u32,
         refused: bool,
     ) -> wire::Sight {
         let server = server.to_string();
-        wire::Sight { server, phase, ageMs: 500, steadyMs, demandMilli, refused }
+        wire::Sight { server, phase, age_ms: 500, steady_ms, demand_milli, refused }
     }
 
     /// A registry that heard these sights from its proxies.
@@ -226,7 +227,7 @@
             deltas.push(wire::Delta {
                 name: name.to_string(),
                 mark: wire::Mark { life: 5, counter: 1, edition: 1, detail: 1 },
-                ageMs: 0,
+                age_ms: 0,
                 card: Some(card(name, wire::Role::Proxy, zone, 10 + index as u16)),
                 report: Some(wire::Report { ready: true, ..wire::Report::default() }),
                 detail: Some(wire::Detail { sights: sights.clone(), ..wire::Detail::default() }),
@@ -246,7 +247,7 @@
         let (mut view, _) = View::of(&news, &View::default(), now);
         view.setup = Arc::new(setup.unwrap());
         view.platform = Arc::new(vanepath_setup::platform::parse(list).unwrap());
-        view.isFresh = true;
+        view.is_fresh = true;
         (news, view)
     }
 
@@ -257,29 +258,29 @@
     }
 
     #[test]
-    fn refusalsAreProofAndSilenceNeedsTwoAndNobodyInTouch() {
+    fn refusals_are_proof_and_silence_needs_two_and_nobody_in_touch() {
         let away = |sights: &[(&str, &str, Vec<wire::Sight>)]| -> (bool, bool) {
             let plan = plan(sights, wire::Plan::default()).unwrap();
             (plan.away.contains("s1"), plan.cold.contains_key("s1"))
         };
         let suspect = || vec![sight("s1", 4, 0, 0, false)];
         let cold = || vec![sight("s1", 1, 300, 0, false)];
-        let inTouch = || vec![sight("s1", 3, 60_000, 0, false)];
+        let in_touch = || vec![sight("s1", 3, 60_000, 0, false)];
         assert_eq!(away(&[("p0", "a1", suspect()), ("p1", "b1", vec![])]), (false, false));
         assert_eq!(away(&[("p0", "a1", suspect()), ("p1", "b1", suspect())]), (true, false));
-        let cut = [("p0", "a1", suspect()), ("p1", "a1", suspect()), ("p2", "b1", inTouch())];
+        let cut = [("p0", "a1", suspect()), ("p1", "a1", suspect()), ("p2", "b1", in_touch())];
         assert_eq!(away(&cut), (false, false), "a part that is cut off does not speak for all");
         assert_eq!(away(&[("p0", "a1", cold()), ("p1", "b1", cold())]), (false, true));
-        let healed = [("p0", "a1", cold()), ("p1", "a1", cold()), ("p2", "b1", inTouch())];
+        let healed = [("p0", "a1", cold()), ("p1", "a1", cold()), ("p2", "b1", in_touch())];
         assert_eq!(away(&healed), (false, false), "it was there all the time");
-        let refused = [("p0", "a1", vec![sight("s1", 1, 0, 0, true)]), ("p2", "b1", inTouch())];
+        let refused = [("p0", "a1", vec![sight("s1", 1, 0, 0, true)]), ("p2", "b1", in_touch())];
         assert_eq!(away(&refused), (false, true));
     }
 
     /// Callers move away from a zone that takes more than its server can do, to the one with room, and
     /// come back. Demand that is not told, or not to be believed, moves nobody or few.
     #[test]
-    fn callersMoveAwayFromABusyZoneAndComeBack() {
+    fn callers_move_away_from_a_busy_zone_and_come_back() {
         let mut last = wire::Plan::default();
         let mut shown = String::new();
         // What the zones' proxies take a second, and what their servers tell.
@@ -325,7 +326,7 @@
     }
 
     #[test]
-    fn theDutyIsTakenUnderTheNextEpochAndNotAtOnce() {
+    fn the_duty_is_taken_under_the_next_epoch_and_not_at_once() {
         let sights = [("p0", "a1", vec![])];
         // One that would come first and has not settled yet leaves the duty where it is.
         let (news, mut view) = heard(&sights);
@@ -341,9 +342,9 @@
         assert_eq!(plan(&sights, taken), None, "nothing new, nothing told");
         let mut tenure = Tenure::default();
         let second = Duration::from_secs;
-        assert!(!tenure.mayHold(second(1), true));
-        assert!(tenure.mayHold(second(5), true));
-        assert!(!tenure.mayHold(second(6), false), "it froze");
-        assert!(!tenure.mayHold(second(7), true));
+        assert!(!tenure.may_hold(second(1), true));
+        assert!(tenure.may_hold(second(5), true));
+        assert!(!tenure.may_hold(second(6), false), "it froze");
+        assert!(!tenure.may_hold(second(7), true));
     }
 }
--- a/registry/src/errand.rs
+++ b/registry/src/errand.rs
@@ -27,7 +27,7 @@
     silent: Vec<String>,
     asked: String,
     started: bool,
-    isDoubtful: bool,
+    is_doubtful: bool,
     why: String,
 }
 
@@ -40,12 +40,12 @@
             silent: Vec::new(),
             asked: String::new(),
             started: false,
-            isDoubtful: false,
+            is_doubtful: false,
             why: "no store is in reach".to_string(),
         }
     }
 
-    fn isWrite(&self) -> bool {
+    fn is_write(&self) -> bool {
         matches!(self.question, Ask::Change { .. })
     }
 
@@ -60,7 +60,7 @@
             self.round.clear();
         }
         if now >= self.until {
-            return Step::End(if self.isDoubtful {
+            return Step::End(if self.is_doubtful {
                 Outcome::Unknown
             } else {
                 Outcome::NothingDone { why: self.why.clone() }
@@ -83,7 +83,7 @@
         }
         match tell {
             Some(Tell::Outcome(Outcome::NothingDone { why })) => self.why = why,
-            Some(Tell::Outcome(Outcome::Unknown)) | None => self.isDoubtful |= self.isWrite(),
+            Some(Tell::Outcome(Outcome::Unknown)) | None => self.is_doubtful |= self.is_write(),
             Some(Tell::Outcome(outcome)) => return Some(outcome),
             Some(_) => {}
         }
@@ -118,7 +118,7 @@
             region: "a".to_string(),
             zone: "a1".to_string(),
             address,
-            siblingAddress: address,
+            sibling_address: address,
             seat: Some((seat, 1)),
         }
     }
@@ -126,7 +126,7 @@
     /// Core machines that are replaced one after the other: the first store has just died, the
     /// second dies with the question in hand, and the third still has time to tell.
     #[test]
-    fn twoSilentStoresLeaveTimeForTheThird() {
+    fn two_silent_stores_leave_time_for_the_third() {
         let change = Change::Empty { zone: "a1".to_string() };
         let question = Ask::Change { key: "k".to_string(), change };
         let mut now = Duration::ZERO;
@@ -151,7 +151,7 @@
             }
             // Whoever replied is asked again before those that were silent.
             if asked.len() == 4 {
-                let value = Outcome::Accepted { revision: 3, setupRevision: 2, repeat: false };
+                let value = Outcome::Accepted { revision: 3, setup_revision: 2, repeat: false };
                 break errand.told(Some(Tell::Outcome(value))).expect("the store's own word");
             }
         };
--- a/registry/src/platform.rs
+++ b/registry/src/platform.rs
@@ -55,7 +55,7 @@
     state: Arc<std::sync::Mutex<State>>,
 ) {
     let url = daemon.settings.platform.clone().expect("checked with the settings");
-    let (address, path) = vanepath_setup::settings::splitUrl(&url).expect("checked likewise");
+    let (address, path) = vanepath_setup::settings::split_url(&url).expect("checked likewise");
     let path = path.to_string();
     let mut sender = None;
     let mut etag: Option<hyper::header::HeaderValue> = None;
@@ -142,11 +142,11 @@
     use super::State;
 
     #[test]
-    fn onlyAGoodListTakesTheLastOnesPlace() {
-        let list = |revision: u64, isEmpty: bool| {
+    fn only_a_good_list_takes_the_last_ones_place() {
+        let list = |revision: u64, is_empty: bool| {
             let server = r#"{"id": "s", "address": "127.0.0.1:9", "region": "a", "zone": "a1",
                              "state": "ready"}"#;
-            let servers = if isEmpty { "" } else { server };
+            let servers = if is_empty { "" } else { server };
             let text = format!(r#"{{"revision": {revision}, "servers": [{servers}]}}"#);
             vanepath_setup::platform::parse(text.as_bytes()).unwrap()
         };
--- a/registry/src/shares.rs
+++ b/registry/src/shares.rs
@@ -14,7 +14,7 @@
     /// Servers that are there.
     pub servers: f64,
     /// Proxies are there, so that callers can be sent there.
-    pub isPlace: bool,
+    pub is_place: bool,
 }
 
 /// Callers begin to move where their work would keep the servers this busy,
@@ -41,10 +41,10 @@
     for _ in 0..ROUNDS {
         for (name, zone) in zones {
             let others = homes.iter().filter(|(other, _)| *other != name);
-            let movedIn: f64 = others.map(|(other, home)| home * share(other, name)).sum();
-            let movedOut: f64 = zones.keys().map(|other| share(name, other)).sum();
-            let stay = 1.0 - movedOut.min(MOST);
-            homes.insert(name.clone(), ((zone.taken - movedIn) / stay).max(0.0));
+            let moved_in: f64 = others.map(|(other, home)| home * share(other, name)).sum();
+            let moved_out: f64 = zones.keys().map(|other| share(name, other)).sum();
+            let stay = 1.0 - moved_out.min(MOST);
+            homes.insert(name.clone(), ((zone.taken - moved_in) / stay).max(0.0));
         }
     }
     homes
@@ -60,23 +60,23 @@
     let mut excess: Vec<(&str, f64)> = Vec::new();
     for (name, zone) in zones {
         let home = homes[name];
-        let isMoving = before.contains_key(name);
-        let isOver = home > zone.servers * if isMoving { TARGET } else { BUSY };
+        let is_moving = before.contains_key(name);
+        let is_over = home > zone.servers * if is_moving { TARGET } else { BUSY };
         let room = zone.servers * TARGET - home;
-        if isOver {
+        if is_over {
             excess.push((name, -room));
-        } else if zone.isPlace && room > 0.0 {
+        } else if zone.is_place && room > 0.0 {
             spare.insert(name, room);
         }
     }
     let mut targets = Shares::new();
     // The nearest room first for all, and then the rest.
-    for isNear in [true, false] {
+    for is_near in [true, false] {
         for (name, over) in &mut excess {
             let region = &zones[*name].region;
             let able: Vec<&str> = spare
                 .keys()
-                .filter(|other| !isNear || zones[**other].region == *region)
+                .filter(|other| !is_near || zones[**other].region == *region)
                 .copied()
                 .collect();
             let room: f64 = able.iter().map(|other| spare[other]).sum();
@@ -111,8 +111,8 @@
         let mut sum = 0;
         for to in zones.keys() {
             let (now, target) = (at(before, to), at(&targets, to));
-            let isThere = zones[to].isPlace;
-            let next = if !isThere {
+            let is_there = zones[to].is_place;
+            let next = if !is_there {
                 0
             } else if now.abs_diff(target) < DEAD_BAND {
                 if target == 0 { 0 } else { now }
@@ -141,7 +141,7 @@
             region: names[index][..1].to_string(),
             taken: wants[index],
             servers: 10.0,
-            isPlace: true,
+            is_place: true,
         };
         (0..6).map(|index| (names[index].to_string(), zone(index))).collect()
     }
@@ -185,7 +185,7 @@
     /// As much moves as is needed and no more, to where there is room, near first; it settles without
     /// moving more than it ends with, and moves back when the demand is over.
     #[test]
-    fn onlyWhatIsTooMuchMovesAndComesBack() {
+    fn only_what_is_too_much_moves_and_comes_back() {
         let none = Shares::new();
         let mut lines = String::new();
         for (what, wants) in [
@@ -221,7 +221,7 @@
     /// Servers of a zone are gone and its proxies are there: nearly all its callers move, and not onto
     /// one neighbour. A zone without proxies gets nobody.
     #[test]
-    fn aLostZoneIsSpreadAndNobodyIsSentWhereNoProxyIs() {
+    fn a_lost_zone_is_spread_and_nobody_is_sent_where_no_proxy_is() {
         let mut wants = fleet([6.0; 6]);
         wants.get_mut("a1").unwrap().servers = 0.0;
         let (shares, ..) = settle(&wants, &Shares::new());
@@ -229,14 +229,14 @@
         assert!(gone >= 900, "{}", shown(&shares));
         let after = follow(&wants, &shares);
         assert!(after.values().all(|zone| zone.taken < 9.3), "{after:?}");
-        wants.get_mut("a2").unwrap().isPlace = false;
+        wants.get_mut("a2").unwrap().is_place = false;
         let (shares, ..) = settle(&wants, &shares);
         assert!(shares.values().all(|to| !to.contains_key("a2")), "{}", shown(&shares));
     }
 
     /// What is told is late and rough: the shares do not swing.
     #[test]
-    fn lateAndRoughNewsDoesNotMakeItSwing() {
+    fn late_and_rough_news_does_not_make_it_swing() {
         let wants = fleet([13.5, 4.5, 4.5, 4.5, 4.5, 4.5]);
         let (mut shares, mut seen, mut seed) = (Shares::new(), wants.clone(), 7_u64);
         let mut totals = Vec::new();
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -34,7 +34,7 @@
     pub daemon: Arc<daemon::Daemon>,
     pub tally: Arc<Tally>,
     pub platform: Arc<std::sync::Mutex<crate::platform::State>>,
-    pub isReady: std::sync::atomic::AtomicBool,
+    pub is_ready: std::sync::atomic::AtomicBool,
 }
 
 /// A step of the plan takes so long to show: a receipt's TTL, the news, and a second of demand.
@@ -51,11 +51,11 @@
         daemon: daemon.clone(),
         tally: tally.clone(),
         platform: platform.clone(),
-        isReady: std::sync::atomic::AtomicBool::new(false),
+        is_ready: std::sync::atomic::AtomicBool::new(false),
     });
     tokio::spawn(crate::platform::run(daemon.clone(), tally.clone(), platform));
     let keeper =
-        Keeper { registry: registry.clone(), stepAt: Duration::ZERO, tenure: Default::default() };
+        Keeper { registry: registry.clone(), step_at: Duration::ZERO, tenure: Default::default() };
     let keeper = xtra::spawn_tokio(keeper, xtra::Mailbox::unbounded());
     tokio::spawn(async move {
         let mut pulse = tokio::time::interval(Duration::from_millis(100));
@@ -77,7 +77,7 @@
     };
     let http = daemon::HttpSettings::default();
     tokio::select! {
-        _ = daemon::serveHttp(listener, daemon.stop.clone(), http, handler) => {}
+        _ = daemon::serve_http(listener, daemon.stop.clone(), http, handler) => {}
         _ = cut => {}
     }
     // A moment for the siblings to hear that it leaves.
@@ -89,7 +89,7 @@
 #[derive(xtra::Actor)]
 struct Keeper {
     registry: Arc<Registry>,
-    stepAt: Duration,
+    step_at: Duration,
     tenure: crate::duty::Tenure,
 }
 
@@ -102,21 +102,21 @@
         let daemon = &self.registry.daemon;
         let view = daemon.table.load_full();
         // With the word, and with time enough to have heard of the proxies.
-        let ready = view.word.revision > 0 && view.isFresh && !daemon.isStopping();
+        let ready = view.word.revision > 0 && view.is_fresh && !daemon.is_stopping();
         let relaxed = std::sync::atomic::Ordering::Relaxed;
-        if self.registry.isReady.swap(ready, relaxed) != ready {
+        if self.registry.is_ready.swap(ready, relaxed) != ready {
             log::info!("{}", if ready { "ready" } else { "not ready" });
         }
-        let mayHold = self.tenure.mayHold(daemon.clock.now(), view.isFresh);
+        let may_hold = self.tenure.may_hold(daemon.clock.now(), view.is_fresh);
         let report = wire::Report {
             ready,
-            leaving: daemon.isStopping(),
+            leaving: daemon.is_stopping(),
             revision: view.word.revision,
             blank: false,
-            settled: mayHold,
+            settled: may_hold,
         };
         daemon.report(report).await;
-        if !mayHold
+        if !may_hold
             || view.holder(wire::Role::Registry).is_none_or(|card| card.name != daemon.card.name)
         {
             return;
@@ -125,11 +125,11 @@
             return;
         };
         let now = daemon.clock.now();
-        let mayMove = now >= self.stepAt;
-        if mayMove {
-            self.stepAt = now + STEP_SHOWS_AFTER;
+        let may_move = now >= self.step_at;
+        if may_move {
+            self.step_at = now + STEP_SHOWS_AFTER;
         }
-        let plan = crate::duty::next(&view, &daemon.card.name, &sources, mayMove);
+        let plan = crate::duty::next(&view, &daemon.card.name, &sources, may_move);
         if let Some(plan) = plan {
             if plan.epoch != view.plan.epoch {
                 log::info!("has the duty of shares from epoch {} on", plan.epoch);
--- a/setup/src/lib.rs
+++ b/setup/src/lib.rs
@@ -12,7 +12,7 @@
 
 /// A stable 64-bit hash for rendezvous ranks and sticky buckets (design 5.2, 7.3). The same on
 /// every machine and in every version, which the standard library does not promise of its own.
-pub fn stableHash(parts: &[&str]) -> u64 {
+pub fn stable_hash(parts: &[&str]) -> u64 {
     let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
     for part in parts {
         for byte in part.bytes().chain([0xff]) {
--- a/setup/src/model.rs
+++ b/setup/src/model.rs
@@ -29,7 +29,7 @@
     /// Requests that may wait on one proxy.
     pub queue: u64,
     /// The largest body of a request.
-    pub bodyMost: u64,
+    pub body_most: u64,
     pub deadline: std::time::Duration,
 }
 
@@ -37,15 +37,15 @@
 pub struct Service {
     pub name: String,
     pub selector: crate::selector::Selector,
-    pub livenessPath: String,
+    pub liveness_path: String,
     /// The reply header in which a server names itself; empty: servers of this service don't.
-    pub identityHeader: String,
+    pub identity_header: String,
     /// Requests a second, fleet-wide, that one cold server gets at first.
-    pub coldRate: f64,
+    pub cold_rate: f64,
     /// How long a cold server ramps.
-    pub coldPeriod: std::time::Duration,
+    pub cold_period: std::time::Duration,
     /// Requests in one server's hands from one proxy.
-    pub serverRoom: u64,
+    pub server_room: u64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -76,7 +76,7 @@
     pub name: String,
     pub methods: Vec<String>,
     pub host: Option<String>,
-    pub pathPrefix: String,
+    pub path_prefix: String,
     pub class: usize,
     pub service: usize,
     /// Other services that take what the own one has no room for.
@@ -95,7 +95,7 @@
     pub fn matches(&self, method: &str, host: &str, path: &str) -> bool {
         (self.methods.is_empty() || self.methods.iter().any(|one| one == method))
             && self.host.as_deref().is_none_or(|own| own.eq_ignore_ascii_case(host))
-            && underPrefix(path, &self.pathPrefix)
+            && under_prefix(path, &self.path_prefix)
     }
 
     /// Whether every request that `other` matches matches this rule too.
@@ -104,12 +104,12 @@
             || (!other.methods.is_empty()
                 && other.methods.iter().all(|method| self.methods.contains(method)));
         let hosts = self.host.is_none() || self.host == other.host;
-        methods && hosts && underPrefix(&other.pathPrefix, &self.pathPrefix)
+        methods && hosts && under_prefix(&other.path_prefix, &self.path_prefix)
     }
 }
 
 /// Whole segments only: `/stock` covers `/stock/7`, never `/stocks`.
-pub fn underPrefix(path: &str, prefix: &str) -> bool {
+pub fn under_prefix(path: &str, prefix: &str) -> bool {
     match path.strip_prefix(prefix) {
         Some(rest) => prefix.ends_with('/') || rest.is_empty() || rest.starts_with(['/', '?']),
         None => prefix.strip_suffix('/').is_some_and(|bare| !bare.is_empty() && path == bare),
@@ -125,7 +125,7 @@
 }
 
 impl Setup {
-    pub fn ruleFor(&self, method: &str, host: &str, path: &str) -> Option<usize> {
+    pub fn rule_for(&self, method: &str, host: &str, path: &str) -> Option<usize> {
         self.rules.iter().position(|rule| rule.matches(method, host, path))
     }
 }
@@ -148,19 +148,19 @@
             }
         }
         places(&mut reader, object.get("places"), &mut setup);
-        let classNames = names(&mut reader, "$.classes", object.get("classes"), 64);
-        let serviceNames = names(&mut reader, "$.services", object.get("services"), 256);
+        let class_names = names(&mut reader, "$.classes", object.get("classes"), 64);
+        let service_names = names(&mut reader, "$.services", object.get("services"), 256);
         names(&mut reader, "$.rules", object.get("rules"), 1024);
         for (index, entry) in entries(object.get("classes")).iter().enumerate() {
-            class(&mut reader, &format!("$.classes[{index}]"), entry, &classNames, &mut setup);
+            class(&mut reader, &format!("$.classes[{index}]"), entry, &class_names, &mut setup);
         }
         for (index, entry) in entries(object.get("services")).iter().enumerate() {
             service(&mut reader, &format!("$.services[{index}]"), entry, &mut setup);
         }
-        borrowCycles(&mut reader, &setup);
+        borrow_cycles(&mut reader, &setup);
         for (index, entry) in entries(object.get("rules")).iter().enumerate() {
             let path = format!("$.rules[{index}]");
-            rule(&mut reader, &path, entry, &classNames, &serviceNames, &mut setup);
+            rule(&mut reader, &path, entry, &class_names, &service_names, &mut setup);
         }
         for (index, rule) in setup.rules.iter().enumerate() {
             if let Some(above) = setup.rules[..index].iter().find(|above| above.covers(rule)) {
@@ -234,7 +234,7 @@
     reader: &mut crate::read::Reader,
     path: &str,
     entry: &jzon::JsonValue,
-    classNames: &[String],
+    class_names: &[String],
     setup: &mut Setup,
 ) {
     let known =
@@ -258,16 +258,16 @@
     let urgency = reader.whole(&at("urgency"), object.get("urgency"), 0, 100).unwrap_or(100);
     let room = reader.whole(&at("room"), object.get("room"), 1, 100_000).unwrap_or(1024);
     let queue = reader.whole(&at("queue"), object.get("queue"), 0, 100_000).unwrap_or(4096);
-    let bodyMost = reader
+    let body_most = reader
         .whole(&at("bodyMostBytes"), object.get("bodyMostBytes"), 0, 1 << 40)
         .unwrap_or(16 << 20);
-    let deadlineMs = reader.whole(&at("deadlineMs"), object.get("deadlineMs"), 100, 600_000);
+    let deadline_ms = reader.whole(&at("deadlineMs"), object.get("deadlineMs"), 100, 600_000);
     let mut borrows = Vec::new();
     for (index, entry) in reader.array(&at("borrows"), object.get("borrows"), 64).iter().enumerate()
     {
         let path = format!("{path}.borrows[{index}]");
         if let Some(object) = reader.object(&path, entry, &["from", "most"]) {
-            let from = reference(reader, &format!("{path}.from"), object.get("from"), classNames);
+            let from = reference(reader, &format!("{path}.from"), object.get("from"), class_names);
             if object.get("most").is_none() {
                 reader.fault(&format!("{path}.most"), "missing");
             }
@@ -280,11 +280,11 @@
             }
         }
     }
-    let deadline = std::time::Duration::from_millis(deadlineMs.unwrap_or(10_000));
-    setup.classes.push(Class { name, urgency, kind, room, borrows, queue, bodyMost, deadline });
+    let deadline = std::time::Duration::from_millis(deadline_ms.unwrap_or(10_000));
+    setup.classes.push(Class { name, urgency, kind, room, borrows, queue, body_most, deadline });
 }
 
-fn borrowCycles(reader: &mut crate::read::Reader, setup: &Setup) {
+fn borrow_cycles(reader: &mut crate::read::Reader, setup: &Setup) {
     for (index, class) in setup.classes.iter().enumerate() {
         let mut seen = vec![false; setup.classes.len()];
         let mut open: Vec<usize> = class.borrows.iter().map(|borrow| borrow.class).collect();
@@ -316,12 +316,12 @@
         reader.fault(&at("selector"), "missing");
     }
     let selector = selector(reader, &at("selector"), object.get("selector"), false);
-    let livenessPath = reader.needed(&at("livenessPath"), object.get("livenessPath"), 256);
-    let livenessPath = livenessPath.unwrap_or("/").to_string();
-    if !isPath(&livenessPath) {
+    let liveness_path = reader.needed(&at("livenessPath"), object.get("livenessPath"), 256);
+    let liveness_path = liveness_path.unwrap_or("/").to_string();
+    if !is_path(&liveness_path) {
         reader.fault(&at("livenessPath"), "must start with '/' and be plain URL characters");
     }
-    let identityHeader = match reader.text(&at("identityHeader"), object.get("identityHeader"), 64)
+    let identity_header = match reader.text(&at("identityHeader"), object.get("identityHeader"), 64)
     {
         Some(header) if header.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-') => {
             header.to_ascii_lowercase()
@@ -332,32 +332,32 @@
         }
         None => "server-id".to_string(),
     };
-    let mut coldRate = 5.0;
-    let mut coldPeriodMs = 10_000;
+    let mut cold_rate = 5.0;
+    let mut cold_period_ms = 10_000;
     if let Some(cold) = object.get("cold")
         && let Some(object) = reader.object(&at("cold"), cold, &["ratePerSecond", "periodMs"])
     {
-        let ratePath = at("cold.ratePerSecond");
-        coldRate =
-            reader.number(&ratePath, object.get("ratePerSecond"), 0.1, 1e6).unwrap_or(coldRate);
-        coldPeriodMs = reader
+        let rate_path = at("cold.ratePerSecond");
+        cold_rate =
+            reader.number(&rate_path, object.get("ratePerSecond"), 0.1, 1e6).unwrap_or(cold_rate);
+        cold_period_ms = reader
             .whole(&at("cold.periodMs"), object.get("periodMs"), 0, 600_000)
-            .unwrap_or(coldPeriodMs);
+            .unwrap_or(cold_period_ms);
     }
-    let serverRoom =
+    let server_room =
         reader.whole(&at("serverRoom"), object.get("serverRoom"), 1, 10_000).unwrap_or(64);
     setup.services.push(Service {
         name,
         selector,
-        livenessPath,
-        identityHeader,
-        coldRate,
-        coldPeriod: std::time::Duration::from_millis(coldPeriodMs),
-        serverRoom,
+        liveness_path,
+        identity_header,
+        cold_rate,
+        cold_period: std::time::Duration::from_millis(cold_period_ms),
+        server_room,
     });
 }
 
-fn isPath(text: &str) -> bool {
+fn is_path(text: &str) -> bool {
     text.starts_with('/')
         && text.bytes().all(|byte| byte.is_ascii_graphic() && !b"\"#<>?\\^`{|}".contains(&byte))
 }
@@ -373,7 +373,7 @@
         return all;
     };
     match crate::selector::Selector::parse(text) {
-        Ok(selector) if !relative && selector.isRelative() => {
+        Ok(selector) if !relative && selector.is_relative() => {
             reader.fault(path, "@zone and @region have no meaning here");
             all
         }
@@ -389,8 +389,8 @@
     reader: &mut crate::read::Reader,
     path: &str,
     entry: &jzon::JsonValue,
-    classNames: &[String],
-    serviceNames: &[String],
+    class_names: &[String],
+    service_names: &[String],
     setup: &mut Setup,
 ) {
     let known = ["name", "match", "class", "service", "spill", "prefer", "regions"];
@@ -398,12 +398,12 @@
     let empty = jzon::object::Object::new();
     let object = reader.object(path, entry, &known).unwrap_or(&empty);
     let name = reader.name(&at("name"), object.get("name")).unwrap_or_default();
-    let class = reference(reader, &at("class"), object.get("class"), classNames);
-    let service = reference(reader, &at("service"), object.get("service"), serviceNames);
+    let class = reference(reader, &at("class"), object.get("class"), class_names);
+    let service = reference(reader, &at("service"), object.get("service"), service_names);
 
     let mut methods = Vec::new();
     let mut host = None;
-    let mut pathPrefix = "/".to_string();
+    let mut path_prefix = "/".to_string();
     if let Some(value) = object.get("match")
         && let Some(object) = reader.object(&at("match"), value, &["methods", "host", "pathPrefix"])
     {
@@ -433,8 +433,8 @@
             reader.fault(&at("match.host"), "not a host's name");
         }
         if let Some(prefix) = reader.text(&at("match.pathPrefix"), object.get("pathPrefix"), 1024) {
-            if isPath(prefix) {
-                pathPrefix = prefix.to_string();
+            if is_path(prefix) {
+                path_prefix = prefix.to_string();
             } else {
                 reader.fault(&at("match.pathPrefix"), "can never match: not a path");
             }
@@ -444,7 +444,7 @@
     let mut spill = Vec::new();
     for (index, value) in reader.array(&at("spill"), object.get("spill"), 16).iter().enumerate() {
         let path = at(&format!("spill[{index}]"));
-        if let Some(other) = reference(reader, &path, Some(value), serviceNames) {
+        if let Some(other) = reference(reader, &path, Some(value), service_names) {
             if Some(other) == service || spill.contains(&other) {
                 reader.fault(&path, "named twice");
             }
@@ -479,22 +479,22 @@
             let Some(object) = reader.object(&path, entry, &["places", "share"]) else {
                 continue;
             };
-            let placesPath = format!("{path}.places");
+            let places_path = format!("{path}.places");
             if object.get("places").is_none() {
-                reader.fault(&placesPath, "missing");
+                reader.fault(&places_path, "missing");
             }
-            let places = selector(reader, &placesPath, object.get("places"), true);
-            if !places.isRelative() && !setup.places.is_empty() {
+            let places = selector(reader, &places_path, object.get("places"), true);
+            if !places.is_relative() && !setup.places.is_empty() {
                 let view = crate::selector::Viewpoint::default();
                 if !setup.places.iter().any(|place| places.matches(place, view)) {
-                    reader.fault(&placesPath, "matches no place");
+                    reader.fault(&places_path, "matches no place");
                 }
             }
-            let sharePath = format!("{path}.share");
+            let share_path = format!("{path}.share");
             if object.get("share").is_none() {
-                reader.fault(&sharePath, "missing");
+                reader.fault(&share_path, "missing");
             }
-            let share = reader.number(&sharePath, object.get("share"), 0.0, 100.0).unwrap_or(0.0);
+            let share = reader.number(&share_path, object.get("share"), 0.0, 100.0).unwrap_or(0.0);
             preferences.push(Preference { places, share });
         }
         let sum: f64 = preferences.iter().map(|one| one.share).sum();
@@ -508,7 +508,7 @@
         name,
         methods,
         host,
-        pathPrefix,
+        path_prefix,
         class: class.unwrap_or_default(),
         service: service.unwrap_or_default(),
         spill,
@@ -551,25 +551,25 @@
     }
 
     #[test]
-    fn goodSetupIsTakenAndRoutes() {
+    fn good_setup_is_taken_and_routes() {
         let setup = super::parse(GOOD.as_bytes()).unwrap();
-        assert_eq!(setup.ruleFor("POST", "h", "/orders/7"), Some(0));
-        assert_eq!(setup.ruleFor("POST", "h", "/ordersx"), Some(2));
-        assert_eq!(setup.ruleFor("GET", "h", "/papers"), Some(1));
-        assert_eq!(setup.ruleFor("GET", "h", "/papers/1?x=2"), Some(1));
-        assert_eq!(setup.ruleFor("GET", "h", "/orders"), Some(2));
+        assert_eq!(setup.rule_for("POST", "h", "/orders/7"), Some(0));
+        assert_eq!(setup.rule_for("POST", "h", "/ordersx"), Some(2));
+        assert_eq!(setup.rule_for("GET", "h", "/papers"), Some(1));
+        assert_eq!(setup.rule_for("GET", "h", "/papers/1?x=2"), Some(1));
+        assert_eq!(setup.rule_for("GET", "h", "/orders"), Some(2));
     }
 
     /// The one that operators are shown is taken.
     #[test]
-    fn theExampleOfTheDocsIsTaken() {
+    fn the_example_of_the_docs_is_taken() {
         let text = include_str!("../../docs/setup.example.json");
         assert_eq!(faults(text), "taken");
     }
 
     /// Each kind of fault, one at a time, put into the good setup.
     #[test]
-    fn eachFaultIsNamedByItsPath() {
+    fn each_fault_is_named_by_its_path() {
         let mut shown = String::new();
         for (from, to) in [
             (r#""urgency": 1"#, r#""urgency": 1, "colour": 2"#),
--- a/setup/src/platform.rs
+++ b/setup/src/platform.rs
@@ -73,23 +73,26 @@
     let id = reader.name(&format!("{path}.id"), object.get("id"));
     let region = reader.name(&format!("{path}.region"), object.get("region"));
     let zone = reader.name(&format!("{path}.zone"), object.get("zone"));
-    let addressPath = format!("{path}.address");
-    let address = reader.needed(&addressPath, object.get("address"), 64).and_then(|text| {
-        match text.parse::<std::net::SocketAddr>() {
-            Ok(address) if address.port() != 0 && !address.ip().is_unspecified() => Some(address),
-            _ => {
-                reader.fault(&addressPath, "must be an IP number and a port");
-                None
+    let address_path = format!("{path}.address");
+    let address =
+        reader.needed(&address_path, object.get("address"), 64).and_then(|text| {
+            match text.parse::<std::net::SocketAddr>() {
+                Ok(address) if address.port() != 0 && !address.ip().is_unspecified() => {
+                    Some(address)
+                }
+                _ => {
+                    reader.fault(&address_path, "must be an IP number and a port");
+                    None
+                }
             }
-        }
-    });
+        });
     let labels = labels(reader, &format!("{path}.labels"), object.get("labels"));
-    let statePath = format!("{path}.state");
-    let leaving = match reader.needed(&statePath, object.get("state"), 16) {
+    let state_path = format!("{path}.state");
+    let leaving = match reader.needed(&state_path, object.get("state"), 16) {
         Some("ready") => Some(false),
         Some("leaving") => Some(true),
         Some(_) => {
-            reader.fault(&statePath, "must be ready or leaving");
+            reader.fault(&state_path, "must be ready or leaving");
             None
         }
         None => None,
@@ -105,7 +108,7 @@
 }
 
 /// Labels as the platform's document and the status show them.
-pub fn labelsAsJson<'l>(
+pub fn labels_as_json<'l>(
     labels: impl IntoIterator<Item = (&'l String, &'l String)>,
 ) -> jzon::JsonValue {
     let mut value = jzon::JsonValue::new_object();
@@ -128,15 +131,15 @@
         return labels;
     };
     for (key, value) in object.iter() {
-        let keyPath = format!("{path}.{key}");
-        if !crate::selector::isLabel(key) || key == "zone" || key == "region" {
-            reader.fault(&keyPath, "not usable as a label's key");
+        let key_path = format!("{path}.{key}");
+        if !crate::selector::is_label(key) || key == "zone" || key == "region" {
+            reader.fault(&key_path, "not usable as a label's key");
         }
-        if let Some(text) = reader.text(&keyPath, Some(value), 63) {
-            if crate::selector::isLabel(text) {
+        if let Some(text) = reader.text(&key_path, Some(value), 63) {
+            if crate::selector::is_label(text) {
                 labels.insert(key.to_string(), text.to_string());
             } else {
-                reader.fault(&keyPath, "not usable as a label's value");
+                reader.fault(&key_path, "not usable as a label's value");
             }
         }
     }
--- a/setup/src/read.rs
+++ b/setup/src/read.rs
@@ -32,7 +32,7 @@
         // The depth walked later is bounded here, before any recursion.
         match jzon::parse(text) {
             Ok(value) => {
-                duplicateKeys(text, self);
+                duplicate_keys(text, self);
                 Some(value)
             }
             Err(error) => {
@@ -117,7 +117,7 @@
     /// A name: lower case letters, digits, `-` and `_`, 1 to 63 of them.
     pub fn name(&mut self, path: &str, value: Option<&jzon::JsonValue>) -> Option<String> {
         let text = self.needed(path, value, 63)?;
-        if isName(text) {
+        if is_name(text) {
             Some(text.to_string())
         } else {
             self.fault(path, "must be 1 to 63 of a-z, 0-9, '-' and '_'");
@@ -171,7 +171,7 @@
     }
 }
 
-pub fn isName(text: &str) -> bool {
+pub fn is_name(text: &str) -> bool {
     (1..=63).contains(&text.len())
         && text
             .bytes()
@@ -179,7 +179,7 @@
 }
 
 /// Walks a text that `jzon` has already accepted and names each key that an object repeats.
-fn duplicateKeys(text: &str, reader: &mut Reader) {
+fn duplicate_keys(text: &str, reader: &mut Reader) {
     enum Level {
         Object(std::collections::HashSet<String>, String, bool),
         Array(usize),
@@ -195,7 +195,7 @@
                 levels.pop();
             }
             b',' => match levels.last_mut() {
-                Some(Level::Object(_, _, wantKey)) => *wantKey = true,
+                Some(Level::Object(_, _, want_key)) => *want_key = true,
                 Some(Level::Array(index)) => *index += 1,
                 None => {}
             },
@@ -205,8 +205,8 @@
                 while bytes[at] != b'"' {
                     at += if bytes[at] == b'\\' { 2 } else { 1 };
                 }
-                let isKey = matches!(levels.last(), Some(Level::Object(_, _, true)));
-                if isKey {
+                let is_key = matches!(levels.last(), Some(Level::Object(_, _, true)));
+                if is_key {
                     let key = jzon::parse(&text[start..=at])
                         .ok()
                         .and_then(|value| value.as_str().map(str::to_string))
@@ -218,8 +218,8 @@
                             Level::Array(index) => path += &format!("[{index}]"),
                         }
                     }
-                    if let Some(Level::Object(seen, current, wantKey)) = levels.last_mut() {
-                        *wantKey = false;
+                    if let Some(Level::Object(seen, current, want_key)) = levels.last_mut() {
+                        *want_key = false;
                         if !seen.insert(key.clone()) {
                             reader.fault(&format!("{path}.{key}"), "duplicate key");
                         }
@@ -234,7 +234,7 @@
 }
 
 /// Faults as the JSON list that every interface shows.
-pub fn faultsAsJson(faults: &[Fault]) -> jzon::JsonValue {
+pub fn faults_as_json(faults: &[Fault]) -> jzon::JsonValue {
     jzon::JsonValue::Array(
         faults
             .iter()
--- a/setup/src/selector.rs
+++ b/setup/src/selector.rs
@@ -86,7 +86,7 @@
     }
 
     /// Whether the selector speaks of the caller's own place.
-    pub fn isRelative(&self) -> bool {
+    pub fn is_relative(&self) -> bool {
         self.nodes.iter().any(|node| match node {
             Node::Equal(_, value) => value.starts_with('@'),
             Node::In(_, values) => values.iter().any(|value| value.starts_with('@')),
@@ -111,10 +111,10 @@
                 word.push('=');
             }
             words.push(word);
-        } else if isLabelChar(next) || next == '@' {
+        } else if is_label_char(next) || next == '@' {
             let mut word = String::new();
             while let Some(&more) = chars.peek() {
-                if isLabelChar(more) || more == '@' {
+                if is_label_char(more) || more == '@' {
                     word.push(more);
                     chars.next();
                 } else {
@@ -129,14 +129,14 @@
     Ok(words)
 }
 
-fn isLabelChar(next: char) -> bool {
+fn is_label_char(next: char) -> bool {
     next.is_ascii_alphanumeric() || "-_./:".contains(next)
 }
 
 /// Whether a text can stand as a label's key or value.
-pub fn isLabel(text: &str) -> bool {
+pub fn is_label(text: &str) -> bool {
     (1..=63).contains(&text.len())
-        && text.chars().all(isLabelChar)
+        && text.chars().all(is_label_char)
         && !["and", "or", "not", "in", "has", "all"].contains(&text)
 }
 
@@ -237,7 +237,7 @@
 
     fn label(&mut self, what: &str) -> Result<String, String> {
         match self.words.get(self.at) {
-            Some(word) if isLabel(word) => {
+            Some(word) if is_label(word) => {
                 self.at += 1;
                 Ok(self.words[self.at - 1].clone())
             }
@@ -259,7 +259,7 @@
 #[cfg(test)]
 mod tests {
     #[test]
-    fn selectorsReadAsWritten() {
+    fn selectors_read_as_written() {
         let labels: std::collections::BTreeMap<String, String> =
             [("app", "orders"), ("zone", "a1"), ("region", "a")]
                 .map(|(key, value)| (key.to_string(), value.to_string()))
--- a/setup/src/settings.rs
+++ b/setup/src/settings.rs
@@ -19,10 +19,10 @@
     pub listen: std::net::SocketAddr,
     pub advertise: std::net::SocketAddr,
     /// Between the system's own daemons.
-    pub siblingListen: std::net::SocketAddr,
-    pub siblingAdvertise: std::net::SocketAddr,
+    pub sibling_listen: std::net::SocketAddr,
+    pub sibling_advertise: std::net::SocketAddr,
     pub seeds: Vec<std::net::SocketAddr>,
-    pub dataFolder: Option<std::path::PathBuf>,
+    pub data_folder: Option<std::path::PathBuf>,
     pub seat: Option<usize>,
     /// Where the platform list is read: `http://IP:PORT/PATH`.
     pub platform: Option<String>,
@@ -172,17 +172,17 @@
     let zone = reader.name("$.zone", values.get("zone"));
     let listen = address(reader, "$.listen", values.get("listen"), false, true);
     let advertise = address(reader, "$.advertise", values.get("advertise"), true, false).or(listen);
-    let siblingListen =
+    let sibling_listen =
         address(reader, "$.siblingListen", values.get("siblingListen"), false, true);
-    let siblingAdvertise =
+    let sibling_advertise =
         address(reader, "$.siblingAdvertise", values.get("siblingAdvertise"), true, false)
-            .or(siblingListen);
-    for (key, address) in [("advertise", advertise), ("siblingAdvertise", siblingAdvertise)] {
+            .or(sibling_listen);
+    for (key, address) in [("advertise", advertise), ("siblingAdvertise", sibling_advertise)] {
         if address.is_some_and(|address| address.ip().is_unspecified()) {
             reader.fault(&format!("$.{key}"), "others cannot reach an unspecified address");
         }
     }
-    if listen.is_some() && listen == siblingListen {
+    if listen.is_some() && listen == sibling_listen {
         reader.fault("$.siblingListen", "the same as listen");
     }
     let mut seeds = Vec::new();
@@ -202,7 +202,7 @@
     if values.get("seeds").is_some() && listed.is_empty() {
         reader.fault("$.seeds", "at least one is needed");
     }
-    let dataFolder =
+    let data_folder =
         reader.text("$.dataFolder", values.get("dataFolder"), 4096).map(std::path::PathBuf::from);
     let seat = reader.whole("$.seat", values.get("seat"), 0, 2).map(|seat| seat as usize);
     if role == Role::Store {
@@ -214,14 +214,14 @@
     }
     let platform = reader.text("$.platform", values.get("platform"), 1024).map(str::to_string);
     if let Some(platform) = &platform
-        && splitUrl(platform).is_none()
+        && split_url(platform).is_none()
     {
         reader.fault("$.platform", "must be http://IP:PORT/PATH");
     }
     if role == Role::Registry && values.get("platform").is_none() {
         reader.fault("$.platform", "missing");
     }
-    let graceMs = reader.whole("$.graceMs", values.get("graceMs"), 0, 600_000).unwrap_or(10_000);
+    let grace_ms = reader.whole("$.graceMs", values.get("graceMs"), 0, 600_000).unwrap_or(10_000);
     Some(Settings {
         role,
         fleet: fleet?,
@@ -230,13 +230,13 @@
         zone: zone?,
         listen: listen?,
         advertise: advertise?,
-        siblingListen: siblingListen?,
-        siblingAdvertise: siblingAdvertise?,
+        sibling_listen: sibling_listen?,
+        sibling_advertise: sibling_advertise?,
         seeds,
-        dataFolder,
+        data_folder,
         seat,
         platform,
-        grace: std::time::Duration::from_millis(graceMs),
+        grace: std::time::Duration::from_millis(grace_ms),
         rescue: false,
     })
 }
@@ -264,7 +264,7 @@
 }
 
 /// `http://IP:PORT/PATH` to its address and path.
-pub fn splitUrl(url: &str) -> Option<(std::net::SocketAddr, &str)> {
+pub fn split_url(url: &str) -> Option<(std::net::SocketAddr, &str)> {
     let rest = url.strip_prefix("http://")?;
     let slash = rest.find('/')?;
     Some((rest[..slash].parse().ok()?, &rest[slash..]))
@@ -282,7 +282,7 @@
     }
 
     #[test]
-    fn flagsAloneAreEnoughAndFaultsNameTheKey() {
+    fn flags_alone_are_enough_and_faults_name_the_key() {
         let good = [
             "--name=p1",
             "--region=a",
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -56,15 +56,15 @@
     pub live: Vec<(wire::Card, wire::Report)>,
     /// Not live any more, as last heard of: dead, or cut off from here.
     pub lost: Vec<(wire::Card, wire::Report)>,
-    pub isFresh: bool,
+    pub is_fresh: bool,
     /// No sibling has replied for a while: others may know more.
-    pub isAlone: bool,
+    pub is_alone: bool,
 }
 
 impl View {
     /// Whether what time alone changes is still as it was when this view was made.
-    pub fn isUpToDate(&self, core: &news::News, now: Duration) -> bool {
-        self.isFresh == core.isFresh(now) && self.isAlone == core.isAlone(now)
+    pub fn is_up_to_date(&self, core: &news::News, now: Duration) -> bool {
+        self.is_fresh == core.is_fresh(now) && self.is_alone == core.is_alone(now)
     }
 
     /// What the news amount to now, and the changes worth a line.
@@ -72,28 +72,28 @@
         let mut notes = Vec::new();
         let word = core.word.clone();
         let mut setup = before.setup.clone();
-        if word.setupRevision != before.word.setupRevision {
+        if word.setup_revision != before.word.setup_revision {
             match vanepath_setup::model::parse(&word.setup) {
                 Ok(parsed) => {
                     setup = Arc::new(parsed);
-                    notes.push(format!("setup of revision {} is in force", word.setupRevision));
+                    notes.push(format!("setup of revision {} is in force", word.setup_revision));
                 }
                 // An older program and a newer setup: it goes on with what it can read.
                 Err(faults) => notes.push(format!(
                     "setup of revision {} cannot be read by this version: {}",
-                    word.setupRevision, faults[0]
+                    word.setup_revision, faults[0]
                 )),
             }
         }
         let live: Vec<(wire::Card, wire::Report)> =
             core.live(now).map(|(card, report)| (card.clone(), report.clone())).collect();
-        let isIn = |name: &str, list: &[(wire::Card, wire::Report)]| {
+        let is_in = |name: &str, list: &[(wire::Card, wire::Report)]| {
             list.iter().any(|(card, _)| card.name == name)
         };
-        for (card, _) in live.iter().filter(|(card, _)| !isIn(&card.name, &before.live)) {
+        for (card, _) in live.iter().filter(|(card, _)| !is_in(&card.name, &before.live)) {
             notes.push(format!("{} {} in zone {} is live", card.role, card.name, card.zone));
         }
-        for (old, _) in before.live.iter().filter(|(old, _)| !isIn(&old.name, &live)) {
+        for (old, _) in before.live.iter().filter(|(old, _)| !is_in(&old.name, &live)) {
             notes.push(format!("{} {} in zone {} is not live", old.role, old.name, old.zone));
         }
         let view = View {
@@ -103,8 +103,8 @@
             plan: core.plan.clone(),
             live,
             lost: core.lost(now).map(|(card, report)| (card.clone(), report.clone())).collect(),
-            isFresh: core.isFresh(now),
-            isAlone: core.isAlone(now),
+            is_fresh: core.is_fresh(now),
+            is_alone: core.is_alone(now),
         };
         (view, notes)
     }
@@ -128,7 +128,7 @@
     view: tokio::sync::watch::Sender<Arc<View>>,
     table: Arc<arc_swap::ArcSwap<View>>,
     waiting: std::collections::HashMap<u64, tokio::sync::oneshot::Sender<wire::News>>,
-    pulsedAtMs: Arc<std::sync::atomic::AtomicU64>,
+    pulsed_at_ms: Arc<std::sync::atomic::AtomicU64>,
 }
 
 /// An event for the core.
@@ -146,14 +146,14 @@
                 news::Effect::Pull { address, pull } => {
                     let links = self.links.clone();
                     let own = own.clone();
-                    let otherZone = self.core.sources.iter().any(|source| {
-                        source.card.siblingAddress == address
+                    let other_zone = self.core.sources.iter().any(|source| {
+                        source.card.sibling_address == address
                             && source.card.zone != self.core.own().zone
                     });
                     tokio::spawn(async move {
-                        let limit = Duration::from_millis(u64::from(pull.waitMs) + 1000);
+                        let limit = Duration::from_millis(u64::from(pull.wait_ms) + 1000);
                         let request = wire::Request::Pull(pull);
-                        let told = match links.call(address, &request, limit, otherZone).await {
+                        let told = match links.call(address, &request, limit, other_zone).await {
                             Ok(wire::Reply::News(news)) => Some(Box::new(news)),
                             _ => None,
                         };
@@ -197,15 +197,15 @@
     async fn handle(&mut self, Tell(event): Tell, context: &mut xtra::Context<Self>) {
         let own = context.mailbox().address().try_upgrade();
         let Some(own) = own else { return };
-        let isPulse = matches!(event, news::Event::Pulse);
+        let is_pulse = matches!(event, news::Event::Pulse);
         let now = self.clock.now();
         let effects = self.core.step(now, event);
         self.perform(effects, &own);
-        if isPulse {
-            let nowMs = now.as_millis() as u64;
-            self.pulsedAtMs.store(nowMs, std::sync::atomic::Ordering::Relaxed);
+        if is_pulse {
+            let now_ms = now.as_millis() as u64;
+            self.pulsed_at_ms.store(now_ms, std::sync::atomic::Ordering::Relaxed);
         }
-        if isPulse && !self.table.load().isUpToDate(&self.core, now) {
+        if is_pulse && !self.table.load().is_up_to_date(&self.core, now) {
             self.publish();
         }
     }
@@ -242,14 +242,14 @@
     pub settings: vanepath_setup::settings::Settings,
     pub clock: Clock,
     pub links: Arc<link::Caller>,
-    pub linkTally: Arc<link::Tally>,
+    pub link_tally: Arc<link::Tally>,
     pub news: xtra::Address<NewsActor>,
     pub table: Arc<arc_swap::ArcSwap<View>>,
     pub view: tokio::sync::watch::Receiver<Arc<View>>,
     /// Turns true when the daemon was told to stop.
     pub stop: tokio::sync::watch::Receiver<bool>,
     pub card: wire::Card,
-    pulsedAtMs: Arc<std::sync::atomic::AtomicU64>,
+    pulsed_at_ms: Arc<std::sync::atomic::AtomicU64>,
 }
 
 /// Answers the requests that belong to a daemon's own slice.
@@ -261,7 +261,7 @@
     pub async fn start(
         settings: vanepath_setup::settings::Settings,
         seat: Option<(u8, u64)>,
-        storeHandler: Option<StoreHandler>,
+        store_handler: Option<StoreHandler>,
     ) -> Result<Arc<Daemon>, miette::Report> {
         let clock = Clock::start();
         let card = wire::Card {
@@ -270,17 +270,17 @@
             region: settings.region.clone(),
             zone: settings.zone.clone(),
             address: settings.advertise,
-            siblingAddress: settings.siblingAdvertise,
+            sibling_address: settings.sibling_advertise,
             seat,
         };
-        let linkTally: Arc<link::Tally> = Arc::default();
+        let link_tally: Arc<link::Tally> = Arc::default();
         let greeting = wire::Greeting {
             system: wire::SYSTEM.to_string(),
             fleet: settings.fleet.clone(),
             name: settings.name.clone(),
         };
-        let links = Arc::new(link::Caller::new(greeting.clone(), linkTally.clone()));
-        let listener = bind("siblingListen", settings.siblingListen).await?;
+        let links = Arc::new(link::Caller::new(greeting.clone(), link_tally.clone()));
+        let listener = bind("siblingListen", settings.sibling_listen).await?;
         // Rises with each start in ordinary running; where the wall clock went back, the news
         // core outlives the earlier life (design 5.3).
         let life = std::time::SystemTime::now()
@@ -294,15 +294,15 @@
             core,
             clock,
             links: links.clone(),
-            tally: linkTally.clone(),
+            tally: link_tally.clone(),
             view: sender,
             table: table.clone(),
             waiting: std::collections::HashMap::new(),
-            pulsedAtMs: Arc::default(),
+            pulsed_at_ms: Arc::default(),
         };
-        let pulsedAtMs = actor.pulsedAtMs.clone();
+        let pulsed_at_ms = actor.pulsed_at_ms.clone();
         let news = xtra::spawn_tokio(actor, xtra::Mailbox::unbounded());
-        let (stopSender, stop) = tokio::sync::watch::channel(false);
+        let (stop_sender, stop) = tokio::sync::watch::channel(false);
         let mut terminate =
             tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
                 .map_err(|error| miette::miette!("cannot watch for signals: {error}"))?;
@@ -312,16 +312,16 @@
                 _ = tokio::signal::ctrl_c() => {}
             }
             log::info!("told to stop");
-            stopSender.send_replace(true);
+            stop_sender.send_replace(true);
             // Kept, so that receivers never see a closed channel.
             std::future::pending::<()>().await;
         });
-        tokio::spawn(serveSiblings(
+        tokio::spawn(serve_siblings(
             listener,
             greeting,
-            linkTally.clone(),
+            link_tally.clone(),
             news.clone(),
-            storeHandler,
+            store_handler,
         ));
         let pulsed = news.clone();
         tokio::spawn(async move {
@@ -340,19 +340,19 @@
             settings.name,
             settings.zone,
             settings.listen,
-            settings.siblingListen
+            settings.sibling_listen
         );
         Ok(Arc::new(Daemon {
             settings,
             clock,
             links,
-            linkTally,
+            link_tally,
             news,
             table,
             view,
             stop,
             card,
-            pulsedAtMs,
+            pulsed_at_ms,
         }))
     }
 
@@ -361,28 +361,28 @@
     }
 
     /// False right after a freeze, before the pulse that will find it out (design 5.5).
-    pub fn isAwake(&self) -> bool {
-        let pulsedAtMs = self.pulsedAtMs.load(std::sync::atomic::Ordering::Relaxed);
-        self.clock.now().saturating_sub(Duration::from_millis(pulsedAtMs)) < news::FREEZE
+    pub fn is_awake(&self) -> bool {
+        let pulsed_at_ms = self.pulsed_at_ms.load(std::sync::atomic::Ordering::Relaxed);
+        self.clock.now().saturating_sub(Duration::from_millis(pulsed_at_ms)) < news::FREEZE
     }
 
-    pub fn isStopping(&self) -> bool {
+    pub fn is_stopping(&self) -> bool {
         *self.stop.borrow()
     }
 }
 
-async fn serveSiblings(
+async fn serve_siblings(
     listener: tokio::net::TcpListener,
     greeting: wire::Greeting,
     tally: Arc<link::Tally>,
     news: xtra::Address<NewsActor>,
-    storeHandler: Option<StoreHandler>,
+    store_handler: Option<StoreHandler>,
 ) {
     let tickets = Arc::new(std::sync::atomic::AtomicU64::new(0));
     let handler = move |request: wire::Request| {
         let news = news.clone();
         let tickets = tickets.clone();
-        let storeHandler = storeHandler.clone();
+        let store_handler = store_handler.clone();
         async move {
             match request {
                 wire::Request::Pull(pull) => {
@@ -394,7 +394,7 @@
                         Err(_) => wire::Reply::NoDuty,
                     }
                 }
-                wire::Request::Store(bytes) => match storeHandler {
+                wire::Request::Store(bytes) => match store_handler {
                     Some(handler) => handler(bytes.into_vec()).await,
                     None => wire::Reply::NoDuty,
                 },
@@ -415,7 +415,7 @@
 
 /// Serves HTTP until `stop` turns true; then no new connections, and those open end after the
 /// request in hand.
-pub async fn serveHttp<H, F>(
+pub async fn serve_http<H, F>(
     listener: tokio::net::TcpListener,
     mut stop: tokio::sync::watch::Receiver<bool>,
     settings: HttpSettings,
@@ -449,9 +449,9 @@
             let mut builder = hyper::server::conn::http1::Builder::new();
             builder
                 .timer(hyper_util::rt::TokioTimer::new())
-                .header_read_timeout(settings.headerLimit)
-                .preserve_header_case(settings.preserveHeaderCase)
-                .max_buf_size(settings.bufferMost)
+                .header_read_timeout(settings.header_limit)
+                .preserve_header_case(settings.preserve_header_case)
+                .max_buf_size(settings.buffer_most)
                 .half_close(false);
             let connection =
                 builder.serve_connection(hyper_util::rt::TokioIo::new(stream), service);
@@ -475,17 +475,17 @@
 
 #[derive(Clone, Copy)]
 pub struct HttpSettings {
-    pub headerLimit: Duration,
-    pub preserveHeaderCase: bool,
-    pub bufferMost: usize,
+    pub header_limit: Duration,
+    pub preserve_header_case: bool,
+    pub buffer_most: usize,
 }
 
 impl Default for HttpSettings {
     fn default() -> HttpSettings {
         HttpSettings {
-            headerLimit: Duration::from_secs(30),
-            preserveHeaderCase: false,
-            bufferMost: 64 << 10,
+            header_limit: Duration::from_secs(30),
+            preserve_header_case: false,
+            buffer_most: 64 << 10,
         }
     }
 }
@@ -526,7 +526,7 @@
         }
         "/v1/metrics" => {
             let mut all = jzon::JsonValue::new_object();
-            daemon.linkTally.show(&mut all);
+            daemon.link_tally.show(&mut all);
             metrics(&mut all);
             Some(json(hyper::StatusCode::OK, &all))
         }
--- a/sibling/src/kin.rs
+++ b/sibling/src/kin.rs
@@ -15,15 +15,15 @@
 /// kind.
 pub fn siblings(own: &Known<'_>, live: &[Known<'_>]) -> Vec<usize> {
     let rank = |index: &usize| {
-        (vanepath_setup::stableHash(&[own.name, live[*index].name]), live[*index].name)
+        (vanepath_setup::stable_hash(&[own.name, live[*index].name]), live[*index].name)
     };
     let all = || 0..live.len();
     let mut chosen = Vec::new();
-    let place = |name: &str| vanepath_setup::stableHash(&["ring", name]);
-    let ownPlace = place(own.name);
+    let place = |name: &str| vanepath_setup::stable_hash(&["ring", name]);
+    let own_place = place(own.name);
     chosen.extend(all().min_by_key(|index| {
         let name = live[*index].name;
-        (place(name).wrapping_sub(ownPlace), name)
+        (place(name).wrapping_sub(own_place), name)
     }));
     chosen.extend(
         all()
@@ -70,7 +70,7 @@
     /// News from any daemon reaches all others along the pulls, whole or with a zone, a region
     /// or every registry gone; and nobody has more than a few siblings.
     #[test]
-    fn newsReachesAllWhicheverPlaceIsGone() {
+    fn news_reaches_all_whichever_place_is_gone() {
         let mut most = 0;
         for proxies in [8, 12] {
             let whole = fleet(proxies);
--- a/sibling/src/link.rs
+++ b/sibling/src/link.rs
@@ -33,7 +33,7 @@
     TurnedAway,
 }
 
-async fn readFrame<T: serde::de::DeserializeOwned>(
+async fn read_frame<T: serde::de::DeserializeOwned>(
     stream: &mut tokio::net::TcpStream,
     tally: &Tally,
 ) -> Result<(T, usize), Broken> {
@@ -60,7 +60,7 @@
     }
 }
 
-async fn writeFrame<T: serde::Serialize>(
+async fn write_frame<T: serde::Serialize>(
     stream: &mut tokio::net::TcpStream,
     value: &T,
     tally: &Tally,
@@ -101,12 +101,12 @@
         address: std::net::SocketAddr,
         request: &wire::Request,
         limit: Duration,
-        otherZone: bool,
+        other_zone: bool,
     ) -> Result<wire::Reply, Broken> {
         self.tally.one(Counter::SiblingCalls);
-        let outcome = tokio::time::timeout(limit, self.callOnce(address, request)).await;
+        let outcome = tokio::time::timeout(limit, self.call_once(address, request)).await;
         let outcome = outcome.unwrap_or(Err(Broken::Closed));
-        if otherZone && let Ok((_, bytes)) = &outcome {
+        if other_zone && let Ok((_, bytes)) = &outcome {
             self.tally.add(Counter::SiblingBytesOtherZone, *bytes as u64);
         }
         if outcome.is_err() {
@@ -117,7 +117,7 @@
         outcome.map(|(reply, _)| reply)
     }
 
-    async fn callOnce(
+    async fn call_once(
         &self,
         address: std::net::SocketAddr,
         request: &wire::Request,
@@ -134,8 +134,8 @@
                 let connected = tokio::net::TcpStream::connect(address).await;
                 let mut stream = connected.map_err(|_| Broken::Closed)?;
                 let _ = stream.set_nodelay(true);
-                writeFrame(&mut stream, &self.greeting, &self.tally).await?;
-                let (theirs, _) = readFrame::<wire::Greeting>(&mut stream, &self.tally).await?;
+                write_frame(&mut stream, &self.greeting, &self.tally).await?;
+                let (theirs, _) = read_frame::<wire::Greeting>(&mut stream, &self.tally).await?;
                 if theirs.system != self.greeting.system || theirs.fleet != self.greeting.fleet {
                     self.tally.one(Counter::SiblingsTurnedAway);
                     return Err(Broken::TurnedAway);
@@ -143,8 +143,8 @@
                 stream
             }
         };
-        let sent = writeFrame(&mut stream, request, &self.tally).await?;
-        let (reply, got) = readFrame(&mut stream, &self.tally).await?;
+        let sent = write_frame(&mut stream, request, &self.tally).await?;
+        let (reply, got) = read_frame(&mut stream, &self.tally).await?;
         let mut idle = self.idle.lock().expect("no panic under this lock");
         let kept = idle.entry(address).or_default();
         if kept.len() < IDLE_MOST {
@@ -194,15 +194,15 @@
     F: Future<Output = wire::Reply>,
 {
     let limit = Duration::from_secs(5);
-    let first = tokio::time::timeout(limit, readFrame(&mut stream, tally)).await;
+    let first = tokio::time::timeout(limit, read_frame(&mut stream, tally)).await;
     let (theirs, _): (wire::Greeting, _) = first.unwrap_or(Err(Broken::Closed))?;
-    writeFrame(&mut stream, &greeting, tally).await?;
+    write_frame(&mut stream, &greeting, tally).await?;
     if theirs.system != greeting.system || theirs.fleet != greeting.fleet {
         tally.one(Counter::SiblingsTurnedAway);
         return Err(Broken::TurnedAway);
     }
     loop {
-        let next = tokio::time::timeout(SILENT_MOST, readFrame(&mut stream, tally)).await;
+        let next = tokio::time::timeout(SILENT_MOST, read_frame(&mut stream, tally)).await;
         let (request, _) = next.unwrap_or(Err(Broken::Closed))?;
         let reply = {
             let mut byte = [0];
@@ -214,6 +214,6 @@
                 _ = stream.peek(&mut byte) => return Err(Broken::Closed),
             }
         };
-        writeFrame(&mut stream, &reply, tally).await?;
+        write_frame(&mut stream, &reply, tally).await?;
     }
 }
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -40,18 +40,18 @@
     pub mark: wire::Mark,
     pub report: wire::Report,
     pub detail: wire::Detail,
-    heardAt: Duration,
+    heard_at: Duration,
     /// At the last pulse.
-    wasLive: bool,
+    was_live: bool,
 }
 
 impl Source {
     /// As seen by a daemon of the role `own`: registries pull straight from each other and know of
     /// each other's death sooner.
-    fn isLive(&self, now: Duration, own: wire::Role) -> bool {
-        let isBothRegistry = own == wire::Role::Registry && self.card.role == own;
-        let after = if isBothRegistry { REGISTRY_DEAD_AFTER } else { DEAD_AFTER };
-        now.saturating_sub(self.heardAt) < after
+    fn is_live(&self, now: Duration, own: wire::Role) -> bool {
+        let is_both_registry = own == wire::Role::Registry && self.card.role == own;
+        let after = if is_both_registry { REGISTRY_DEAD_AFTER } else { DEAD_AFTER };
+        now.saturating_sub(self.heard_at) < after
     }
 }
 
@@ -60,12 +60,12 @@
 struct Line {
     busy: bool,
     /// When the pull that is out was sent: what it brings is no fresher than that.
-    sentAt: Duration,
-    nextAt: Duration,
+    sent_at: Duration,
+    next_at: Duration,
     /// Not wanted any more once its pull is done.
     wanted: bool,
     /// The detail that went out with the last pull to this registry.
-    detailTold: u64,
+    detail_told: u64,
 }
 
 struct Parked {
@@ -74,7 +74,7 @@
     word: u64,
     platform: u64,
     plan: (u64, u64),
-    wantsDetail: bool,
+    wants_detail: bool,
     until: Duration,
     asker: String,
 }
@@ -131,16 +131,16 @@
     pub plan: Arc<wire::Plan>,
     lines: std::collections::BTreeMap<std::net::SocketAddr, Line>,
     parked: Vec<Parked>,
-    beatAt: Duration,
-    seedAt: Duration,
-    pulsedAt: Duration,
+    beat_at: Duration,
+    seed_at: Duration,
+    pulsed_at: Duration,
     turn: usize,
     /// Since the start or the last freeze: when a pull first came back, and from whom.
-    freshSince: Option<Duration>,
-    freshRegistry: bool,
-    awakeSince: Duration,
+    fresh_since: Option<Duration>,
+    fresh_registry: bool,
+    awake_since: Duration,
     /// When a pull last came back.
-    goodAt: Duration,
+    good_at: Duration,
 }
 
 impl News {
@@ -150,9 +150,9 @@
         life: u64,
         now: Duration,
     ) -> News {
-        let seeds = seeds.into_iter().filter(|seed| *seed != own.siblingAddress).collect();
+        let seeds = seeds.into_iter().filter(|seed| *seed != own.sibling_address).collect();
         // Each begins its turn of the lost elsewhere: between them all are tried soon.
-        let turn = vanepath_setup::stableHash(&["turn", &own.name]) as usize;
+        let turn = vanepath_setup::stable_hash(&["turn", &own.name]) as usize;
         News {
             own,
             mark: wire::Mark { life, counter: 1, edition: 1, detail: 0 },
@@ -165,14 +165,14 @@
             plan: Arc::default(),
             lines: std::collections::BTreeMap::new(),
             parked: Vec::new(),
-            beatAt: now,
-            seedAt: now,
-            pulsedAt: now,
+            beat_at: now,
+            seed_at: now,
+            pulsed_at: now,
             turn,
-            freshSince: None,
-            freshRegistry: false,
-            awakeSince: now,
-            goodAt: now,
+            fresh_since: None,
+            fresh_registry: false,
+            awake_since: now,
+            good_at: now,
         }
     }
 
@@ -180,26 +180,26 @@
         &self.own
     }
 
-    pub fn ownReport(&self) -> &wire::Report {
+    pub fn own_report(&self) -> &wire::Report {
         &self.report
     }
 
-    pub fn ownMark(&self) -> wire::Mark {
+    pub fn own_mark(&self) -> wire::Mark {
         self.mark
     }
 
     /// Whether what is known was refreshed since the start or the last freeze (design 5.5): by a
     /// registry, or else by whoever replied while a registry had its time to.
-    pub fn isFresh(&self, now: Duration) -> bool {
-        let awake = now.saturating_sub(self.awakeSince);
-        self.freshRegistry
-            || (self.freshSince.is_some() && awake > FRESH_WAIT)
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        let awake = now.saturating_sub(self.awake_since);
+        self.fresh_registry
+            || (self.fresh_since.is_some() && awake > FRESH_WAIT)
             || awake > ALONE_WAIT
     }
 
     /// No pull has come back for so long that others may know more by now.
-    pub fn isAlone(&self, now: Duration) -> bool {
-        now.saturating_sub(self.goodAt) > ALONE_AFTER
+    pub fn is_alone(&self, now: Duration) -> bool {
+        now.saturating_sub(self.good_at) > ALONE_AFTER
     }
 
     /// All that is live, this daemon included.
@@ -207,7 +207,7 @@
         std::iter::once((&self.own, &self.report)).chain(
             self.sources
                 .iter()
-                .filter(move |source| source.isLive(now, self.own.role))
+                .filter(move |source| source.is_live(now, self.own.role))
                 .map(|source| (&source.card, &source.report)),
         )
     }
@@ -216,7 +216,7 @@
     pub fn lost(&self, now: Duration) -> impl Iterator<Item = (&wire::Card, &wire::Report)> {
         self.sources
             .iter()
-            .filter(move |source| !source.isLive(now, self.own.role))
+            .filter(move |source| !source.is_live(now, self.own.role))
             .map(|source| (&source.card, &source.report))
     }
 
@@ -250,15 +250,15 @@
                     self.mark.detail += 1;
                 }
             }
-            Event::Word(word) => self.hearWord(word, &mut effects),
-            Event::Platform(list) => self.hearPlatform(list, &mut effects),
-            Event::Plan(plan) => self.hearPlan(plan, &mut effects),
+            Event::Word(word) => self.hear_word(word, &mut effects),
+            Event::Platform(list) => self.hear_platform(list, &mut effects),
+            Event::Plan(plan) => self.hear_plan(plan, &mut effects),
         }
-        self.answerParked(now, &mut effects);
+        self.answer_parked(now, &mut effects);
         effects
     }
 
-    fn hearWord(&mut self, word: Arc<wire::Word>, effects: &mut Vec<Effect>) {
+    fn hear_word(&mut self, word: Arc<wire::Word>, effects: &mut Vec<Effect>) {
         // Never backwards (design 5.4).
         if word.revision > self.word.revision {
             self.word = word;
@@ -266,7 +266,7 @@
         }
     }
 
-    fn hearPlatform(
+    fn hear_platform(
         &mut self,
         list: Arc<vanepath_setup::platform::PlatformList>,
         effects: &mut Vec<Effect>,
@@ -277,7 +277,7 @@
         }
     }
 
-    fn hearPlan(&mut self, plan: Arc<wire::Plan>, effects: &mut Vec<Effect>) {
+    fn hear_plan(&mut self, plan: Arc<wire::Plan>, effects: &mut Vec<Effect>) {
         // Under a lower epoch nothing is taken (design 5.6).
         if (plan.epoch, plan.counter) > (self.plan.epoch, self.plan.counter) {
             self.plan = plan;
@@ -287,99 +287,102 @@
 
     /// A freeze is noticed by whatever comes first after it, before that is taken for anything.
     fn notice(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        let gap = now.saturating_sub(self.pulsedAt);
+        let gap = now.saturating_sub(self.pulsed_at);
         if gap > FREEZE {
-            self.pulsedAt = now;
+            self.pulsed_at = now;
             // Frozen: nobody is dead for not being heard meanwhile, nothing is known as fresh.
             for source in &mut self.sources {
-                source.heardAt += gap;
+                source.heard_at += gap;
             }
-            self.freshSince = None;
-            self.freshRegistry = false;
-            self.awakeSince = now;
+            self.fresh_since = None;
+            self.fresh_registry = false;
+            self.awake_since = now;
             effects.push(Effect::Noted("woke from a freeze"));
             effects.push(Effect::Changed);
         }
     }
 
     fn pulse(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        self.pulsedAt = now;
-        if now >= self.beatAt {
-            self.beatAt = now + BEAT;
+        self.pulsed_at = now;
+        if now >= self.beat_at {
+            self.beat_at = now + BEAT;
             self.mark.counter += 1;
         }
-        self.sources.retain(|source| now.saturating_sub(source.heardAt) < FORGOTTEN_AFTER);
-        let mut justLost = Vec::new();
+        self.sources.retain(|source| now.saturating_sub(source.heard_at) < FORGOTTEN_AFTER);
+        let mut just_lost = Vec::new();
         for source in &mut self.sources {
-            let isLive = source.isLive(now, self.own.role);
-            if std::mem::replace(&mut source.wasLive, isLive) != isLive {
+            let is_live = source.is_live(now, self.own.role);
+            if std::mem::replace(&mut source.was_live, is_live) != is_live {
                 effects.push(Effect::Changed);
-                if !isLive {
-                    justLost.push(source.card.siblingAddress);
+                if !is_live {
+                    just_lost.push(source.card.sibling_address);
                 }
             }
         }
-        self.choose(now, justLost);
+        self.choose(now, just_lost);
         let due: Vec<std::net::SocketAddr> = self
             .lines
             .iter()
-            .filter(|(_, line)| !line.busy && line.nextAt <= now)
+            .filter(|(_, line)| !line.busy && line.next_at <= now)
             .map(|(address, _)| *address)
             .collect();
         for address in due {
-            self.startPull(now, address, effects);
+            self.start_pull(now, address, effects);
         }
     }
 
     /// The wanted lines: siblings by rendezvous, and in turn a seed or a lost source.
-    fn choose(&mut self, now: Duration, justLost: Vec<std::net::SocketAddr>) {
+    fn choose(&mut self, now: Duration, just_lost: Vec<std::net::SocketAddr>) {
         let live: Vec<&Source> =
-            self.sources.iter().filter(|one| one.isLive(now, self.own.role)).collect();
+            self.sources.iter().filter(|one| one.is_live(now, self.own.role)).collect();
         let others: Vec<crate::kin::Known<'_>> =
             live.iter().map(|source| known(&source.card)).collect();
         let mut wanted: std::collections::BTreeSet<std::net::SocketAddr> =
             crate::kin::siblings(&known(&self.own), &others)
                 .into_iter()
-                .map(|index| live[index].card.siblingAddress)
+                .map(|index| live[index].card.sibling_address)
                 .collect();
         let alone = wanted.is_empty();
         if alone {
             wanted.extend(&self.seeds);
         }
-        if self.freshSince.is_none() {
+        if self.fresh_since.is_none() {
             // Just awake: its few siblings may all be gone by now, so everyone is asked once.
-            wanted.extend(live.iter().map(|source| source.card.siblingAddress));
+            wanted.extend(live.iter().map(|source| source.card.sibling_address));
         }
         // Who is not heard of any more is asked itself, once: it may be there and cut off from all but
         // this daemon, which it does not know of.
-        wanted.extend(justLost);
-        if now >= self.seedAt {
-            self.seedAt = now + SEED_EVERY;
+        wanted.extend(just_lost);
+        if now >= self.seed_at {
+            self.seed_at = now + SEED_EVERY;
             let lost: Vec<std::net::SocketAddr> = self
                 .sources
                 .iter()
-                .filter(|source| !source.isLive(now, self.own.role))
-                .map(|source| source.card.siblingAddress)
+                .filter(|source| !source.is_live(now, self.own.role))
+                .map(|source| source.card.sibling_address)
                 .chain(self.seeds.iter().copied())
-                .filter(|address| !live.iter().any(|source| source.card.siblingAddress == *address))
+                .filter(|address| {
+                    !live.iter().any(|source| source.card.sibling_address == *address)
+                })
                 .collect();
             if !lost.is_empty() {
                 self.turn = self.turn.wrapping_add(1);
                 wanted.insert(lost[self.turn % lost.len()]);
             }
         }
-        wanted.remove(&self.own.siblingAddress);
+        wanted.remove(&self.own.sibling_address);
         for (address, line) in &mut self.lines {
             line.wanted = wanted.contains(address);
         }
         self.lines.retain(|_, line| line.busy || line.wanted);
         for address in wanted {
-            let line = Line { busy: false, sentAt: now, nextAt: now, wanted: true, detailTold: 0 };
+            let line =
+                Line { busy: false, sent_at: now, next_at: now, wanted: true, detail_told: 0 };
             self.lines.entry(address).or_insert(line);
         }
     }
 
-    fn startPull(
+    fn start_pull(
         &mut self,
         now: Duration,
         address: std::net::SocketAddr,
@@ -389,40 +392,40 @@
             return;
         };
         line.busy = true;
-        line.sentAt = now;
-        let isRegistry = self.sources.iter().any(|source| {
-            source.card.siblingAddress == address && source.card.role == wire::Role::Registry
+        line.sent_at = now;
+        let is_registry = self.sources.iter().any(|source| {
+            source.card.sibling_address == address && source.card.role == wire::Role::Registry
         });
-        let tellsDetail = isRegistry && line.detailTold < self.mark.detail;
-        if tellsDetail {
-            line.detailTold = self.mark.detail;
+        let tells_detail = is_registry && line.detail_told < self.mark.detail;
+        if tells_detail {
+            line.detail_told = self.mark.detail;
         }
         // The first pull of a life does not wait: it is how the daemon learns of the rest.
-        let waitMs = if self.freshSince.is_none() { 0 } else { WAIT.as_millis() as u32 };
+        let wait_ms = if self.fresh_since.is_none() { 0 } else { WAIT.as_millis() as u32 };
         let pull = wire::Pull {
             vector: self
                 .sources
                 .iter()
-                .map(|one| (wire::shortName(&one.card.name), one.mark))
+                .map(|one| (wire::short_name(&one.card.name), one.mark))
                 .collect(),
             word: self.word.revision,
             platform: self.platform.revision,
             plan: (self.plan.epoch, self.plan.counter),
-            own: self.ownDelta(tellsDetail),
-            waitMs,
-            wantsDetail: self.own.role == wire::Role::Registry,
+            own: self.own_delta(tells_detail),
+            wait_ms,
+            wants_detail: self.own.role == wire::Role::Registry,
         };
         effects.push(Effect::Pull { address, pull });
     }
 
-    fn ownDelta(&self, tellsDetail: bool) -> wire::Delta {
+    fn own_delta(&self, tells_detail: bool) -> wire::Delta {
         wire::Delta {
             name: self.own.name.clone(),
             mark: self.mark,
-            ageMs: 0,
+            age_ms: 0,
             card: Some(self.own.clone()),
             report: Some(self.report.clone()),
-            detail: tellsDetail.then(|| self.detail.clone()),
+            detail: tells_detail.then(|| self.detail.clone()),
         }
     }
 
@@ -435,47 +438,48 @@
     ) {
         let good = news.is_some();
         if good {
-            self.goodAt = now;
+            self.good_at = now;
         }
         // Asked before a freeze and told after it: that is from before the freeze.
-        let isOfNow = self.lines.get(&address).is_some_and(|line| line.sentAt >= self.awakeSince);
+        let is_of_now =
+            self.lines.get(&address).is_some_and(|line| line.sent_at >= self.awake_since);
         if let Some(news) = news {
             for delta in news.deltas {
                 self.hear(now, delta, effects);
             }
             if let Some(word) = news.word {
-                self.hearWord(Arc::new(word), effects);
+                self.hear_word(Arc::new(word), effects);
             }
             if let Some(list) = news.platform {
-                self.hearPlatform(Arc::new(list), effects);
+                self.hear_platform(Arc::new(list), effects);
             }
             if let Some(plan) = news.plan {
-                self.hearPlan(Arc::new(plan), effects);
+                self.hear_plan(Arc::new(plan), effects);
             }
-            if isOfNow && self.freshSince.is_none() {
-                self.freshSince = Some(now);
+            if is_of_now && self.fresh_since.is_none() {
+                self.fresh_since = Some(now);
                 effects.push(Effect::Changed);
             }
             let registry = self.sources.iter().any(|source| {
-                source.card.siblingAddress == address
+                source.card.sibling_address == address
                     && source.card.role == wire::Role::Registry
                     && source.report.ready
             });
-            if isOfNow && registry && !self.freshRegistry {
-                self.freshRegistry = true;
+            if is_of_now && registry && !self.fresh_registry {
+                self.fresh_registry = true;
                 effects.push(Effect::Changed);
             }
         }
         if let Some(line) = self.lines.get_mut(&address) {
             line.busy = false;
-            line.nextAt = if good { now } else { now + BACK_OFF };
+            line.next_at = if good { now } else { now + BACK_OFF };
             if !good {
-                line.detailTold = 0;
+                line.detail_told = 0;
             }
             if !line.wanted {
                 self.lines.remove(&address);
             } else if good {
-                self.startPull(now, address, effects);
+                self.start_pull(now, address, effects);
             }
         }
     }
@@ -490,11 +494,11 @@
             }
             return;
         }
-        let age = Duration::from_millis(u64::from(delta.ageMs));
+        let age = Duration::from_millis(u64::from(delta.age_ms));
         if age >= FORGOTTEN_AFTER {
             return;
         }
-        let heardAt = now.saturating_sub(age);
+        let heard_at = now.saturating_sub(age);
         let found = self.sources.iter().position(|source| source.card.name == delta.name);
         let Some(index) = found else {
             let (Some(card), Some(report)) = (delta.card, delta.report) else {
@@ -506,15 +510,15 @@
             }
             let detail = delta.detail.unwrap_or_default();
             let mark = delta.mark;
-            self.sources.push(Source { card, mark, report, detail, heardAt, wasLive: false });
+            self.sources.push(Source { card, mark, report, detail, heard_at, was_live: false });
             effects.push(Effect::Changed);
             return;
         };
         let source = &mut self.sources[index];
         let rank = |mark: &wire::Mark| (mark.life, mark.counter);
         // A detail may come by a slower way than the beats: it has a number of its own.
-        let isSameLife = delta.mark.life == source.mark.life;
-        if isSameLife
+        let is_same_life = delta.mark.life == source.mark.life;
+        if is_same_life
             && delta.mark.detail > source.mark.detail
             && let Some(detail) = &delta.detail
         {
@@ -524,14 +528,14 @@
         if rank(&delta.mark) < rank(&source.mark) {
             return;
         }
-        let newLife = delta.mark.life != source.mark.life;
-        if newLife && delta.card.is_none() {
+        let new_life = delta.mark.life != source.mark.life;
+        if new_life && delta.card.is_none() {
             return;
         }
         if rank(&delta.mark) > rank(&source.mark) {
-            source.heardAt = source.heardAt.max(heardAt);
+            source.heard_at = source.heard_at.max(heard_at);
         }
-        let oldDetail = source.mark.detail;
+        let old_detail = source.mark.detail;
         if let Some(card) = delta.card
             && card != source.card
         {
@@ -546,19 +550,19 @@
         }
         source.mark = delta.mark;
         match delta.detail {
-            Some(detail) if newLife => source.detail = detail,
-            None if newLife => {
+            Some(detail) if new_life => source.detail = detail,
+            None if new_life => {
                 source.detail = wire::Detail::default();
                 source.mark.detail = 0;
             }
-            _ => source.mark.detail = oldDetail,
+            _ => source.mark.detail = old_detail,
         }
     }
 
     fn asked(&mut self, now: Duration, ticket: u64, pull: wire::Pull, effects: &mut Vec<Effect>) {
         let asker = pull.own.name.clone();
         self.hear(now, pull.own, effects);
-        let wait = Duration::from_millis(u64::from(pull.waitMs)).min(WAIT * 4);
+        let wait = Duration::from_millis(u64::from(pull.wait_ms)).min(WAIT * 4);
         self.parked.retain(|parked| parked.asker != asker || parked.ticket == ticket);
         self.parked.push(Parked {
             ticket,
@@ -566,19 +570,19 @@
             word: pull.word,
             platform: pull.platform,
             plan: pull.plan,
-            wantsDetail: pull.wantsDetail,
+            wants_detail: pull.wants_detail,
             until: now + wait,
             asker,
         });
     }
 
     /// A parked pull is answered when something loud is there for it, or when its time is up.
-    fn answerParked(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+    fn answer_parked(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let mut index = 0;
         while index < self.parked.len() {
-            if now >= self.parked[index].until || self.isLoud(&self.parked[index]) {
+            if now >= self.parked[index].until || self.is_loud(&self.parked[index]) {
                 let parked = self.parked.swap_remove(index);
-                let news = self.newsFor(now, &parked);
+                let news = self.news_for(now, &parked);
                 effects.push(Effect::Answer { ticket: parked.ticket, news });
             } else {
                 index += 1;
@@ -586,14 +590,14 @@
         }
     }
 
-    fn isLoud(&self, parked: &Parked) -> bool {
-        let louder = |name: &str, mark: &wire::Mark| match parked.vector.get(&wire::shortName(name))
-        {
-            None => name != parked.asker,
-            Some(seen) => {
-                mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
-            }
-        };
+    fn is_loud(&self, parked: &Parked) -> bool {
+        let louder =
+            |name: &str, mark: &wire::Mark| match parked.vector.get(&wire::short_name(name)) {
+                None => name != parked.asker,
+                Some(seen) => {
+                    mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
+                }
+            };
         self.word.revision > parked.word
             || self.platform.revision > parked.platform
             || (self.plan.epoch, self.plan.counter) > parked.plan
@@ -601,20 +605,21 @@
             || self.sources.iter().any(|source| louder(&source.card.name, &source.mark))
     }
 
-    fn newsFor(&self, now: Duration, parked: &Parked) -> wire::News {
+    fn news_for(&self, now: Duration, parked: &Parked) -> wire::News {
         let mut deltas = Vec::new();
         let own = (&self.own, &self.mark, &self.report, &self.detail, now);
         let others = self
             .sources
             .iter()
-            .map(|one| (&one.card, &one.mark, &one.report, &one.detail, one.heardAt));
-        for (card, mark, report, detail, heardAt) in std::iter::once(own).chain(others) {
-            let age = now.saturating_sub(heardAt);
-            let seen = parked.vector.get(&wire::shortName(&card.name)).copied().unwrap_or_default();
-            let newLife = mark.life != seen.life;
+            .map(|one| (&one.card, &one.mark, &one.report, &one.detail, one.heard_at));
+        for (card, mark, report, detail, heard_at) in std::iter::once(own).chain(others) {
+            let age = now.saturating_sub(heard_at);
+            let seen =
+                parked.vector.get(&wire::short_name(&card.name)).copied().unwrap_or_default();
+            let new_life = mark.life != seen.life;
             let rank = |mark: &wire::Mark| (mark.life, mark.counter);
-            let newDetail = parked.wantsDetail && (newLife || mark.detail > seen.detail);
-            if (rank(mark) <= rank(&seen) && !newDetail) || age >= FORGOTTEN_AFTER {
+            let new_detail = parked.wants_detail && (new_life || mark.detail > seen.detail);
+            if (rank(mark) <= rank(&seen) && !new_detail) || age >= FORGOTTEN_AFTER {
                 continue;
             }
             if mark.life < seen.life {
@@ -623,10 +628,10 @@
             deltas.push(wire::Delta {
                 name: card.name.clone(),
                 mark: *mark,
-                ageMs: age.as_millis() as u32,
-                card: newLife.then(|| card.clone()),
-                report: (newLife || mark.edition > seen.edition).then(|| report.clone()),
-                detail: newDetail.then(|| detail.clone()),
+                age_ms: age.as_millis() as u32,
+                card: new_life.then(|| card.clone()),
+                report: (new_life || mark.edition > seen.edition).then(|| report.clone()),
+                detail: new_detail.then(|| detail.clone()),
             });
         }
         wire::News {
@@ -657,19 +662,20 @@
             region: "a".to_string(),
             zone: "a1".to_string(),
             address,
-            siblingAddress: address,
+            sibling_address: address,
             seat: None,
         }
     }
 
-    fn delta(counter: u64, detail: u64, inHand: Option<u32>) -> wire::Delta {
+    fn delta(counter: u64, detail: u64, in_hand: Option<u32>) -> wire::Delta {
         wire::Delta {
             name: "p".to_string(),
             mark: wire::Mark { life: 7, counter, edition: 1, detail },
-            ageMs: 0,
+            age_ms: 0,
             card: Some(card("p", wire::Role::Proxy, 2)),
             report: Some(wire::Report::default()),
-            detail: inHand.map(|one| wire::Detail { inHand: vec![one], ..wire::Detail::default() }),
+            detail: in_hand
+                .map(|one| wire::Detail { in_hand: vec![one], ..wire::Detail::default() }),
         }
     }
 
@@ -681,10 +687,10 @@
 
     /// A detail that comes by a slower way than the beats is news all the same, and never goes back.
     #[test]
-    fn aLateDetailIsTakenAndAnOlderOneIsNot() {
+    fn a_late_detail_is_taken_and_an_older_one_is_not() {
         let now = Duration::from_secs(100);
         let mut news = News::new(card("r", wire::Role::Registry, 1), Vec::new(), 1, now);
-        let seen = |news: &News| (news.sources[0].mark, news.sources[0].detail.inHand.clone());
+        let seen = |news: &News| (news.sources[0].mark, news.sources[0].detail.in_hand.clone());
         tell(&mut news, now, delta(9, 1, Some(1)));
         tell(&mut news, now, delta(20, 3, None));
         assert_eq!(seen(&news).0.detail, 1, "what was not told is not known");
@@ -698,15 +704,15 @@
         // The same from the other side: an asker that has later beats still gets the detail.
         let mut pull = wire::Pull {
             vector: vec![(
-                wire::shortName("p"),
+                wire::short_name("p"),
                 wire::Mark { life: 7, counter: 99, edition: 1, detail: 2 },
             )],
             word: 0,
             platform: 0,
             plan: (0, 0),
             own: delta(1, 0, None),
-            waitMs: 0,
-            wantsDetail: true,
+            wait_ms: 0,
+            wants_detail: true,
         };
         pull.own.name = "s".to_string();
         let effects = news.step(now, Event::Asked { ticket: 1, pull });
@@ -715,16 +721,16 @@
             _ => None,
         });
         let told = answer.unwrap().deltas.into_iter().find(|delta| delta.name == "p").unwrap();
-        assert_eq!(told.detail.unwrap().inHand, [3]);
+        assert_eq!(told.detail.unwrap().in_hand, [3]);
     }
 
     /// What a registry told before a freeze, and what comes in first after it, makes nothing fresh:
     /// only what was asked for afterwards does.
     #[test]
-    fn aReplyFromBeforeAFreezeMakesNothingFresh() {
+    fn a_reply_from_before_a_freeze_makes_nothing_fresh() {
         let second = Duration::from_secs_f64;
         let registry = card("r", wire::Role::Registry, 2);
-        let address = registry.siblingAddress;
+        let address = registry.sibling_address;
         let seeds = vec![address];
         let mut news = News::new(card("p", wire::Role::Proxy, 1), seeds, 1, second(100.0));
         let told = || {
@@ -732,7 +738,7 @@
             let delta = wire::Delta {
                 name: "r".to_string(),
                 mark: wire::Mark { life: 5, counter: 1, edition: 1, detail: 0 },
-                ageMs: 0,
+                age_ms: 0,
                 card: Some(card("r", wire::Role::Registry, 2)),
                 report: Some(report),
                 detail: None,
@@ -742,20 +748,20 @@
         };
         news.step(second(100.0), Event::Pulse);
         news.step(second(100.1), told());
-        assert!(news.isFresh(second(100.1)));
+        assert!(news.is_fresh(second(100.1)));
         news.step(second(100.15), Event::Pulse);
         // Frozen for six seconds with a pull out; its reply lay there and is the first to be read.
         news.step(second(106.0), told());
         news.step(second(106.0), Event::Pulse);
-        assert!(!news.isFresh(second(106.0)), "that was told before the freeze");
+        assert!(!news.is_fresh(second(106.0)), "that was told before the freeze");
         news.step(second(106.1), told());
-        assert!(news.isFresh(second(106.1)));
+        assert!(news.is_fresh(second(106.1)));
     }
 
     /// Awake again, it goes by what it had only once somebody replied, and asks everyone it knew:
     /// its few siblings may be gone by then.
     #[test]
-    fn whoWakesAsksEveryoneAndDoesNotTakeSilenceForNoNews() {
+    fn who_wakes_asks_everyone_and_does_not_take_silence_for_no_news() {
         let second = Duration::from_secs_f64;
         let mut news = News::new(card("p", wire::Role::Proxy, 1), Vec::new(), 1, second(100.0));
         for index in 0..9_u16 {
@@ -769,7 +775,7 @@
         news.step(second(100.0), Event::Pulse);
         for _ in 0..2 {
             for index in 0..9_u16 {
-                let address = card("", wire::Role::Proxy, 10 + index).siblingAddress;
+                let address = card("", wire::Role::Proxy, 10 + index).sibling_address;
                 news.step(second(100.1), Event::Told { address, news: Some(Box::default()) });
             }
             // From here on it pulls from its few siblings only.
@@ -783,20 +789,20 @@
         news.step(second(131.0), Event::Pulse);
         news.step(second(132.0), Event::Pulse);
         news.step(second(132.4), Event::Pulse);
-        assert!(!news.isFresh(second(132.4)), "nobody has told it anything");
-        assert!(news.isAlone(second(132.4)));
+        assert!(!news.is_fresh(second(132.4)), "nobody has told it anything");
+        assert!(news.is_alone(second(132.4)));
         // Work that came as it woke is not dropped for that: alone, it goes by what it has.
-        assert!(news.isFresh(second(130.0) + super::HOLD - second(0.2)));
+        assert!(news.is_fresh(second(130.0) + super::HOLD - second(0.2)));
         for index in 0..9_u16 {
-            let address = card("", wire::Role::Proxy, 10 + index).siblingAddress;
+            let address = card("", wire::Role::Proxy, 10 + index).sibling_address;
             news.step(second(132.4), Event::Told { address, news: Some(Box::default()) });
         }
-        assert!(news.isFresh(second(132.4)) && !news.isAlone(second(132.4)));
+        assert!(news.is_fresh(second(132.4)) && !news.is_alone(second(132.4)));
     }
 
     /// Who is not heard of any more is asked itself, at once and once.
     #[test]
-    fn whoFallsSilentIsAskedItselfAtOnce() {
+    fn who_falls_silent_is_asked_itself_at_once() {
         let ms = Duration::from_millis;
         let mut news = News::new(card("p", wire::Role::Proxy, 1), Vec::new(), 1, ms(0));
         for index in 0..9_u16 {
@@ -820,11 +826,11 @@
             }
             for effect in news.step(now, Event::Pulse) {
                 let Effect::Pull { address, .. } = effect else { continue };
-                let isThere = address.port() != 10;
-                if now >= super::DEAD_AFTER && !isThere {
+                let is_there = address.port() != 10;
+                if now >= super::DEAD_AFTER && !is_there {
                     asked.push(now);
                 }
-                news.step(now, Event::Told { address, news: isThere.then(Box::default) });
+                news.step(now, Event::Told { address, news: is_there.then(Box::default) });
             }
         }
         assert_eq!(asked.first(), Some(&super::DEAD_AFTER));
@@ -833,12 +839,12 @@
 
     /// Who hears of a later life of its own name outlives it, whatever the wall clock says.
     #[test]
-    fn aLifeThatComesAfterIsOutlived() {
+    fn a_life_that_comes_after_is_outlived() {
         let now = Duration::from_secs(100);
         let mut news = News::new(card("p", wire::Role::Proxy, 1), Vec::new(), 3, now);
         tell(&mut news, now, delta(9, 0, None));
-        assert_eq!(news.ownMark().life, 8);
+        assert_eq!(news.own_mark().life, 8);
         tell(&mut news, now, delta(9, 0, None));
-        assert_eq!(news.ownMark().life, 8);
+        assert_eq!(news.own_mark().life, 8);
     }
 }
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -47,7 +47,7 @@
     pub region: String,
     pub zone: String,
     pub address: std::net::SocketAddr,
-    pub siblingAddress: std::net::SocketAddr,
+    pub sibling_address: std::net::SocketAddr,
     /// A store's seat and the incarnation of its disk.
     pub seat: Option<(u8, u64)>,
 }
@@ -85,11 +85,11 @@
     pub server: String,
     pub phase: u8,
     /// How long it has been in that phase.
-    pub ageMs: u32,
+    pub age_ms: u32,
     /// For how long the proxy has been in touch with it without a gap; 0: it is not.
-    pub steadyMs: u32,
+    pub steady_ms: u32,
     /// Thousandths of the server's own capacity in use, as its receipts say.
-    pub demandMilli: u32,
+    pub demand_milli: u32,
     /// The server's machine refused connections while it was away.
     pub refused: bool,
 }
@@ -97,9 +97,9 @@
 bare!(Sight {
     server: String,
     phase: u8,
-    ageMs: u32,
-    steadyMs: u32,
-    demandMilli: u32,
+    age_ms: u32,
+    steady_ms: u32,
+    demand_milli: u32,
     refused: bool,
 });
 
@@ -108,7 +108,7 @@
 pub struct Detail {
     pub sights: Vec<Sight>,
     /// Requests in hand and waiting, by class in the order of the setup.
-    pub inHand: Vec<u32>,
+    pub in_hand: Vec<u32>,
     pub waiting: Vec<u32>,
     /// Requests taken in a thousand seconds at the pace of the last few, by service.
     pub taken: std::collections::BTreeMap<String, u32>,
@@ -119,7 +119,7 @@
 pub struct Word {
     pub revision: u64,
     /// The revision at which the setup's bytes were last changed; 0: there is none yet.
-    pub setupRevision: u64,
+    pub setup_revision: u64,
     #[serde(with = "serde_bytes")]
     pub setup: Vec<u8>,
     pub emptied: std::collections::BTreeSet<String>,
@@ -166,7 +166,7 @@
 pub struct Delta {
     pub name: String,
     pub mark: Mark,
-    pub ageMs: u32,
+    pub age_ms: u32,
     /// Absent where the asker's mark shows that it has them.
     pub card: Option<Card>,
     pub report: Option<Report>,
@@ -176,7 +176,7 @@
 bare!(Delta {
     name: String,
     mark: Mark,
-    ageMs: u32,
+    age_ms: u32,
     card: Option<Card>,
     report: Option<Report>,
     detail: Option<Detail>,
@@ -190,8 +190,8 @@
     pub platform: u64,
     pub plan: (u64, u64),
     pub own: Delta,
-    pub waitMs: u32,
-    pub wantsDetail: bool,
+    pub wait_ms: u32,
+    pub wants_detail: bool,
 }
 
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
@@ -229,8 +229,8 @@
 
 /// The name of a source in a pull's vector. Two names with one hash would hide one source from
 /// some daemons: with a hundred daemons one fleet in a million has such a pair.
-pub fn shortName(name: &str) -> u32 {
-    vanepath_setup::stableHash(&["name", name]) as u32
+pub fn short_name(name: &str) -> u32 {
+    vanepath_setup::stable_hash(&["name", name]) as u32
 }
 
 pub fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -28,7 +28,7 @@
 const STATE: &str = "state.cbor";
 const HINTS: &str = "hints.cbor";
 
-fn versionName(revision: u64, digest: &Digest) -> String {
+fn version_name(revision: u64, digest: &Digest) -> String {
     let short: String = digest[..8].iter().map(|byte| format!("{byte:02x}")).collect();
     format!("version-{revision:020}-{short}.cbor")
 }
@@ -73,10 +73,10 @@
             if name.ends_with(".aside") {
                 std::fs::remove_file(&path).map_err(fault)?;
             } else if name.starts_with("version-") {
-                match self.readVersion(&path) {
-                    Some((value, digest)) if name == versionName(value.revision, &digest) => {
-                        let (parentRevision, parent) = (value.parentRevision, value.parent);
-                        kept.push((value.revision, Kept { digest, parentRevision, parent }));
+                match self.read_version(&path) {
+                    Some((value, digest)) if name == version_name(value.revision, &digest) => {
+                        let (parent_revision, parent) = (value.parent_revision, value.parent);
+                        kept.push((value.revision, Kept { digest, parent_revision, parent }));
                     }
                     _ => {
                         damaged += 1;
@@ -121,20 +121,20 @@
         body.and_then(|body| vanepath_sibling::wire::decode(&body)).unwrap_or_default()
     }
 
-    pub fn saveHints(&self, hints: &crate::hints::Hints) -> std::io::Result<()> {
+    pub fn save_hints(&self, hints: &crate::hints::Hints) -> std::io::Result<()> {
         self.put(HINTS, &vanepath_sibling::wire::encode(hints))?;
-        self.syncFolder()
+        self.sync_folder()
     }
 
-    fn readVersion(&self, path: &std::path::Path) -> Option<(Value, Digest)> {
+    fn read_version(&self, path: &std::path::Path) -> Option<(Value, Digest)> {
         let body = unframe(&std::fs::read(path).ok()?)?;
         let value: Value = vanepath_sibling::wire::decode(&body)?;
-        Some((value, crate::talk::digestOf(&body)))
+        Some((value, crate::talk::digest_of(&body)))
     }
 
     pub fn version(&self, revision: u64, digest: &Digest) -> Option<Value> {
-        let path = self.folder.join(versionName(revision, digest));
-        let (value, found) = self.readVersion(&path)?;
+        let path = self.folder.join(version_name(revision, digest));
+        let (value, found) = self.read_version(&path)?;
         (found == *digest && value.revision == revision).then_some(value)
     }
 
@@ -143,15 +143,15 @@
         for write in writes {
             match write {
                 Write::Version { revision, digest, bytes } => {
-                    self.put(&versionName(*revision, digest), bytes)?;
+                    self.put(&version_name(*revision, digest), bytes)?;
                 }
                 Write::State(state) => {
                     // The state names a version: that one's name must last before it.
-                    self.syncFolder()?;
+                    self.sync_folder()?;
                     self.put(STATE, &vanepath_sibling::wire::encode(state))?;
                 }
                 Write::Remove { revision, digest } => {
-                    match std::fs::remove_file(self.folder.join(versionName(*revision, digest))) {
+                    match std::fs::remove_file(self.folder.join(version_name(*revision, digest))) {
                         Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
                             return Err(error);
                         }
@@ -160,7 +160,7 @@
                 }
             }
         }
-        self.syncFolder()
+        self.sync_folder()
     }
 
     fn put(&self, name: &str, body: &[u8]) -> std::io::Result<()> {
@@ -171,7 +171,7 @@
         std::fs::rename(&aside, self.folder.join(name))
     }
 
-    fn syncFolder(&self) -> std::io::Result<()> {
+    fn sync_folder(&self) -> std::io::Result<()> {
         std::fs::File::open(&self.folder)?.sync_all()
     }
 }
--- a/store/src/hints.rs
+++ b/store/src/hints.rs
@@ -38,26 +38,26 @@
         while self.written.front().is_some_and(|at| now >= *at + Duration::from_secs(60)) {
             self.written.pop_front();
         }
-        let isTooSoon = self.written.back().is_some_and(|at| now < *at + PAUSE);
-        if isTooSoon || self.written.len() >= IN_A_MINUTE || !view.isFresh {
+        let is_too_soon = self.written.back().is_some_and(|at| now < *at + PAUSE);
+        if is_too_soon || self.written.len() >= IN_A_MINUTE || !view.is_fresh {
             return None;
         }
         let mut siblings: BTreeSet<SocketAddr> =
-            view.live.iter().skip(1).map(|(card, _)| card.siblingAddress).collect();
+            view.live.iter().skip(1).map(|(card, _)| card.sibling_address).collect();
         // Who is not heard of may be back later than this store; he is forgotten in time.
-        siblings.extend(view.lost.iter().map(|(card, _)| card.siblingAddress));
+        siblings.extend(view.lost.iter().map(|(card, _)| card.sibling_address));
         let last = &self.kept.plan;
-        let isSamePlan = (last.epoch, last.counter) >= (view.plan.epoch, view.plan.counter)
+        let is_same_plan = (last.epoch, last.counter) >= (view.plan.epoch, view.plan.counter)
             || (last.away == view.plan.away && last.cold.keys().eq(view.plan.cold.keys()));
         // Nobody in sight is no reason to forget where the others were.
-        let isSame = siblings.is_empty() || siblings == self.kept.siblings;
-        if isSame && isSamePlan {
+        let is_same = siblings.is_empty() || siblings == self.kept.siblings;
+        if is_same && is_same_plan {
             return None;
         }
-        if !isSame {
+        if !is_same {
             self.kept.siblings = siblings;
         }
-        if !isSamePlan {
+        if !is_same_plan {
             self.kept.plan = (*view.plan).clone();
         }
         self.written.push_back(now);
@@ -81,20 +81,20 @@
                 region: "a".to_string(),
                 zone: "a1".to_string(),
                 address,
-                siblingAddress: address,
+                sibling_address: address,
                 seat: None,
             }
         };
         let plan =
             wire::Plan { epoch: 1, counter, away: [away.to_string()].into(), ..Default::default() };
         let live = (1..4).map(|port| (card(port), wire::Report::default())).collect();
-        View { live, plan: Arc::new(plan), isFresh: true, ..View::default() }
+        View { live, plan: Arc::new(plan), is_fresh: true, ..View::default() }
     }
 
     /// Written when something is new, never more often than a disk is meant to be, and not
     /// forgotten when nobody is in sight.
     #[test]
-    fn hintsAreWrittenSeldomAndKept() {
+    fn hints_are_written_seldom_and_kept() {
         let mut keeper = Keeper::new(Hints::default());
         let first = keeper.step(Duration::ZERO, &view(1, "s1")).expect("all of it is new");
         assert_eq!(first.siblings.len(), 2);
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Kept {
     pub digest: Digest,
-    pub parentRevision: u64,
+    pub parent_revision: u64,
     pub parent: Digest,
 }
 
@@ -83,7 +83,7 @@
     AnswerFromFile {
         ticket: u64,
         versions: Vec<At>,
-        asOutcome: bool,
+        as_outcome: bool,
     },
     /// This version is chosen: tell all.
     Chosen(Arc<Value>),
@@ -177,9 +177,9 @@
 
 /// The answer to `AnswerFromFile`, given how a file is read, and the version whose file turned out
 /// damaged. For the shells.
-pub fn fromFiles(
+pub fn from_files(
     versions: &[At],
-    asOutcome: bool,
+    as_outcome: bool,
     load: impl Fn(&At) -> Option<Value>,
 ) -> (Tell, Option<At>) {
     let mut read = Vec::new();
@@ -196,7 +196,7 @@
             break;
         }
     }
-    let tell = match (asOutcome, read.pop()) {
+    let tell = match (as_outcome, read.pop()) {
         (false, last) => {
             read.extend(last);
             Tell::Fetched(read)
@@ -216,19 +216,19 @@
     kept: BTreeMap<u64, Vec<Kept>>,
     /// Known as chosen, with its digest where this copy has it.
     chosen: Option<Meta>,
-    heardRevision: u64,
+    heard_revision: u64,
     live: Vec<Claim>,
     job: Option<Job>,
     queue: VecDeque<Op>,
-    nextCall: u64,
+    next_call: u64,
     /// Fetches and admission asks, apart from the job.
     aside: BTreeMap<u64, Aside>,
     admissions: BTreeMap<u8, (Ballot, Meta, Value)>,
     /// Seats that were asked to admit this disk and have not replied.
-    sweepAt: Duration,
-    asideAt: Duration,
-    fetchTurn: usize,
-    seatAt: Duration,
+    sweep_at: Duration,
+    aside_at: Duration,
+    fetch_turn: usize,
+    seat_at: Duration,
     failed: bool,
     unseated: bool,
 }
@@ -267,23 +267,23 @@
             value: found.value,
             kept,
             chosen: None,
-            heardRevision: 0,
+            heard_revision: 0,
             live: Vec::new(),
             job: None,
             queue: VecDeque::new(),
-            nextCall: 0,
+            next_call: 0,
             aside: BTreeMap::new(),
             admissions: BTreeMap::new(),
-            sweepAt: now,
-            asideAt: now,
-            fetchTurn: 0,
-            seatAt: now,
+            sweep_at: now,
+            aside_at: now,
+            fetch_turn: 0,
+            seat_at: now,
             failed: false,
             unseated: false,
         }
     }
 
-    pub fn isBlank(&self) -> bool {
+    pub fn is_blank(&self) -> bool {
         self.state.accepted.is_none()
     }
 
@@ -292,7 +292,7 @@
             "its disk failed"
         } else if self.unseated {
             "its seat went to another disk"
-        } else if self.isBlank() {
+        } else if self.is_blank() {
             "its disk is empty and waits for admission"
         } else if self.value.is_none() {
             "the file of its latest version is damaged and being fetched"
@@ -303,7 +303,7 @@
             seat: self.seat,
             incarnation: self.state.incarnation,
             votes: self.votes(),
-            blank: self.isBlank(),
+            blank: self.is_blank(),
             why,
             promised: self.state.promised.number,
             accepted: self.state.accepted.map_or(0, |meta| meta.revision),
@@ -327,7 +327,7 @@
     }
 
     /// The first live seated store proposes; the others leave it to it (design 6.3).
-    fn isFirst(&self) -> bool {
+    fn is_first(&self) -> bool {
         let seats = self.value.as_ref().map(|value| value.seats).unwrap_or_default();
         !self.live.iter().any(|claim| {
             claim.seat < self.seat
@@ -344,7 +344,7 @@
             Event::Asked { ticket, ask } => self.asked(now, ticket, ask, &mut effects),
             Event::Told { call, tell } => self.told(now, call, tell, &mut effects),
             Event::Live(live) => self.live = live,
-            Event::Heard { revision } => self.heardRevision = self.heardRevision.max(revision),
+            Event::Heard { revision } => self.heard_revision = self.heard_revision.max(revision),
             Event::DiskFailed => {
                 if !self.failed {
                     self.failed = true;
@@ -361,7 +361,7 @@
                 effects.push(Effect::Noted(format!("the file of revision {revision} is damaged")));
             }
         }
-        self.startNext(now, &mut effects);
+        self.start_next(now, &mut effects);
         effects
     }
 
@@ -411,7 +411,7 @@
                     Some(holder) if holder.incarnation == self.state.incarnation => {
                         // An empty disk of genesis has promised nothing to anyone; one that came
                         // later must catch up first (design 6.5).
-                        if self.isBlank() && holder.admitted {
+                        if self.is_blank() && holder.admitted {
                             return self.refuse(ticket, Refusal::NoVote, effects);
                         }
                     }
@@ -435,7 +435,7 @@
             Ask::Query => {
                 let tell = Tell::State {
                     from: self.own(),
-                    blank: self.isBlank(),
+                    blank: self.is_blank(),
                     votes: self.votes(),
                     promised: self.state.promised,
                     accepted: self.state.accepted,
@@ -444,9 +444,9 @@
             }
             Ask::Fetch { revision, digest } => {
                 // That one and what comes before it, as far as it is here and fits.
-                let (mut versions, _) = self.chainFrom((revision, digest));
+                let (mut versions, _) = self.chain_from((revision, digest));
                 versions.truncate(FETCH_MOST);
-                effects.push(Effect::AnswerFromFile { ticket, versions, asOutcome: false });
+                effects.push(Effect::AnswerFromFile { ticket, versions, as_outcome: false });
             }
             Ask::Admit { from } => {
                 let tell = match self.whole() {
@@ -484,7 +484,7 @@
     /// Takes a value into this copy; false where a higher one is there.
     fn accept(&mut self, ballot: Ballot, value: Arc<Value>, effects: &mut Vec<Effect>) -> bool {
         let bytes = value.encode();
-        let digest = crate::talk::digestOf(&bytes);
+        let digest = crate::talk::digest_of(&bytes);
         let meta = Meta { ballot, revision: value.revision, digest };
         if let Some(accepted) = self.state.accepted {
             if accepted.rank() > meta.rank() {
@@ -513,7 +513,7 @@
     }
 
     fn keep(&mut self, value: &Value, digest: Digest) {
-        let one = Kept { digest, parentRevision: value.parentRevision, parent: value.parent };
+        let one = Kept { digest, parent_revision: value.parent_revision, parent: value.parent };
         let list = self.kept.entry(value.revision).or_default();
         if !list.iter().any(|kept| kept.digest == digest) {
             list.push(one);
@@ -524,12 +524,12 @@
     /// the first one missing.
     fn chain(&self) -> (Vec<At>, Option<At>) {
         match self.chosen {
-            Some(meta) => self.chainFrom((meta.revision, meta.digest)),
+            Some(meta) => self.chain_from((meta.revision, meta.digest)),
             None => (Vec::new(), None),
         }
     }
 
-    fn chainFrom(&self, mut at: At) -> (Vec<At>, Option<At>) {
+    fn chain_from(&self, mut at: At) -> (Vec<At>, Option<At>) {
         let mut chain = Vec::new();
         loop {
             let kept = self.kept.get(&at.0);
@@ -540,7 +540,7 @@
             if at.0 == 0 || chain.len() >= crate::talk::HISTORY {
                 return (chain, None);
             }
-            at = (one.parentRevision, one.parent);
+            at = (one.parent_revision, one.parent);
         }
     }
 
@@ -591,36 +591,36 @@
             self.job = Some(job);
             self.settle(now, effects);
         }
-        if now >= self.sweepAt && self.job.is_none() && self.queue.is_empty() {
-            if self.isBlank() {
-                self.blankPulse(effects);
-                self.sweepAt = now + SWEEP_EVERY / 8;
+        if now >= self.sweep_at && self.job.is_none() && self.queue.is_empty() {
+            if self.is_blank() {
+                self.blank_pulse(effects);
+                self.sweep_at = now + SWEEP_EVERY / 8;
             } else if self.votes() {
-                let behind = self.chosen.map_or(0, |meta| meta.revision) < self.heardRevision;
-                if self.isFirst() || self.chosen.is_none() || behind {
+                let behind = self.chosen.map_or(0, |meta| meta.revision) < self.heard_revision;
+                if self.is_first() || self.chosen.is_none() || behind {
                     self.queue.push_back(Op::Sweep);
-                    let first = if self.isFirst() { 1 } else { 2 };
-                    self.sweepAt = now + SWEEP_EVERY * first;
+                    let first = if self.is_first() { 1 } else { 2 };
+                    self.sweep_at = now + SWEEP_EVERY * first;
                 }
             }
         }
-        if now >= self.seatAt && self.votes() && self.isFirst() {
-            let isFound = self.seatPulse();
-            self.seatAt = now + Duration::from_millis(if isFound { 1000 } else { 200 });
+        if now >= self.seat_at && self.votes() && self.is_first() {
+            let is_found = self.seat_pulse();
+            self.seat_at = now + Duration::from_millis(if is_found { 1000 } else { 200 });
         }
-        if now >= self.asideAt && !self.isBlank() {
-            self.asideAt = now + Duration::from_millis(200);
+        if now >= self.aside_at && !self.is_blank() {
+            self.aside_at = now + Duration::from_millis(200);
             let missing = match (&self.value, self.state.accepted) {
                 (None, Some(meta)) => Some((meta.revision, meta.digest)),
-                (_, Some(meta)) => self.chainFrom((meta.revision, meta.digest)).1,
+                (_, Some(meta)) => self.chain_from((meta.revision, meta.digest)).1,
                 _ => None,
             };
             if self.aside.is_empty()
                 && let Some((revision, digest)) = missing
             {
                 // One of the others, in turn.
-                self.fetchTurn = self.fetchTurn.wrapping_add(1);
-                let seat = self.others()[self.fetchTurn % 2];
+                self.fetch_turn = self.fetch_turn.wrapping_add(1);
+                let seat = self.others()[self.fetch_turn % 2];
                 let call = self.call(seat, Ask::Fetch { revision, digest }, effects);
                 self.aside.insert(call, Aside::Fetch { revision, digest });
             }
@@ -633,20 +633,20 @@
 
     /// Asks the holder of a seat by the table of the value that this is about, or by one's own.
     fn call(&mut self, seat: u8, ask: Ask, effects: &mut Vec<Effect>) -> u64 {
-        self.nextCall += 1;
+        self.next_call += 1;
         let seats = match &ask {
             Ask::Accept { value, .. } => Some(value.seats),
             _ => self.value.as_ref().map(|value| value.seats),
         };
         let holder = seats.and_then(|seats| seats[usize::from(seat)]);
         let incarnation = holder.map(|holder| holder.incarnation);
-        effects.push(Effect::Call { call: self.nextCall, seat, incarnation, ask });
-        self.nextCall
+        effects.push(Effect::Call { call: self.next_call, seat, incarnation, ask });
+        self.next_call
     }
 
     /// An empty disk: genesis if all three are empty (the first of them makes it), else it asks
     /// the others whether it is admitted.
-    fn blankPulse(&mut self, effects: &mut Vec<Effect>) {
+    fn blank_pulse(&mut self, effects: &mut Vec<Effect>) {
         let blank = |seat: u8| {
             let mut claims = self.live.iter().filter(|claim| claim.seat == seat);
             claims.clone().count() == 1 && claims.all(|claim| claim.blank)
@@ -666,7 +666,7 @@
     }
 
     /// A seat whose disk is gone, and an empty one that stands in for it.
-    fn seatPulse(&mut self) -> bool {
+    fn seat_pulse(&mut self) -> bool {
         let Some(value) = &self.value else { return false };
         let claim = self.live.iter().find(|claim| {
             let holder = value.seats[usize::from(claim.seat)];
@@ -675,16 +675,16 @@
                 && holder.is_none_or(|holder| holder.incarnation != claim.incarnation)
         });
         let Some(Claim { seat, incarnation, .. }) = claim.copied() else { return false };
-        let isSeat = |op: &Op| matches!(op, Op::Seat { .. });
-        let isUnderWay = self.job.as_ref().is_some_and(|job| isSeat(&job.op));
-        if !isUnderWay && !self.queue.iter().any(isSeat) {
+        let is_seat = |op: &Op| matches!(op, Op::Seat { .. });
+        let is_under_way = self.job.as_ref().is_some_and(|job| is_seat(&job.op));
+        if !is_under_way && !self.queue.iter().any(is_seat) {
             // Before the operators' changes: with a seat empty the next loss would be one too many.
             self.queue.push_front(Op::Seat { seat, incarnation });
         }
         true
     }
 
-    fn startNext(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+    fn start_next(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         while self.job.is_none() {
             let Some(op) = self.queue.pop_front() else {
                 return;
@@ -700,7 +700,7 @@
                 Op::History { ticket, revision } => {
                     let (ticket, revision) = (*ticket, *revision);
                     if self.chosen.is_some_and(|meta| meta.revision >= revision) {
-                        self.answerHistory(ticket, revision, effects);
+                        self.answer_history(ticket, revision, effects);
                         continue;
                     }
                     self.query(&mut job, effects);
@@ -722,7 +722,7 @@
     fn query(&mut self, job: &mut Job, effects: &mut Vec<Effect>) {
         job.open.clear();
         let mut states = BTreeMap::new();
-        states.insert(self.seat, (self.own(), self.state.accepted, self.isBlank()));
+        states.insert(self.seat, (self.own(), self.state.accepted, self.is_blank()));
         for seat in self.others() {
             let call = self.call(seat, Ask::Query, effects);
             job.open.insert(call, seat);
@@ -754,7 +754,7 @@
 
     fn told(&mut self, now: Duration, call: u64, tell: Option<Tell>, effects: &mut Vec<Effect>) {
         if let Some(aside) = self.aside.remove(&call) {
-            self.toldAside(aside, tell, effects);
+            self.told_aside(aside, tell, effects);
             return;
         }
         let Some(mut job) = self.job.take() else {
@@ -786,12 +786,12 @@
                 Some(Tell::Promise { from, accepted, value }),
             ) => {
                 // Where this very copy has promised another proposer since, the ballot is lost.
-                let isOwn = self.state.promised == *ballot && from.seat == seat;
-                if isOwn && accepted.rank() <= best.0.rank() {
+                let is_own = self.state.promised == *ballot && from.seat == seat;
+                if is_own && accepted.rank() <= best.0.rank() {
                     promises.insert(seat, (from, accepted));
-                } else if isOwn
+                } else if is_own
                     && let Some(value) = value
-                    && crate::talk::digestOf(&value.encode()) == accepted.digest
+                    && crate::talk::digest_of(&value.encode()) == accepted.digest
                 {
                     // Not accepted here under its old ballot: a copy that promised a higher one
                     // must not, or a later read would count a majority that never was.
@@ -819,18 +819,18 @@
         self.settle(now, effects);
     }
 
-    fn toldAside(&mut self, aside: Aside, tell: Option<Tell>, effects: &mut Vec<Effect>) {
+    fn told_aside(&mut self, aside: Aside, tell: Option<Tell>, effects: &mut Vec<Effect>) {
         match (aside, tell) {
             (Aside::Fetch { revision, digest }, Some(Tell::Fetched(values))) => {
                 let mut wanted = (revision, digest);
                 let mut writes = Vec::new();
                 for value in values {
                     let bytes = value.encode();
-                    if crate::talk::digestOf(&bytes) != wanted.1 {
+                    if crate::talk::digest_of(&bytes) != wanted.1 {
                         break;
                     }
                     let (revision, digest) = wanted;
-                    wanted = (value.parentRevision, value.parent);
+                    wanted = (value.parent_revision, value.parent);
                     self.keep(&value, digest);
                     writes.push(Write::Version { revision, digest, bytes });
                     if self.value.is_none()
@@ -842,22 +842,22 @@
                 if !writes.is_empty() {
                     effects.push(Effect::Save(writes));
                     // The chain goes on at once.
-                    self.asideAt = Duration::ZERO;
+                    self.aside_at = Duration::ZERO;
                 }
             }
             (Aside::Admit { seat }, Some(Tell::Admitted { promised, accepted, value })) => {
-                if !self.isBlank() || crate::talk::digestOf(&value.encode()) != accepted.digest {
+                if !self.is_blank() || crate::talk::digest_of(&value.encode()) != accepted.digest {
                     return;
                 }
                 self.admissions.insert(seat, (promised, accepted, value));
-                self.tryAdmission(effects);
+                self.try_admission(effects);
             }
             _ => {}
         }
     }
 
     /// Votes only when every other holder has shown that it refuses the old disk (design 6.5).
-    fn tryAdmission(&mut self, effects: &mut Vec<Effect>) {
+    fn try_admission(&mut self, effects: &mut Vec<Effect>) {
         let Some((_, best, value)) =
             self.admissions.values().max_by_key(|(_, accepted, _)| accepted.rank())
         else {
@@ -873,8 +873,8 @@
         self.state.promised = self.state.promised.max(promised.unwrap_or_default());
         self.accept(best.ballot, value, effects);
         self.admissions.clear();
-        self.sweepAt = Duration::ZERO;
-        self.asideAt = Duration::ZERO;
+        self.sweep_at = Duration::ZERO;
+        self.aside_at = Duration::ZERO;
         effects.push(Effect::Noted("admitted to its seat; this store votes".to_string()));
     }
 
@@ -886,11 +886,11 @@
     fn settle(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         loop {
             let Some(job) = &self.job else { return };
-            let isOver = job.open.is_empty();
+            let is_over = job.open.is_empty();
             match &job.phase {
                 Phase::Resting { .. } => return,
                 Phase::Checking => {
-                    if !isOver {
+                    if !is_over {
                         return;
                     }
                     let mut job = self.job.take().expect("just seen");
@@ -899,7 +899,7 @@
                 }
                 Phase::Querying { states } => {
                     if matches!(job.op, Op::Genesis) {
-                        if !isOver {
+                        if !is_over {
                             return;
                         }
                         let states = states.clone();
@@ -918,22 +918,22 @@
                         .values()
                         .filter(|(from, meta, _)| self.holds(*from, &seats) && *meta == best)
                         .count();
-                    let isSweep = matches!(job.op, Op::Sweep);
+                    let is_sweep = matches!(job.op, Op::Sweep);
                     if best.is_some() && best == own && same >= self.quorum(&seats) {
-                        if isSweep && !isOver {
+                        if is_sweep && !is_over {
                             return;
                         }
                         let states = states.clone();
                         let job = self.job.take().expect("just seen");
                         let meta = own.expect("compared above");
                         self.choose(meta, effects);
-                        if isSweep {
-                            self.mendCopies(meta, &states, effects);
+                        if is_sweep {
+                            self.mend_copies(meta, &states, effects);
                         }
-                        self.finishRead(job, effects);
-                        return self.underBallot(now, None, effects);
+                        self.finish_read(job, effects);
+                        return self.under_ballot(now, None, effects);
                     }
-                    if !isOver {
+                    if !is_over {
                         return;
                     }
                     let heard = states.len();
@@ -941,7 +941,7 @@
                     if heard < self.quorum(&seats) {
                         return self.fail(job, "no majority of stores replies", effects);
                     }
-                    if isSweep && !self.isFirst() {
+                    if is_sweep && !self.is_first() {
                         // The first store mends; two would only outbid each other.
                         return;
                     }
@@ -957,41 +957,41 @@
                         let same = counted.filter(|(_, theirs)| *theirs == meta).count();
                         if same >= quorum && self.state.accepted == Some(meta) {
                             self.choose(meta, effects);
-                            return self.underBallot(now, Some(ballot), effects);
+                            return self.under_ballot(now, Some(ballot), effects);
                         }
                         let mut job = self.job.take().expect("just seen");
                         self.propose(&mut job, ballot, value, true, effects);
                         self.job = Some(job);
                         continue;
                     }
-                    if !isOver {
+                    if !is_over {
                         return;
                     }
                     let job = self.job.take().expect("just seen");
                     return self.rest(now, job, effects);
                 }
                 Phase::Mending { ballot, value, meta, accepts } => {
-                    let isDone = self.isEnough(&job.op, value, accepts);
+                    let is_done = self.is_enough(&job.op, value, accepts);
                     let (ballot, meta) = (*ballot, *meta);
-                    if isDone {
+                    if is_done {
                         self.choose(meta, effects);
-                        return self.underBallot(now, Some(ballot), effects);
+                        return self.under_ballot(now, Some(ballot), effects);
                     }
-                    if !isOver {
+                    if !is_over {
                         return;
                     }
                     let job = self.job.take().expect("just seen");
                     return self.rest(now, job, effects);
                 }
                 Phase::Writing { ballot, value, meta, accepts } => {
-                    let isDone = self.isEnough(&job.op, value, accepts);
+                    let is_done = self.is_enough(&job.op, value, accepts);
                     let (ballot, meta, value) = (*ballot, *meta, value.clone());
-                    if isDone {
+                    if is_done {
                         let job = self.job.take().expect("just seen");
                         self.choose(meta, effects);
                         let outcome = Outcome::Accepted {
                             revision: value.revision,
-                            setupRevision: value.setupRevision,
+                            setup_revision: value.setup_revision,
                             repeat: false,
                         };
                         if let Op::Seat { seat, .. } = job.op {
@@ -999,9 +999,9 @@
                             effects.push(Effect::Noted(text));
                         }
                         self.answer(&job.op, outcome, effects);
-                        return self.underBallot(now, Some(ballot), effects);
+                        return self.under_ballot(now, Some(ballot), effects);
                     }
-                    if !isOver {
+                    if !is_over {
                         return;
                     }
                     // Some copy may hold it and bring it back: nobody can tell from here.
@@ -1014,7 +1014,7 @@
     }
 
     /// A majority of the holders; for a change of seats all other holders (design 6.5).
-    fn isEnough(&self, op: &Op, value: &Value, accepts: &BTreeMap<u8, From>) -> bool {
+    fn is_enough(&self, op: &Op, value: &Value, accepts: &BTreeMap<u8, From>) -> bool {
         let counted =
             |seat: &u8| accepts.get(seat).is_some_and(|from| self.holds(*from, &value.seats));
         match op {
@@ -1030,7 +1030,7 @@
         job: &mut Job,
         ballot: Ballot,
         value: Arc<Value>,
-        isMend: bool,
+        is_mend: bool,
         effects: &mut Vec<Effect>,
     ) {
         job.open.clear();
@@ -1044,9 +1044,9 @@
         if self.state.promised == ballot && self.accept(ballot, value.clone(), effects) {
             accepts.insert(self.seat, from);
         }
-        let digest = crate::talk::digestOf(&value.encode());
+        let digest = crate::talk::digest_of(&value.encode());
         let meta = Meta { ballot, revision: value.revision, digest };
-        job.phase = if isMend {
+        job.phase = if is_mend {
             Phase::Mending { ballot, value, meta, accepts }
         } else {
             Phase::Writing { ballot, value, meta, accepts }
@@ -1054,8 +1054,8 @@
     }
 
     fn choose(&mut self, meta: Meta, effects: &mut Vec<Effect>) {
-        let isNew = self.chosen.is_none_or(|old| old.revision < meta.revision);
-        if isNew {
+        let is_new = self.chosen.is_none_or(|old| old.revision < meta.revision);
+        if is_new {
             self.chosen = Some(meta);
             if let Some(value) = &self.value {
                 effects.push(Effect::Chosen(value.clone()));
@@ -1065,7 +1065,7 @@
 
     /// The current value was just seen as chosen. What the job wants to do to it is done now,
     /// under the ballot; and so is what queued up behind it.
-    fn underBallot(&mut self, now: Duration, ballot: Option<Ballot>, effects: &mut Vec<Effect>) {
+    fn under_ballot(&mut self, now: Duration, ballot: Option<Ballot>, effects: &mut Vec<Effect>) {
         loop {
             let mut job = match self.job.take() {
                 Some(job) => job,
@@ -1100,7 +1100,7 @@
                 Op::Change { key, change, .. } => changed(&value, &own, key, change),
                 Op::Seat { seat, incarnation } => Ok(seated(&value, &own, *seat, *incarnation)),
                 Op::Read { .. } | Op::History { .. } | Op::Sweep | Op::Genesis => {
-                    self.finishRead(job, effects);
+                    self.finish_read(job, effects);
                     continue;
                 }
             };
@@ -1122,7 +1122,7 @@
     }
 
     /// Copies that a sweep found behind get the chosen version, under its own ballot.
-    fn mendCopies(
+    fn mend_copies(
         &mut self,
         meta: Meta,
         states: &BTreeMap<u8, (From, Option<Meta>, bool)>,
@@ -1144,7 +1144,7 @@
         }
     }
 
-    fn finishRead(&mut self, job: Job, effects: &mut Vec<Effect>) {
+    fn finish_read(&mut self, job: Job, effects: &mut Vec<Effect>) {
         match job.op {
             Op::Read { ticket } => {
                 if let Some(value) = &self.value {
@@ -1152,17 +1152,17 @@
                     effects.push(Effect::Answer { ticket, tell: Tell::Outcome(outcome) });
                 }
             }
-            Op::History { ticket, revision } => self.answerHistory(ticket, revision, effects),
+            Op::History { ticket, revision } => self.answer_history(ticket, revision, effects),
             _ => {}
         }
     }
 
-    fn answerHistory(&mut self, ticket: u64, revision: u64, effects: &mut Vec<Effect>) {
+    fn answer_history(&mut self, ticket: u64, revision: u64, effects: &mut Vec<Effect>) {
         let (chain, missing) = self.chain();
         let latest = self.chosen.map_or(0, |meta| meta.revision);
         if let Some((revision, digest)) = chain.iter().find(|(one, _)| *one == revision) {
             let versions = vec![(*revision, *digest)];
-            effects.push(Effect::AnswerFromFile { ticket, versions, asOutcome: true });
+            effects.push(Effect::AnswerFromFile { ticket, versions, as_outcome: true });
             return;
         }
         let outcome = match missing {
@@ -1186,8 +1186,8 @@
 
     /// Nothing of the operation was proposed to anyone.
     fn fail(&mut self, job: Job, why: &str, effects: &mut Vec<Effect>) {
-        let isWriting = matches!(job.phase, Phase::Writing { .. });
-        let outcome = if isWriting {
+        let is_writing = matches!(job.phase, Phase::Writing { .. });
+        let outcome = if is_writing {
             Outcome::Unknown
         } else {
             Outcome::NothingDone { why: why.to_string() }
@@ -1197,8 +1197,8 @@
 
     /// After a lost round: again a little later, the higher seats later, or give up.
     fn rest(&mut self, now: Duration, mut job: Job, effects: &mut Vec<Effect>) {
-        let isOutbid = job.outbid >= self.state.promised;
-        if job.tries >= TRIES_MOST || !isOutbid || self.unseated {
+        let is_outbid = job.outbid >= self.state.promised;
+        if job.tries >= TRIES_MOST || !is_outbid || self.unseated {
             return self.fail(job, "no majority of stores replies", effects);
         }
         let step = Duration::from_millis(20 + 60 * u64::from(self.seat));
@@ -1215,7 +1215,7 @@
         drop(job);
         // Only when all three seats replied and all are empty: never from one side of a split,
         // never over a word that any disk still has (design 6.4).
-        if states.len() != 3 || !self.isBlank() || !states.values().all(|(_, _, blank)| *blank) {
+        if states.len() != 3 || !self.is_blank() || !states.values().all(|(_, _, blank)| *blank) {
             return;
         }
         let mut seats = Seats::default();
@@ -1228,9 +1228,9 @@
         }
         let value = Value {
             revision: 0,
-            parentRevision: 0,
+            parent_revision: 0,
             parent: Digest::default(),
-            setupRevision: 0,
+            setup_revision: 0,
             setup: Vec::new(),
             emptied: BTreeSet::new(),
             seats,
@@ -1244,45 +1244,45 @@
             let call = self.call(seat, Ask::Accept { from, ballot, value: value.clone() }, effects);
             self.aside.insert(call, Aside::Mend);
         }
-        self.sweepAt = Duration::ZERO;
+        self.sweep_at = Duration::ZERO;
     }
 }
 
 /// The value after a change, or what to tell instead of changing anything.
 fn changed(value: &Value, own: &Meta, key: &str, change: &Change) -> Result<Value, Outcome> {
     if let Some(known) = value.keys.iter().find(|known| known.key == key) {
-        let (revision, setupRevision) = (known.revision, known.setupRevision);
+        let (revision, setup_revision) = (known.revision, known.setup_revision);
         return Err(if known.matter == change.matter() {
-            Outcome::Accepted { revision, setupRevision, repeat: true }
+            Outcome::Accepted { revision, setup_revision, repeat: true }
         } else {
             Outcome::KeyReused { revision }
         });
     }
     let mut next = child(value, own);
-    let isSame = match change {
-        Change::Setup { bytes, ifRevision } => {
-            if ifRevision.is_some_and(|wanted| wanted != value.setupRevision) {
+    let is_same = match change {
+        Change::Setup { bytes, if_revision } => {
+            if if_revision.is_some_and(|wanted| wanted != value.setup_revision) {
                 return Err(Outcome::Conflict {
                     revision: value.revision,
-                    setupRevision: value.setupRevision,
+                    setup_revision: value.setup_revision,
                 });
             }
             next.setup = bytes.clone();
-            next.setupRevision = next.revision;
+            next.setup_revision = next.revision;
             false
         }
         Change::Empty { zone } => !next.emptied.insert(zone.clone()),
         Change::Return { zone } => !next.emptied.remove(zone),
     };
-    if isSame {
-        let (revision, setupRevision) = (value.revision, value.setupRevision);
-        return Err(Outcome::Accepted { revision, setupRevision, repeat: true });
+    if is_same {
+        let (revision, setup_revision) = (value.revision, value.setup_revision);
+        return Err(Outcome::Accepted { revision, setup_revision, repeat: true });
     }
     next.keys.push_back(crate::talk::Submission {
         key: key.to_string(),
         matter: change.matter(),
         revision: next.revision,
-        setupRevision: next.setupRevision,
+        setup_revision: next.setup_revision,
     });
     while next.keys.len() > crate::talk::KEYS_MOST {
         next.keys.pop_front();
@@ -1299,7 +1299,7 @@
 fn child(value: &Value, own: &Meta) -> Value {
     let mut next = value.clone();
     next.revision += 1;
-    next.parentRevision = own.revision;
+    next.parent_revision = own.revision;
     next.parent = own.digest;
     next
 }
@@ -1314,7 +1314,7 @@
     next.seats[usize::from(seat)] = Some(Holder { incarnation: state.incarnation, admitted: true });
     let ballot =
         Ballot { number: state.promised.number + 1_000_000, seat, incarnation: state.incarnation };
-    let digest = crate::talk::digestOf(&next.encode());
+    let digest = crate::talk::digest_of(&next.encode());
     let accepted = Some(Meta { ballot, revision: next.revision, digest });
     (State { incarnation: state.incarnation, promised: ballot, accepted }, next)
 }
--- a/store/src/shell.rs
+++ b/store/src/shell.rs
@@ -30,7 +30,7 @@
     tally: Arc<Tally>,
     summary: Arc<arc_swap::ArcSwap<crate::register::Summary>>,
     waiting: std::collections::HashMap<u64, tokio::sync::oneshot::Sender<Tell>>,
-    nextTicket: u64,
+    next_ticket: u64,
     claims: Arc<arc_swap::ArcSwap<Claims>>,
 }
 
@@ -75,7 +75,7 @@
             }
             Effect::Call { call, seat, incarnation, ask } => {
                 self.tally.one(Counter::StoreCalls);
-                let address = addressOf(&self.claims.load(), seat, incarnation);
+                let address = address_of(&self.claims.load(), seat, incarnation);
                 let own = own.clone();
                 let links = self.daemon.links.clone();
                 let tally = self.tally.clone();
@@ -96,10 +96,10 @@
                 });
             }
             Effect::Answer { ticket, tell } => self.answer(ticket, tell),
-            Effect::AnswerFromFile { ticket, versions, asOutcome } => {
+            Effect::AnswerFromFile { ticket, versions, as_outcome } => {
                 let disk = self.disk.clone();
                 let read = tokio::task::spawn_blocking(move || {
-                    crate::register::fromFiles(&versions, asOutcome, |(revision, digest)| {
+                    crate::register::from_files(&versions, as_outcome, |(revision, digest)| {
                         disk.version(*revision, digest)
                     })
                 });
@@ -145,15 +145,15 @@
             return;
         };
         self.tally.one(Counter::StoreAsks);
-        self.nextTicket += 1;
-        self.waiting.insert(self.nextTicket, reply);
-        self.step(Event::Asked { ticket: self.nextTicket, ask }, &own).await;
+        self.next_ticket += 1;
+        self.waiting.insert(self.next_ticket, reply);
+        self.step(Event::Asked { ticket: self.next_ticket, ask }, &own).await;
     }
 }
 
 /// Runs a store until it is told to stop.
 pub async fn run(settings: vanepath_setup::settings::Settings) -> Result<(), miette::Report> {
-    let folder = settings.dataFolder.clone().expect("checked with the settings");
+    let folder = settings.data_folder.clone().expect("checked with the settings");
     let seat = settings.seat.expect("checked with the settings") as u8;
     let disk = Arc::new(crate::disk::Disk::open(&folder)?);
     let found = disk.load(daemon::random())?;
@@ -165,9 +165,9 @@
 
     // The handler is there before the actor is: the daemon's links start first.
     let slot: Arc<std::sync::OnceLock<xtra::Address<StoreActor>>> = Arc::default();
-    let handlerSlot = slot.clone();
+    let handler_slot = slot.clone();
     let handler: daemon::StoreHandler = Arc::new(move |bytes: Vec<u8>| {
-        let slot = handlerSlot.clone();
+        let slot = handler_slot.clone();
         Box::pin(async move {
             let Some(ask) = wire::decode::<Ask>(&bytes) else {
                 return wire::Reply::NoDuty;
@@ -201,29 +201,29 @@
         tally: tally.clone(),
         summary: summary.clone(),
         waiting: std::collections::HashMap::new(),
-        nextTicket: 0,
+        next_ticket: 0,
         claims: claims.clone(),
     };
     let actor = xtra::spawn_tokio(actor, xtra::Mailbox::unbounded());
     let _ = slot.set(actor.clone());
 
-    let hintsDisk = disk.clone();
-    let hintsTally = tally.clone();
+    let hints_disk = disk.clone();
+    let hints_tally = tally.clone();
     let mut keeper = crate::hints::Keeper::new(hints);
     let pulsed = actor.clone();
-    let pulseDaemon = daemon.clone();
-    let pulseSummary = summary.clone();
+    let pulse_daemon = daemon.clone();
+    let pulse_summary = summary.clone();
     tokio::spawn(async move {
         let mut pulse = tokio::time::interval(Duration::from_millis(50));
         pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             pulse.tick().await;
-            let view = pulseDaemon.table.load_full();
-            if let Some(hints) = keeper.step(pulseDaemon.clock.now(), &view) {
-                let disk = hintsDisk.clone();
-                let tally = hintsTally.clone();
+            let view = pulse_daemon.table.load_full();
+            if let Some(hints) = keeper.step(pulse_daemon.clock.now(), &view) {
+                let disk = hints_disk.clone();
+                let tally = hints_tally.clone();
                 // Beside the votes, which wait for no hint.
-                tokio::task::spawn_blocking(move || match disk.saveHints(&hints) {
+                tokio::task::spawn_blocking(move || match disk.save_hints(&hints) {
                     Ok(()) => tally.one(Counter::StoreHintsSaved),
                     Err(error) => log::warn!("cannot save hints to the data folder: {error}"),
                 });
@@ -237,26 +237,26 @@
                     return;
                 }
             }
-            let summary = pulseSummary.load();
+            let summary = pulse_summary.load();
             let report = wire::Report {
                 ready: summary.votes,
-                leaving: pulseDaemon.isStopping(),
+                leaving: pulse_daemon.is_stopping(),
                 revision: view.word.revision,
                 blank: summary.blank,
                 ..wire::Report::default()
             };
-            pulseDaemon.report(report).await;
+            pulse_daemon.report(report).await;
         }
     });
 
-    let httpDaemon = daemon.clone();
-    let httpSummary = summary.clone();
+    let http_daemon = daemon.clone();
+    let http_summary = summary.clone();
     let handler = move |request: hyper::Request<hyper::body::Incoming>| {
-        let receipt = answerHttp(&httpDaemon, &httpSummary.load(), &tally, &request);
+        let receipt = answer_http(&http_daemon, &http_summary.load(), &tally, &request);
         async move { receipt }
     };
     let stop = daemon.stop.clone();
-    daemon::serveHttp(listener, stop, daemon::HttpSettings::default(), handler).await;
+    daemon::serve_http(listener, stop, daemon::HttpSettings::default(), handler).await;
     // A moment for the news that it leaves; what was accepted is on the disk already.
     tokio::time::sleep(Duration::from_millis(200)).await;
     log::info!("stopped");
@@ -270,13 +270,13 @@
     let claim = |card: &wire::Card, report: &wire::Report| {
         let (seat, incarnation) = card.seat.filter(|(seat, _)| *seat < 3)?;
         let claim = crate::register::Claim { seat, incarnation, blank: report.blank };
-        Some((claim, card.siblingAddress))
+        Some((claim, card.sibling_address))
     };
     view.live.iter().filter_map(|(card, report)| claim(card, report)).collect()
 }
 
 /// Where to ask: the disk that is meant, or else one that holds something.
-pub fn addressOf(
+pub fn address_of(
     claims: &Claims,
     seat: u8,
     incarnation: Option<u64>,
@@ -289,14 +289,14 @@
         .map(|(_, address)| *address)
 }
 
-fn answerHttp(
+fn answer_http(
     daemon: &daemon::Daemon,
     summary: &crate::register::Summary,
     tally: &Tally,
     request: &hyper::Request<hyper::body::Incoming>,
 ) -> hyper::Response<daemon::Body> {
     let path = request.uri().path();
-    let ready = summary.votes && !daemon.isStopping();
+    let ready = summary.votes && !daemon.is_stopping();
     if let Some(receipt) = daemon::common(daemon, path, ready, |all| tally.show(all)) {
         return receipt;
     }
@@ -339,7 +339,7 @@
     };
     let (state, next) = crate::register::rescued(&found.state, value, seat);
     let bytes = next.encode();
-    let digest = crate::talk::digestOf(&bytes);
+    let digest = crate::talk::digest_of(&bytes);
     let revision = next.revision;
     let writes = [
         crate::register::Write::Version { revision, digest, bytes },
