--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -35,9 +35,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Value {
     pub revision: u64,
-    pub parentRevision: u64,
+    pub parent_revision: u64,
     pub parent: Digest,
-    pub setupRevision: u64,
+    pub setup_revision: u64,
     #[serde(with = "serde_bytes")]
     pub setup: Vec<u8>,
     pub emptied: std::collections::BTreeSet<String>,
@@ -52,7 +52,7 @@
     pub key: String,
     pub matter: u64,
     pub revision: u64,
-    pub setupRevision: u64,
+    pub setup_revision: u64,
 }
 
 /// A repeat is known among so many of the last writes.
@@ -68,14 +68,14 @@
     pub fn word(&self) -> vanepath_sibling::wire::Word {
         vanepath_sibling::wire::Word {
             revision: self.revision,
-            setupRevision: self.setupRevision,
+            setup_revision: self.setup_revision,
             setup: self.setup.clone(),
             emptied: self.emptied.clone(),
         }
     }
 }
 
-pub fn digestOf(encoded: &[u8]) -> Digest {
+pub fn digest_of(encoded: &[u8]) -> Digest {
     vanepath_setup::digest(&[b"vanepath value", encoded])
 }
 
@@ -99,7 +99,7 @@
         #[serde(with = "serde_bytes")]
         bytes: Vec<u8>,
         /// Only if the setup in force is still of this revision.
-        ifRevision: Option<u64>,
+        if_revision: Option<u64>,
     },
     Empty {
         zone: String,
@@ -189,13 +189,13 @@
     /// In force, now or by an earlier submission under the same key.
     Accepted {
         revision: u64,
-        setupRevision: u64,
+        setup_revision: u64,
         repeat: bool,
     },
     /// The setup is not of the revision asked for. Nothing was done.
     Conflict {
         revision: u64,
-        setupRevision: u64,
+        setup_revision: u64,
     },
     /// The key was used for something else. Nothing was done.
     KeyReused {
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -18,7 +18,7 @@
     seat: u8,
     core: Register,
     disk: Disk,
-    isUp: bool,
+    is_up: bool,
 }
 
 /// Who asked under a ticket.
@@ -50,8 +50,8 @@
     let at = state.accepted.map(|meta| (meta.revision, meta.digest));
     let value = at.and_then(|at| disk.versions.get(&at).cloned()).map(Arc::new);
     let kept = disk.versions.iter().map(|((revision, digest), value)| {
-        let (parentRevision, parent) = (value.parentRevision, value.parent);
-        (*revision, Kept { digest: *digest, parentRevision, parent })
+        let (parent_revision, parent) = (value.parent_revision, value.parent);
+        (*revision, Kept { digest: *digest, parent_revision, parent })
     });
     Found { state, value, kept: kept.collect() }
 }
@@ -77,14 +77,14 @@
     fn add(&mut self, seat: u8, random: u64) {
         let mut disk = Disk::default();
         let core = Register::new(seat, found(&mut disk, random), self.now);
-        self.stores.push(Seat { seat, core, disk, isUp: true });
+        self.stores.push(Seat { seat, core, disk, is_up: true });
     }
 
     fn restart(&mut self, index: usize) {
         let now = self.now;
         let store = &mut self.stores[index];
         store.core = Register::new(store.seat, found(&mut store.disk, 7), now);
-        store.isUp = true;
+        store.is_up = true;
     }
 
     fn ask(&mut self, index: usize, ask: Ask) {
@@ -97,7 +97,7 @@
     /// A change that nobody else sends, asked of one store; what the operator was told.
     fn put(&mut self, index: usize, key: &str) -> Option<Outcome> {
         let before = self.told.len();
-        let change = Change::Setup { bytes: key.as_bytes().to_vec(), ifRevision: None };
+        let change = Change::Setup { bytes: key.as_bytes().to_vec(), if_revision: None };
         self.ask(index, Ask::Change { key: key.to_string(), change });
         self.passes(Duration::from_secs(2));
         self.told.get(before).cloned()
@@ -111,7 +111,7 @@
             let live: Vec<Claim> = self
                 .stores
                 .iter()
-                .filter(|store| store.isUp)
+                .filter(|store| store.is_up)
                 .map(|store| {
                     let summary = store.core.summary();
                     let (incarnation, blank) = (summary.incarnation, summary.blank);
@@ -128,7 +128,7 @@
 
     fn run(&mut self) {
         while let Some((index, event)) = self.events.pop_front() {
-            if !self.stores[index].isUp {
+            if !self.stores[index].is_up {
                 if let Event::Asked { ticket, .. } = event {
                     self.silent(ticket);
                 }
@@ -190,10 +190,10 @@
                     self.said.push(tell);
                 }
             },
-            Effect::AnswerFromFile { ticket, versions, asOutcome } => {
+            Effect::AnswerFromFile { ticket, versions, as_outcome } => {
                 let disk = &self.stores[index].disk;
                 let load = |at: &(u64, Digest)| disk.versions.get(at).cloned();
-                let (tell, _) = vanepath_store::register::fromFiles(&versions, asOutcome, load);
+                let (tell, _) = vanepath_store::register::from_files(&versions, as_outcome, load);
                 self.perform(index, Effect::Answer { ticket, tell });
             }
             Effect::Chosen(_) => {}
@@ -215,17 +215,17 @@
 
 /// Begun by three empty disks and not by two; one at a time may be gone, and is mended after.
 #[test]
-fn aMajorityAcceptsAndTheThirdIsMended() {
+fn a_majority_accepts_and_the_third_is_mended() {
     let mut fleet = Fleet::new();
-    fleet.stores[2].isUp = false;
+    fleet.stores[2].is_up = false;
     fleet.passes(Duration::from_secs(5));
-    assert!(fleet.stores.iter().all(|store| store.core.isBlank()), "two do not begin a word");
-    fleet.stores[2].isUp = true;
+    assert!(fleet.stores.iter().all(|store| store.core.is_blank()), "two do not begin a word");
+    fleet.stores[2].is_up = true;
     fleet.passes(Duration::from_secs(3));
     assert_eq!(revision(fleet.put(0, "a")), 1);
-    fleet.stores[0].isUp = false;
+    fleet.stores[0].is_up = false;
     assert_eq!(revision(fleet.put(1, "b")), 2);
-    fleet.stores[1].isUp = false;
+    fleet.stores[1].is_up = false;
     assert!(!matches!(fleet.put(2, "c"), Some(Outcome::Accepted { .. })), "one is no majority");
     fleet.restart(0);
     fleet.restart(1);
@@ -237,7 +237,7 @@
 /// A proposal that reached one copy only: its operator is told that nobody can tell, and the next one
 /// builds on it or outbids it, with one content for each revision. The key tells which.
 #[test]
-fn whatReachedOneCopyIsInDoubtAndThenSettled() {
+fn what_reached_one_copy_is_in_doubt_and_then_settled() {
     for reached in [1_usize, 9] {
         let mut fleet = Fleet::new();
         fleet.passes(Duration::from_secs(3));
@@ -247,7 +247,7 @@
             Box::new(move |_, target, ask| matches!(ask, Ask::Accept { .. }) && target != reached);
         fleet.mutes = Box::new(|_, _, tell| matches!(tell, Tell::Accepted { .. }));
         assert_eq!(fleet.put(0, "b"), Some(Outcome::Unknown));
-        fleet.stores[0].isUp = false;
+        fleet.stores[0].is_up = false;
         fleet.loses = Box::new(|_, _, _| false);
         fleet.mutes = Box::new(|_, _, _| false);
         let next = revision(fleet.put(1, "c"));
@@ -267,7 +267,7 @@
 /// An empty disk gets the seat of a dead one, votes only after both others have shown that they refuse
 /// the old disk, and has all that was accepted; the old disk, back again, gets no vote.
 #[test]
-fn anEmptyDiskTakesTheSeatAndTheOldOneIsRefused() {
+fn an_empty_disk_takes_the_seat_and_the_old_one_is_refused() {
     let mut fleet = Fleet::new();
     fleet.passes(Duration::from_secs(3));
     for key in ["a", "b", "c"] {
@@ -276,8 +276,8 @@
     // While its holder replies nobody takes the seat.
     fleet.add(0, 500);
     fleet.passes(Duration::from_secs(5));
-    assert!(fleet.stores[3].core.isBlank());
-    fleet.stores[0].isUp = false;
+    assert!(fleet.stores[3].core.is_blank());
+    fleet.stores[0].is_up = false;
     // One of the two others does not tell the new disk that it is admitted.
     fleet.mutes = Box::new(|teller, _, tell| teller == 2 && matches!(tell, Tell::Admitted { .. }));
     fleet.passes(Duration::from_secs(5));
@@ -291,14 +291,14 @@
     fleet.restart(0);
     fleet.passes(Duration::from_secs(5));
     assert!(!fleet.stores[0].core.summary().votes, "its seat went to another disk");
-    fleet.stores[1].isUp = false;
+    fleet.stores[1].is_up = false;
     assert!(matches!(fleet.put(2, "d"), Some(Outcome::Accepted { .. })), "with the new disk");
 }
 
 /// A copy that promised a ballot takes nothing under a lower one, also after its process was started
 /// anew; and from a disk that holds no seat it takes nothing at all.
 #[test]
-fn aPromiseIsKeptAcrossRestarts() {
+fn a_promise_is_kept_across_restarts() {
     let mut fleet = Fleet::new();
     fleet.passes(Duration::from_secs(3));
     fleet.put(0, "a");
