--- a/checker/src/lib.rs
+++ b/checker/src/lib.rs
@@ -282,6 +282,8 @@
                 zone: text(&server["zone"])?,
                 labels,
                 leaving: server["leaving"].as_bool()?,
+                cold: false,
+                slots: 0,
             },
             is_live: server["live"].as_bool()?,
         });
@@ -313,6 +315,8 @@
                     zone: zone.to_string(),
                     labels: [("app".to_string(), app.to_string())].into(),
                     leaving: false,
+                    cold: false,
+                    slots: 0,
                 },
                 is_live: *is_live,
             });
--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_caller::steering::{Steering, parse};
-use vanepath_proxy::chart::{Chart, GOES_MOST, Miss, Next, Refusal, State};
+use vanepath_proxy::chart::{Chart, Miss, Next, Refusal, State};
 use vanepath_proxy::classes::{Classes, Entry as Entered, Slot};
 use vanepath_proxy::liveness::{Failure, Phase};
 use vanepath_proxy::servers::{Choice, Idle, Servers, Table, Want};
@@ -829,7 +829,13 @@
                         }
                     });
                 }
-                let idle = Idle { connection, greeted_at: now, quiet_since: now, is_used: false };
+                let idle = Idle {
+                    connection,
+                    greeted_at: now,
+                    quiet_since: now,
+                    kept_for: vanepath_proxy::servers::IDLE_MOST,
+                    is_used: false,
+                };
                 proxy.servers.put_idle(slot, idle);
                 proxy.servers.good(now, slot)
             }
@@ -1018,6 +1024,7 @@
         own.table = latest;
         let want = Want {
             rule: own.rule,
+            service: own.table.setup.rules[own.rule].service,
             emptied: &view.word.emptied,
             zone: &zone,
             region: &region,
@@ -1115,6 +1122,7 @@
         let Some((connection, _)) = own.connection else { return };
         let left = own.deadline.saturating_sub(now);
         own.chart.state = State::Sent;
+        own.chart.sends += 1;
         proxy.servers.sent(now, entry.slot);
         let body = Body::Work { request: own.request, connection, sent_at: self.net.now };
         let target = Net::host_at(entry.server.address);
@@ -1146,6 +1154,7 @@
         }
         let want = Want {
             rule: own.rule,
+            service: own.table.setup.rules[own.rule].service,
             emptied: &view.word.emptied,
             zone: &card.zone,
             region: &card.region,
@@ -1194,7 +1203,13 @@
             return self.missed(index, way, miss);
         }
         if let Some((connection, greeted_at)) = own.connection.take() {
-            let idle = Idle { connection, greeted_at, quiet_since: now, is_used: true };
+            let idle = Idle {
+                connection,
+                greeted_at,
+                quiet_since: now,
+                kept_for: vanepath_proxy::servers::IDLE_MOST,
+                is_used: true,
+            };
             proxy.servers.put_idle(slot, idle);
         }
         own.chart.state = State::Done;
@@ -1214,7 +1229,7 @@
         let budget = &mut proxy.budget;
         match self.breaks {
             Some(Break::FilingsGoAgain) => own.chart.kind = Kind::Repeatable,
-            Some(Break::LookupsGiveUp) => own.chart.goes = GOES_MOST,
+            Some(Break::LookupsGiveUp) => own.chart.sends = own.chart.sends_most,
             _ => {}
         }
         let is_unbound = self.breaks == Some(Break::UnboundRetries);
--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -412,6 +412,8 @@
                 zone: server.zone.clone(),
                 labels: [("app".to_string(), server.app.clone())].into(),
                 leaving: false,
+                cold: false,
+                slots: 0,
             });
         }
     }
--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -45,8 +45,12 @@
     NotConnected,
     /// The connection ended before any byte of the request was written.
     NotSent,
+    /// The server says that it did not run it and never will, or that it is another server.
+    TurnedAway,
     /// Lost after at least one byte may have been written.
     LostAfterSend,
+    /// What came is no answer to this request.
+    Misanswered,
     /// The server was silent for too long after the request was sent.
     Silent,
     /// The receipt was cut short or could not be proved whole, before any of it was passed on.
@@ -66,11 +70,15 @@
     /// Whether the request can be told a second time word for word.
     pub is_replayable: bool,
     pub goes: u32,
+    /// Goes in which the request was sent to a server, and how many there may be.
+    pub sends: u32,
+    pub sends_most: u32,
     /// Some byte of it may have reached a server.
     pub may_sent: bool,
 }
 
-pub const GOES_MOST: u32 = 4;
+/// Goes that find nobody there come on top of those that a rule allows.
+const GOES_IN_VAIN_MOST: u32 = 4;
 /// No server is left for being slow sooner than that.
 const LEAVE_AFTER: std::time::Duration = std::time::Duration::from_millis(300);
 
@@ -81,10 +89,17 @@
             kind: Kind::Once,
             is_replayable: false,
             goes: 0,
+            sends: 0,
+            sends_most: vanepath_setup::model::ATTEMPTS_MOST,
             may_sent: false,
         }
     }
 
+    /// Whether a further go is within the rule's bound.
+    pub fn may_go_on(&self) -> bool {
+        self.sends < self.sends_most && self.goes < self.sends_most + GOES_IN_VAIN_MOST
+    }
+
     pub fn verdict(&self) -> Verdict {
         match self.state {
             State::Answering | State::Done => Verdict::Ran,
@@ -96,29 +111,29 @@
     /// After how long without a reply a request that is with a server looks for another one, again
     /// and again: `left` is what remains of its time. Never for one that must not go twice.
     pub fn leave_after(&self, left: std::time::Duration) -> Option<std::time::Duration> {
-        let may = self.kind == Kind::Repeatable && self.is_replayable && self.goes < GOES_MOST;
+        let may = self.kind == Kind::Repeatable && self.is_replayable && self.may_go_on();
         let pause = (left / 3).max(LEAVE_AFTER);
         (may && pause < left).then_some(pause)
     }
 
     /// After a go that missed. `may_go` takes one from the retry budget; it is asked last.
     pub fn missed(&mut self, miss: Miss, is_late: bool, may_go: impl FnOnce() -> bool) -> Next {
-        let untouched = matches!(miss, Miss::NotConnected | Miss::NotSent);
+        let untouched = matches!(miss, Miss::NotConnected | Miss::NotSent | Miss::TurnedAway);
         if !untouched {
             self.may_sent = true;
         }
         let refusal = match miss {
             _ if is_late => Refusal::Late,
-            Miss::NotConnected | Miss::NotSent => Refusal::NoServer,
+            Miss::NotConnected | Miss::NotSent | Miss::TurnedAway => Refusal::NoServer,
             Miss::Silent => Refusal::Late,
-            Miss::LostAfterSend | Miss::Truncated => Refusal::Lost,
+            Miss::LostAfterSend | Miss::Misanswered | Miss::Truncated => Refusal::Lost,
         };
         let may_repeat = match self.kind {
             Kind::Repeatable => self.is_replayable || untouched,
             // A filing goes on only while provably no byte of it was sent.
             Kind::Once => untouched && !self.may_sent,
         };
-        if is_late || !may_repeat || self.goes >= GOES_MOST {
+        if is_late || !may_repeat || !self.may_go_on() {
             return Next::End(refusal);
         }
         if !may_go() {
@@ -150,12 +165,15 @@
     }
 
     /// When it makes sense to come back.
-    pub fn retry_after_s(self) -> Option<u32> {
-        match self {
-            Refusal::NotReady | Refusal::NoRoom | Refusal::NoServer => Some(1),
-            Refusal::NoBudget | Refusal::Late => Some(2),
-            _ => None,
-        }
+    pub fn retry_after(self) -> Option<std::time::Duration> {
+        let after_ms = match self {
+            Refusal::NoServer | Refusal::NoRoom => 100,
+            Refusal::NotReady => 300,
+            Refusal::NoBudget => 500,
+            Refusal::Late => 1000,
+            _ => return None,
+        };
+        Some(std::time::Duration::from_millis(after_ms))
     }
 }
 
@@ -175,7 +193,7 @@
         assert_eq!(chart.leave_after(ms(4000)), Some(ms(4000) / 3));
         assert_eq!(chart.leave_after(ms(600)), Some(ms(300)));
         assert_eq!(chart.leave_after(ms(300)), None);
-        chart.goes = super::GOES_MOST;
+        chart.sends = chart.sends_most;
         assert_eq!(chart.leave_after(ms(6000)), None);
         let filing = Chart { kind: Kind::Once, goes: 1, ..Chart::new() };
         assert_eq!(filing.leave_after(ms(6000)), None);
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod carry;
 pub mod chart;
 pub mod classes;
-pub mod demand;
 pub mod liveness;
 pub mod pool;
 pub mod servers;
--- a/proxy/src/liveness.rs
+++ b/proxy/src/liveness.rs
@@ -157,6 +157,21 @@
         }
     }
 
+    /// Taken for well on the platform's word; traffic will tell.
+    pub fn trust(&mut self, now: Duration) {
+        self.enter(now, Phase::Live);
+        self.good = 0;
+        self.bad = 0;
+        self.bad_since = None;
+        self.was_away = false;
+        self.refused = false;
+    }
+
+    /// Something speaks against it that only a probe can settle.
+    pub fn is_in_doubt(&self) -> bool {
+        self.phase == Phase::Suspect || self.is_doubted || self.bad > 0
+    }
+
     pub fn was_refused(&self) -> bool {
         self.refused && matches!(self.phase, Phase::Suspect | Phase::Cold)
     }
--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -5,6 +5,7 @@
 use crate::servers::{Entry, Idle};
 use http_body_util::BodyExt;
 use std::time::Duration;
+use vanepath_setup::dialect::Spoken;
 use vanepath_sibling::daemon;
 
 pub type Sender = hyper::client::conn::http1::SendRequest<daemon::Body>;
@@ -12,6 +13,8 @@
 
 /// For a connection and for a greeting: many times what the farthest region takes.
 pub const LIMIT: Duration = Duration::from_millis(600);
+/// For a connection within the region.
+const LIMIT_NEAR: Duration = Duration::from_millis(250);
 const GREETING_MOST: usize = 64 << 10;
 
 /// What a liveness check found.
@@ -23,12 +26,25 @@
 
 /// A new connection, greeted. `untidy` is called if it ever brings bytes that nobody asked for.
 pub async fn connect(
+    dialect: Spoken,
     entry: &Entry,
     service: &vanepath_setup::model::Service,
     untidy: impl FnOnce() + Send + 'static,
 ) -> Result<(Sender, Greeted), Failure> {
+    let mut sender = open(entry, true, untidy).await?;
+    let greeted = greet(dialect, &mut sender, entry, service).await?;
+    Ok((sender, greeted))
+}
+
+/// A new connection that nothing was said on yet.
+pub async fn open(
+    entry: &Entry,
+    is_far: bool,
+    untidy: impl FnOnce() + Send + 'static,
+) -> Result<Sender, Failure> {
+    let limit = if is_far { LIMIT } else { LIMIT_NEAR };
     let connected =
-        tokio::time::timeout(LIMIT, tokio::net::TcpStream::connect(entry.server.address));
+        tokio::time::timeout(limit, tokio::net::TcpStream::connect(entry.server.address));
     let stream = match connected.await {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) => return Err(Failure::Refused),
@@ -38,15 +54,24 @@
     let mut builder = hyper::client::conn::http1::Builder::new();
     builder.preserve_header_case(true).max_buf_size(64 << 10);
     let handshake = builder.handshake(hyper_util::rt::TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.map_err(|_| Failure::Broken)?;
+    let (sender, connection) = handshake.map_err(|_| Failure::Broken)?;
     tokio::spawn(async move {
         // Ends when either side closes, or on the first byte that nobody asked for.
         if connection.await.is_err_and(|error| is_surplus(&error)) {
             untidy();
         }
     });
-    let greeted = greet(&mut sender, entry, service).await?;
-    Ok((sender, greeted))
+    Ok(sender)
+}
+
+/// For how long the server keeps a resting connection, as it says (RFC 9112 and its `Keep-Alive`).
+pub fn kept_for(headers: &hyper::HeaderMap) -> Duration {
+    let told = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let told = told.and_then(|text| {
+        let mut pairs = text.split(',').filter_map(|pair| pair.trim().split_once('='));
+        pairs.find(|(key, _)| key.eq_ignore_ascii_case("timeout"))?.1.trim().parse().ok()
+    });
+    told.map_or(crate::servers::IDLE_MOST, Duration::from_secs)
 }
 
 /// The library has a name for every other end of a connection; this one comes without a cause.
@@ -64,17 +89,19 @@
 
 /// The liveness check on a connection that is open.
 pub async fn greet(
+    dialect: Spoken,
     sender: &mut Sender,
     entry: &Entry,
     service: &vanepath_setup::model::Service,
 ) -> Result<Greeted, Failure> {
-    match tokio::time::timeout(LIMIT, greet_unbounded(sender, entry, service)).await {
+    match tokio::time::timeout(LIMIT, greet_unbounded(dialect, sender, entry, service)).await {
         Ok(outcome) => outcome,
         Err(_) => Err(Failure::Silent),
     }
 }
 
 async fn greet_unbounded(
+    dialect: Spoken,
     sender: &mut Sender,
     entry: &Entry,
     service: &vanepath_setup::model::Service,
@@ -106,9 +133,11 @@
     }
     sender.ready().await.map_err(|_| Failure::Broken)?;
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let cold_left = dialect.headers().cold_left.and_then(text);
+    let is_cold = cold_left.is_some_and(|left| left.trim().parse::<f64>().is_ok_and(|ms| ms > 0.0));
     Ok(Greeted {
-        says_cold: text("server-state") == Some("cold"),
-        demand_milli: text(crate::demand::HEADER).and_then(crate::demand::parse),
+        says_cold: is_cold || text("server-state") == Some("cold"),
+        demand_milli: text(dialect.headers().load).and_then(|load| dialect.load(load)),
     })
 }
 
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -36,6 +36,8 @@
     /// When its last receipt was whole; it rests a little after that, so that surplus bytes show
     /// before it is used again.
     pub quiet_since: Duration,
+    /// The server keeps it so long at rest.
+    pub kept_for: Duration,
     /// It carried a request, and not greetings alone.
     pub is_used: bool,
 }
@@ -62,6 +64,7 @@
 const PROBE_REGION: Duration = Duration::from_millis(3000);
 const PROBE_FAR: Duration = Duration::from_millis(10_000);
 const PROBE_DOUBT: Duration = Duration::from_millis(400);
+const PROBE_DOUBT_SELDOM: Duration = Duration::from_millis(800);
 
 /// Whether this proxy is one of the few that watch a server for the whole fleet: by rendezvous
 /// hashing one of the server's own region and two of outside, who are there when the region isn't.
@@ -219,6 +222,8 @@
 pub const QUIET: Duration = Duration::from_millis(20);
 /// A resting connection older than that is closed.
 pub const IDLE_MOST: Duration = Duration::from_secs(20);
+/// Before its server closes it, a resting connection is not used any more.
+const KEPT_MARGIN: Duration = Duration::from_millis(700);
 const IDLE_COUNT_MOST: usize = 64;
 /// What a server told of its demand is believed for so long.
 const DEMAND_HOLDS: Duration = Duration::from_secs(5);
@@ -254,6 +259,8 @@
 /// Where to look for a server, and where not.
 pub struct Want<'w> {
     pub rule: usize,
+    /// The service that was drawn, of those that the rule has.
+    pub service: usize,
     pub emptied: &'w std::collections::BTreeSet<String>,
     pub zone: &'w str,
     pub region: &'w str,
@@ -341,6 +348,19 @@
                     slot
                 }
             };
+            // Servers that are not probed are what the platform says of them.
+            let by_list = !services.is_empty()
+                && services.iter().all(|one| setup.services[*one].probes_in_doubt_only);
+            if by_list {
+                let was_cold = known.is_some_and(|entry| entry.server.cold);
+                self.moved(slot, |liveness| {
+                    if server.cold && (!was_cold || liveness.phase == Phase::Unknown) {
+                        liveness.chill(now, Duration::ZERO);
+                    } else if !server.cold && (was_cold || liveness.phase == Phase::Unknown) {
+                        liveness.trust(now);
+                    }
+                });
+            }
             if known.is_some_and(|entry| entry.server.leaving != server.leaving) {
                 let what = if server.leaving { "is leaving" } else { "stays after all" };
                 notes.push(format!("server {} {what}", server.id));
@@ -416,6 +436,8 @@
             let cold = paces.colds.get(index).copied().unwrap_or_default();
             let every = paces.pauses.get(index).copied().unwrap_or(PROBE_FAR);
             let is_leaving = entry.server.leaving;
+            let in_doubt_only =
+                entry.services.iter().all(|one| table.setup.services[*one].probes_in_doubt_only);
             let moved = self.with(entry.slot, |quick| {
                 let before = quick.liveness.phase;
                 quick.liveness.pulse(now, cold);
@@ -426,9 +448,14 @@
                 let is_steady = quick.liveness.steady(now) > Duration::ZERO;
                 let is_lost = std::mem::replace(&mut quick.was_steady, is_steady) && !is_steady;
                 let is_doubtful = quick.liveness.probe_at(every) == Duration::ZERO;
-                let pause = if is_doubtful { PROBE_DOUBT } else { every };
+                let pause = match (is_doubtful, in_doubt_only) {
+                    (true, false) => PROBE_DOUBT,
+                    (true, true) => PROBE_DOUBT_SELDOM,
+                    (false, _) => every,
+                };
                 let wants = !quick.probing
                     && !is_leaving
+                    && (!in_doubt_only || quick.liveness.is_in_doubt())
                     && now >= quick.liveness.probe_at(every)
                     && quick.probed_at.is_none_or(|last| now >= last + pause);
                 if wants {
@@ -487,7 +514,7 @@
         let all: [Where<'_>; 1] = [&far];
         let mut steps: Vec<(usize, Where<'_>)> = Vec::new();
         for places in [&near[..], &all[..]] {
-            for service in std::iter::once(&rule.service).chain(&rule.spill) {
+            for service in std::iter::once(&want.service).chain(&rule.spill) {
                 steps.extend(places.iter().map(|place| (*service, *place)));
             }
         }
@@ -633,7 +660,10 @@
         is_usable: impl Fn(&Idle<C>) -> bool,
     ) -> Option<Idle<C>> {
         self.with(slot, |quick| {
-            quick.idle.retain(|idle| now.saturating_sub(idle.quiet_since) < IDLE_MOST);
+            quick.idle.retain(|idle| {
+                let rested = now.saturating_sub(idle.quiet_since);
+                rested < IDLE_MOST && rested + KEPT_MARGIN < idle.kept_for
+            });
             let found = quick
                 .idle
                 .iter()
@@ -689,20 +719,22 @@
         let phase = match outcome {
             Ok(()) => self.good(now, slot),
             Err(Miss::Truncated) => self.bad(now, slot, Failure::Unwell),
-            Err(Miss::NotSent | Miss::LostAfterSend) => self.bad(now, slot, Failure::Broken),
+            Err(Miss::NotSent | Miss::LostAfterSend | Miss::Misanswered) => {
+                self.bad(now, slot, Failure::Broken)
+            }
             // No proof against it: it may just have much to do. A probe will tell.
             Err(Miss::Silent) => self.moved(slot, Liveness::doubt),
-            Err(Miss::NotConnected) => None,
+            Err(Miss::NotConnected | Miss::TurnedAway) => None,
         };
         self.with(slot, |quick| {
             let is_busy = quick.demand(now) >= BUSY;
             match outcome {
                 Ok(()) => quick.liveness.worked(now, true),
                 Err(Miss::Silent) if is_busy => {}
-                Err(Miss::Silent | Miss::Truncated | Miss::LostAfterSend) => {
+                Err(Miss::Silent | Miss::Truncated | Miss::LostAfterSend | Miss::Misanswered) => {
                     quick.liveness.worked(now, false);
                 }
-                Err(Miss::NotSent | Miss::NotConnected) => {}
+                Err(Miss::NotSent | Miss::NotConnected | Miss::TurnedAway) => {}
             }
         });
         phase
@@ -770,6 +802,8 @@
                 zone: zone.to_string(),
                 labels: [("app".to_string(), app.to_string())].into(),
                 leaving: false,
+                cold: false,
+                slots: 0,
             });
         }
         vanepath_setup::platform::PlatformList { revision: 1, servers }
@@ -794,8 +828,10 @@
     impl Case {
         fn pick(&self, rule: usize, now_s: u64) -> String {
             let table = self.servers.table.load_full();
+            let service = table.setup.rules[rule].service;
             let want = Want {
                 rule,
+                service,
                 emptied: &self.emptied,
                 zone: "a1",
                 region: "a",
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -40,7 +40,7 @@
         }
     });
 
-    // Callers are still on their way when the order to stop comes: they are served for as long
+    // Clients are still on their way when the order to stop comes: they are served for as long
     // as a receipt of the directory may hold, and told to come back elsewhere.
     let (close_sender, close) = tokio::sync::watch::channel(false);
     let mut stop = daemon.stop.clone();
@@ -58,11 +58,28 @@
         preserve_header_case: true,
         buffer_most: 64 << 10,
     };
+    let has_pages = proxy.daemon.settings.pages_listen.is_some();
+    if let Some(address) = proxy.daemon.settings.pages_listen {
+        let listener = daemon::bind("pagesListen", address).await?;
+        let proxy = proxy.clone();
+        let pages = move |request: hyper::Request<hyper::body::Incoming>| {
+            let receipt = answer_own(&proxy, request.uri().path());
+            async move { receipt }
+        };
+        // Until the process ends: who asks whether it is ready is told so to the last.
+        let (keeper, never) = tokio::sync::watch::channel(false);
+        let http = daemon::HttpSettings::default();
+        tokio::spawn(async move {
+            let _keeper = keeper;
+            daemon::serve_http(listener, never, http, pages).await;
+        });
+    }
     let handler_proxy = proxy.clone();
     let handler = move |request: hyper::Request<hyper::body::Incoming>| {
         let proxy = handler_proxy.clone();
         async move {
-            if let Some(path) = request.uri().path().strip_prefix(crate::carry::OWN_PREFIX) {
+            let own = request.uri().path().strip_prefix(crate::carry::OWN_PREFIX);
+            if let Some(path) = own.filter(|_| !has_pages) {
                 let path = format!("/{path}");
                 return answer_own(&proxy, &path);
             }
@@ -193,14 +210,17 @@
     service: vanepath_setup::model::Service,
 ) {
     proxy.tally.one(Counter::Probes);
+    let dialect = proxy.daemon.settings.dialect;
+    let mut kept_for = crate::servers::IDLE_MOST;
     let now = proxy.daemon.clock.now();
     let fit = |idle: &crate::servers::Idle<crate::pool::Sender>| idle.connection.is_ready();
     let mut outcome = None;
     let mut is_used = false;
     if let Some(idle) = proxy.servers.take_idle(now, entry.slot, fit) {
         is_used = idle.is_used;
+        kept_for = idle.kept_for;
         let mut sender = idle.connection;
-        match crate::pool::greet(&mut sender, &entry, &service).await {
+        match crate::pool::greet(dialect, &mut sender, &entry, &service).await {
             Ok(greeted) => outcome = Some(Ok((sender, greeted))),
             // Closed while it rested, which says nothing of the server.
             Err(Failure::Broken) => {}
@@ -212,7 +232,7 @@
         None => {
             is_used = false;
             let untidy = proxy.untidy(entry.slot, &entry.server.id);
-            crate::pool::connect(&entry, &service, untidy).await
+            crate::pool::connect(dialect, &entry, &service, untidy).await
         }
     };
     let now = proxy.daemon.clock.now();
@@ -230,8 +250,13 @@
             if let Some(phase) = moved {
                 log::info!("server {} says that it is {phase}", entry.server.id);
             }
-            let idle =
-                crate::servers::Idle { connection, greeted_at: now, quiet_since: now, is_used };
+            let idle = crate::servers::Idle {
+                connection,
+                greeted_at: now,
+                quiet_since: now,
+                kept_for,
+                is_used,
+            };
             proxy.servers.put_idle(entry.slot, idle);
         }
         Err(failure) => {
--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -29,6 +29,9 @@
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match (request.method().as_str(), &parts[..]) {
         ("GET", ["v1", "steer"]) => steer(&registry, request.uri().query().unwrap_or_default()),
+        ("GET", ["v1", "addresses"]) => {
+            addresses(&registry, request.uri().query().unwrap_or_default())
+        }
         ("GET", ["v1", "status"]) => status(&registry).await,
         ("GET", ["v1", "setup"]) => read_setup(&registry).await,
         ("GET", ["v1", "setup", revision]) => read_history(&registry, revision).await,
@@ -43,9 +46,11 @@
             write_zone(&registry, zone, change, request.headers()).await
         }
         ("GET", ["v1", "submissions", key]) => read_submission(&registry, key).await,
-        (_, ["v1", "steer" | "status" | "setup" | "zones", ..] | ["v1", "submissions", _]) => {
-            fault(StatusCode::METHOD_NOT_ALLOWED, "not with this method")
-        }
+        (
+            _,
+            ["v1", "steer" | "addresses" | "status" | "setup" | "zones", ..]
+            | ["v1", "submissions", _],
+        ) => fault(StatusCode::METHOD_NOT_ALLOWED, "not with this method"),
         _ => fault(StatusCode::NOT_FOUND, "no such path"),
     }
 }
@@ -90,6 +95,27 @@
     }
 }
 
+/// The order of places as plain addresses, for clients that choose among them by themselves.
+fn addresses(registry: &Registry, query: &str) -> Receipt {
+    registry.tally.one(Counter::SteerPolls);
+    let view = registry.daemon.table.load();
+    let settings = &registry.daemon.settings;
+    let own = (settings.zone.as_str(), settings.region.as_str());
+    let is_ready = view.is_fresh && registry.daemon.is_awake() && !registry.daemon.is_stopping();
+    match crate::directory::addresses(&view, is_ready, own, query, daemon::random()) {
+        Ok(answer) => daemon::json(StatusCode::OK, &answer),
+        Err(why) => {
+            registry.tally.one(match why {
+                crate::directory::NoReceipt::Behind => Counter::SteerRefusedBehind,
+                crate::directory::NoReceipt::CutOff => Counter::SteerRefusedCutOff,
+                crate::directory::NoReceipt::NotReady => Counter::SteerRefusedNotReady,
+            });
+            let error = jzon::object! { "error": why.to_string() };
+            come_back(StatusCode::SERVICE_UNAVAILABLE, &error, 1)
+        }
+    }
+}
+
 // ---- the operator's word ---------------------------------------------------------------------
 
 /// Runs an errand at the stores to its end.
@@ -242,7 +268,7 @@
         }
         Err(_) => return fault(StatusCode::BAD_REQUEST, "the body broke off"),
     };
-    if let Err(faults) = vanepath_setup::model::parse(&bytes) {
+    if let Err(faults) = registry.daemon.settings.dialect.setup(&bytes) {
         registry.tally.one(Counter::SetupsRefusedInvalid);
         return refused(StatusCode::UNPROCESSABLE_ENTITY, &faults);
     }
@@ -277,7 +303,8 @@
     let is_known = view.live.iter().any(|(card, _)| card.zone == zone)
         || view.platform.servers.iter().any(|server| server.zone == zone)
         || view.setup.places.iter().any(|place| place.zone == zone)
-        || view.word.emptied.contains(zone);
+        || view.word.emptied.contains(zone)
+        || registry.daemon.settings.zones.contains_key(zone);
     if !is_known {
         return fault(StatusCode::NOT_FOUND, "no such zone");
     }
--- a/registry/src/directory.rs
+++ b/registry/src/directory.rs
@@ -347,6 +347,65 @@
     Steered { receipt: Ok(receipt), is_first, is_forged }
 }
 
+/// So many addresses stand in a plain answer at the least, where so many are live at all: a client
+/// that finds one of them dead has another.
+const ADDRESSES_LEAST: usize = 2;
+/// And so many at the most.
+pub const ADDRESSES_MOST: usize = 64;
+
+/// The plain form of an order (design 7.3): the proxies' addresses of the first places, enough of
+/// them that the loss of one leaves others, and for how long (s) that holds.
+///
+/// # Errors
+/// Where this directory knows too little to say; another one may know more.
+pub fn addresses(
+    view: &View,
+    is_ready: bool,
+    own: (&str, &str),
+    query: &str,
+    random: u64,
+) -> Result<jzon::JsonValue, NoReceipt> {
+    let places = places(view);
+    if !is_ready || places.iter().all(|place| place.is_lost) {
+        return Err(NoReceipt::NotReady);
+    }
+    if view.is_alone {
+        return Err(NoReceipt::CutOff);
+    }
+    let get = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+    };
+    let zone = get("zone").unwrap_or(own.0);
+    let region = get("region").unwrap_or(own.1);
+    // The region as one place: its zones' proxies share its clients between them.
+    let is_near = |place: &&Place| place.region == region;
+    let is_far = |place: &&Place| place.region != region;
+    let live = || places.iter().filter(|place| !place.is_lost);
+    let mut found: Vec<std::net::SocketAddr> =
+        live().filter(is_near).flat_map(|place| place.addresses.iter().copied()).collect();
+    if found.len() < ADDRESSES_LEAST {
+        // Not enough there: the other regions' in the order of this zone's own draw.
+        let mut others: Vec<&Place> = live().filter(is_far).collect();
+        others.sort_by_key(|place| vanepath_setup::stable_hash(&["far", zone, &place.zone]));
+        for place in others {
+            found.extend(&place.addresses);
+            if found.len() >= ADDRESSES_LEAST {
+                break;
+            }
+        }
+    }
+    if found.len() > ADDRESSES_MOST {
+        // Another part of them for each who asks.
+        let turn = random as usize % found.len();
+        found.rotate_left(turn);
+        found.truncate(ADDRESSES_MOST);
+    }
+    let addresses: Vec<jzon::JsonValue> =
+        found.iter().map(|address| address.to_string().into()).collect();
+    Ok(jzon::object! { "addresses": addresses, "ttlS": TTL.as_secs() })
+}
+
 #[cfg(test)]
 mod tests {
     use super::{Caller, Echo, order, places};
--- a/registry/src/platform.rs
+++ b/registry/src/platform.rs
@@ -6,6 +6,12 @@
 use vanepath_sibling::{daemon, news};
 
 pub const EVERY: Duration = Duration::from_millis(500);
+/// A platform whose lists have no number is asked by one registry so often, and by the others
+/// seldom, in case that one is not what it seems (design 4).
+const DUTY_EVERY: Duration = Duration::from_millis(600);
+const OTHERS_EVERY: Duration = Duration::from_millis(2000);
+/// Pages of one list at the most; a platform that never ends is not believed.
+const PAGES_MOST: usize = 1024;
 const LIMIT: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -49,6 +55,24 @@
     }
 }
 
+/// A list that was read whole, page by page. Where the platform does not number its lists, one that
+/// differs from the last is the next one (design 4).
+pub fn numbered(
+    last: &vanepath_setup::platform::PlatformList,
+    revision: Option<u64>,
+    mut servers: Vec<vanepath_setup::platform::Server>,
+) -> vanepath_setup::platform::PlatformList {
+    if revision.is_none() {
+        servers.sort_by(|left, right| left.id.cmp(&right.id));
+        servers.dedup_by(|left, right| left.id == right.id);
+    }
+    let revision = revision.unwrap_or(match servers == last.servers {
+        true => last.revision,
+        false => last.revision + 1,
+    });
+    vanepath_setup::platform::PlatformList { revision, servers }
+}
+
 pub async fn run(
     daemon: Arc<daemon::Daemon>,
     tally: Arc<crate::shell::Tally>,
@@ -59,23 +83,34 @@
     let path = path.to_string();
     let mut sender = None;
     let mut etag: Option<hyper::header::HeaderValue> = None;
-    let mut pulse = tokio::time::interval(EVERY);
+    let dialect = daemon.settings.dialect;
+    let mut is_numbered = false;
+    let mut read_at = None;
+    let mut pulse = tokio::time::interval(EVERY / 2);
     pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         pulse.tick().await;
+        let view = daemon.table.load_full();
+        if !is_numbered && !is_turn(&view, &daemon.card.name, daemon.clock.now(), read_at) {
+            continue;
+        }
+        read_at = Some(daemon.clock.now());
         tally.one(crate::shell::Counter::PlatformReads);
-        let read = tokio::time::timeout(LIMIT, read(&mut sender, address, &path, etag.as_ref()));
-        let outcome = read.await.unwrap_or(Err(()));
+        let source = Source { address, path: &path, dialect, zones: &daemon.settings.zones };
+        let read = tokio::time::timeout(LIMIT, source.read(&mut sender, etag.as_ref()));
+        let outcome = read.await.unwrap_or(Err(State::Unreachable));
         let last = daemon.table.load().platform.clone();
         let now = match outcome {
-            Err(()) => {
+            Err(state) => {
                 sender = None;
-                State::Unreachable
+                state
             }
             Ok(None) => State::Good,
-            Ok(Some((bytes, tag))) => {
-                let (verdict, list) = heard(&last, &bytes);
-                if let Some(list) = list {
+            Ok(Some((revision, servers, tag))) => {
+                is_numbered = revision.is_some();
+                let list = numbered(&last, revision, servers);
+                let verdict = judge(&last, &list);
+                if let Some(list) = Some(list).filter(|_| verdict == State::Good) {
                     etag = tag;
                     if list.revision > last.revision {
                         tally.one(crate::shell::Counter::PlatformChanges);
@@ -98,16 +133,69 @@
     }
 }
 
+/// Whether this registry reads the list now: the first live one that can be reached has that duty.
+pub fn is_turn(view: &daemon::View, own: &str, now: Duration, read_at: Option<Duration>) -> bool {
+    let registries = view.live.iter().filter(|(card, report)| {
+        card.role == vanepath_sibling::wire::Role::Registry && !report.leaving
+    });
+    let first = registries.map(|(card, _)| card.name.as_str()).min();
+    let is_first = first.is_none_or(|first| first == own) && !view.is_alone;
+    let every = if is_first { DUTY_EVERY } else { OTHERS_EVERY };
+    read_at.is_none_or(|at| now >= at + every)
+}
+
 type Sender = hyper::client::conn::http1::SendRequest<daemon::Body>;
-type Read = Option<(bytes::Bytes, Option<hyper::header::HeaderValue>)>;
+type Tag = Option<hyper::header::HeaderValue>;
+type Read = Option<(Option<u64>, Vec<vanepath_setup::platform::Server>, Tag)>;
+
+struct Source<'s> {
+    address: std::net::SocketAddr,
+    path: &'s str,
+    dialect: vanepath_setup::dialect::Spoken,
+    zones: &'s std::collections::BTreeMap<String, String>,
+}
+
+impl Source<'_> {
+    /// The whole list, page by page; `None` where nothing changed since the tagged one.
+    async fn read(
+        &self,
+        kept: &mut Option<Sender>,
+        etag: Option<&hyper::header::HeaderValue>,
+    ) -> Result<Read, State> {
+        let mut servers = Vec::new();
+        let mut revision = None;
+        let mut tag = None;
+        let mut next = Some(self.path.to_string());
+        let mut pages = 0;
+        while let Some(path) = next {
+            pages += 1;
+            if pages > PAGES_MOST {
+                return Err(State::Malformed);
+            }
+            let got = get(kept, self.address, &path, etag.filter(|_| pages == 1)).await;
+            let Some((bytes, its_tag)) = got.map_err(|()| State::Unreachable)? else {
+                return Ok(None);
+            };
+            let page = self.dialect.page(&bytes, self.path, self.zones);
+            let page = page.map_err(|_| State::Malformed)?;
+            revision = page.revision;
+            servers.extend(page.servers);
+            next = page.next;
+            if pages == 1 {
+                tag = its_tag;
+            }
+        }
+        Ok(Some((revision, servers, tag)))
+    }
+}
 
 /// A conditional GET: `None` where nothing changed.
-async fn read(
+async fn get(
     kept: &mut Option<Sender>,
     address: std::net::SocketAddr,
     path: &str,
     etag: Option<&hyper::header::HeaderValue>,
-) -> Result<Read, ()> {
+) -> Result<Option<(bytes::Bytes, Tag)>, ()> {
     if kept.as_ref().is_none_or(|sender| !sender.is_ready()) {
         let stream = tokio::net::TcpStream::connect(address).await.map_err(|_| ())?;
         let io = hyper_util::rt::TokioIo::new(stream);
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -70,12 +70,17 @@
     let handler = move |request: hyper::Request<hyper::body::Incoming>| {
         crate::api::answer(registry.clone(), request)
     };
+    let http = daemon::HttpSettings::default();
+    if let Some(address) = daemon.settings.directory_listen {
+        let listener = daemon::bind("directoryListen", address).await?;
+        let stop = daemon.stop.clone();
+        tokio::spawn(daemon::serve_http(listener, stop, http, handler.clone()));
+    }
     let mut stop = daemon.stop.clone();
     let cut = async {
         let _ = stop.wait_for(|stop| *stop).await;
         tokio::time::sleep(grace).await;
     };
-    let http = daemon::HttpSettings::default();
     tokio::select! {
         _ = daemon::serve_http(listener, daemon.stop.clone(), http, handler) => {}
         _ = cut => {}
--- a/setup/src/lib.rs
+++ b/setup/src/lib.rs
@@ -1,6 +1,8 @@
 //! The setup model: reading, checking and selecting (design 3).
 
+pub mod dialect;
 pub mod fate;
+pub mod load;
 pub mod model;
 pub mod platform;
 pub mod read;
--- a/setup/src/model.rs
+++ b/setup/src/model.rs
@@ -46,6 +46,10 @@
     pub cold_period: std::time::Duration,
     /// Requests in one server's hands from one proxy.
     pub server_room: u64,
+    /// Connections that one server takes from all proxies together; 0: no bound.
+    pub connections_most: u64,
+    /// Servers are judged by the traffic that they get; only one in doubt is probed.
+    pub probes_in_doubt_only: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -85,9 +89,39 @@
     pub prefer: Vec<Vec<Preference>>,
     /// The only regions that may carry or serve this; empty: all.
     pub regions: Vec<String>,
+    /// The proxy that a client itself reached may carry it wherever it stands: `regions` binds
+    /// servers only.
+    pub carried_anywhere: bool,
+    /// Services by weight, `service` among them; empty: `service` alone.
+    pub split: Vec<(usize, f64)>,
+    /// Servers that one request may be sent to.
+    pub attempts_most: u32,
+    /// Instead of the class's.
+    pub deadline: Option<std::time::Duration>,
 }
 
+/// Unless a rule says otherwise.
+pub const ATTEMPTS_MOST: u32 = 4;
+
 impl Rule {
+    /// Whether a proxy in this region may take it from a client.
+    pub fn may_carry(&self, region: &str) -> bool {
+        self.carried_anywhere || self.allows(region)
+    }
+
+    /// The service for one request, drawn by weight.
+    pub fn drawn(&self, random: u64) -> usize {
+        let sum: f64 = self.split.iter().map(|one| one.1).sum();
+        let mut at = (random >> 11) as f64 / (1_u64 << 53) as f64 * sum;
+        for (service, weight) in self.split.iter().filter(|one| one.1 > 0.0) {
+            at -= weight;
+            if at < 0.0 {
+                return *service;
+            }
+        }
+        self.split.iter().rfind(|one| one.1 > 0.0).map_or(self.service, |one| one.0)
+    }
+
     pub fn allows(&self, region: &str) -> bool {
         self.regions.is_empty() || self.regions.iter().any(|allowed| allowed == region)
     }
@@ -118,6 +152,8 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Setup {
+    /// The operator's own number of this document, if it has one.
+    pub version: Option<u64>,
     pub classes: Vec<Class>,
     pub services: Vec<Service>,
     pub places: Vec<Place>,
@@ -307,7 +343,16 @@
     entry: &jzon::JsonValue,
     setup: &mut Setup,
 ) {
-    let known = ["name", "selector", "livenessPath", "identityHeader", "cold", "serverRoom"];
+    let known = [
+        "name",
+        "selector",
+        "livenessPath",
+        "identityHeader",
+        "cold",
+        "serverRoom",
+        "connectionsMost",
+        "probes",
+    ];
     let at = |key: &str| format!("{path}.{key}");
     let empty = jzon::object::Object::new();
     let object = reader.object(path, entry, &known).unwrap_or(&empty);
@@ -346,6 +391,17 @@
     }
     let server_room =
         reader.whole(&at("serverRoom"), object.get("serverRoom"), 1, 10_000).unwrap_or(64);
+    let connections_path = at("connectionsMost");
+    let connections_most =
+        reader.whole(&connections_path, object.get("connectionsMost"), 1, 1 << 20).unwrap_or(0);
+    let probes_in_doubt_only = match reader.text(&at("probes"), object.get("probes"), 16) {
+        Some("in-doubt") => true,
+        Some("always") | None => false,
+        Some(_) => {
+            reader.fault(&at("probes"), "must be always or in-doubt");
+            false
+        }
+    };
     setup.services.push(Service {
         name,
         selector,
@@ -354,6 +410,8 @@
         cold_rate,
         cold_period: std::time::Duration::from_millis(cold_period_ms),
         server_room,
+        connections_most,
+        probes_in_doubt_only,
     });
 }
 
@@ -393,13 +451,37 @@
     service_names: &[String],
     setup: &mut Setup,
 ) {
-    let known = ["name", "match", "class", "service", "spill", "prefer", "regions"];
+    let known = [
+        "name",
+        "match",
+        "class",
+        "service",
+        "split",
+        "spill",
+        "prefer",
+        "regions",
+        "carriedAnywhere",
+        "attempts",
+        "deadlineMs",
+    ];
     let at = |key: &str| format!("{path}.{key}");
     let empty = jzon::object::Object::new();
     let object = reader.object(path, entry, &known).unwrap_or(&empty);
     let name = reader.name(&at("name"), object.get("name")).unwrap_or_default();
     let class = reference(reader, &at("class"), object.get("class"), class_names);
-    let service = reference(reader, &at("service"), object.get("service"), service_names);
+    let split = split(reader, &at("split"), object.get("split"), service_names);
+    let service = match split.first() {
+        Some(first) if object.get("service").is_none() => Some(first.0),
+        _ => reference(reader, &at("service"), object.get("service"), service_names),
+    };
+    if object.get("split").is_some() && object.get("service").is_some() {
+        reader.fault(&at("split"), "either service or split");
+    }
+    let anywhere_path = at("carriedAnywhere");
+    let carried_anywhere =
+        reader.boolean(&anywhere_path, object.get("carriedAnywhere")).unwrap_or(false);
+    let attempts = reader.whole(&at("attempts"), object.get("attempts"), 1, 64);
+    let deadline_ms = reader.whole(&at("deadlineMs"), object.get("deadlineMs"), 100, 600_000);
 
     let mut methods = Vec::new();
     let mut host = None;
@@ -514,9 +596,43 @@
         spill,
         prefer,
         regions,
+        carried_anywhere,
+        split,
+        attempts_most: attempts.map_or(ATTEMPTS_MOST, |attempts| attempts as u32),
+        deadline: deadline_ms.map(std::time::Duration::from_millis),
     });
 }
 
+fn split(
+    reader: &mut crate::read::Reader,
+    path: &str,
+    value: Option<&jzon::JsonValue>,
+    service_names: &[String],
+) -> Vec<(usize, f64)> {
+    let mut split: Vec<(usize, f64)> = Vec::new();
+    for (index, entry) in reader.array(path, value, 64).iter().enumerate() {
+        let path = format!("{path}[{index}]");
+        let Some(object) = reader.object(&path, entry, &["service", "weight"]) else { continue };
+        let name = object.get("service");
+        let service = reference(reader, &format!("{path}.service"), name, service_names);
+        let weight_path = format!("{path}.weight");
+        if object.get("weight").is_none() {
+            reader.fault(&weight_path, "missing");
+        }
+        let weight = reader.number(&weight_path, object.get("weight"), 0.0, 1e9);
+        if let (Some(service), Some(weight)) = (service, weight) {
+            if split.iter().any(|one| one.0 == service) {
+                reader.fault(&path, "named twice");
+            }
+            split.push((service, weight));
+        }
+    }
+    if !split.is_empty() && split.iter().all(|one| one.1 <= 0.0) {
+        reader.fault(path, "no weight is above 0");
+    }
+    split
+}
+
 #[cfg(test)]
 mod tests {
     const GOOD: &str = r#"{
--- a/setup/src/platform.rs
+++ b/setup/src/platform.rs
@@ -8,6 +8,10 @@
     pub zone: String,
     pub labels: std::collections::BTreeMap<String, String>,
     pub leaving: bool,
+    /// Just started: it bears its modest rate only.
+    pub cold: bool,
+    /// Requests that it works on at one time; 0: not told.
+    pub slots: u32,
 }
 
 impl crate::selector::Labelled for Server {
@@ -68,7 +72,7 @@
 }
 
 fn server(reader: &mut crate::read::Reader, path: &str, entry: &jzon::JsonValue) -> Option<Server> {
-    let known = ["id", "address", "region", "zone", "labels", "state"];
+    let known = ["id", "address", "region", "zone", "labels", "state", "cold", "slots"];
     let object = reader.object(path, entry, &known)?;
     let id = reader.name(&format!("{path}.id"), object.get("id"));
     let region = reader.name(&format!("{path}.region"), object.get("region"));
@@ -97,6 +101,8 @@
         }
         None => None,
     };
+    let cold = reader.boolean(&format!("{path}.cold"), object.get("cold")).unwrap_or(false);
+    let slots = reader.whole(&format!("{path}.slots"), object.get("slots"), 0, 1 << 20);
     Some(Server {
         id: id?,
         address: address?,
@@ -104,6 +110,8 @@
         zone: zone?,
         labels,
         leaving: leaving?,
+        cold,
+        slots: slots.unwrap_or(0) as u32,
     })
 }
 
--- a/setup/src/selector.rs
+++ b/setup/src/selector.rs
@@ -45,6 +45,12 @@
         Selector { nodes: vec![Node::All], text: "all".to_string() }
     }
 
+    /// One label has this value, whatever signs it is made of.
+    pub fn equals(key: &str, value: &str) -> Selector {
+        let nodes = vec![Node::Equal(key.to_string(), value.to_string())];
+        Selector { nodes, text: format!("{key} = {value}") }
+    }
+
     pub fn parse(text: &str) -> Result<Selector, String> {
         if text.len() > TEXT_MOST {
             return Err(format!("a selector has at most {TEXT_MOST} bytes"));
--- a/setup/src/settings.rs
+++ b/setup/src/settings.rs
@@ -27,10 +27,37 @@
     /// Where the platform list is read: `http://IP:PORT/PATH`.
     pub platform: Option<String>,
     pub grace: std::time::Duration,
+    /// Where its own pages (status, readiness, counters) are, if not beside the rest.
+    pub pages_listen: Option<std::net::SocketAddr>,
+    /// Registry only: a second address at which clients reach the directory.
+    pub directory_listen: Option<std::net::SocketAddr>,
+    /// The region of each zone, where the platform list does not tell it.
+    pub zones: std::collections::BTreeMap<String, String>,
+    pub retries: Retries,
+    /// How the outside is spoken to; set by the program, not by its settings.
+    pub dialect: crate::dialect::Spoken,
+    /// What it was started with, so that changed settings can be read again (design 2.2).
+    pub arguments: Vec<String>,
+    pub file: Option<std::path::PathBuf>,
     /// Given as a flag only: go on from this store's copy alone, then end (design 6.6).
     pub rescue: bool,
 }
 
+/// What further attempts the whole fleet may make, for each service: in any window so many beyond
+/// the first of each request as this part of the requests, and so many more (design 8.5).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retries {
+    pub ratio: f64,
+    pub window: std::time::Duration,
+    pub extra: f64,
+}
+
+impl Default for Retries {
+    fn default() -> Retries {
+        Retries { ratio: 0.2, window: std::time::Duration::from_secs(10), extra: 32.0 }
+    }
+}
+
 pub enum Start {
     Run(Box<Settings>),
     /// Print this and end well.
@@ -38,7 +65,7 @@
 }
 
 /// Key, flag and meaning; one table for the file, the flags and `--help`.
-const KEYS: [(&str, &str, &str); 13] = [
+const KEYS: [(&str, &str, &str); 18] = [
     ("fleet", "fleet", "name of the whole fleet; daemons of other fleets are turned away"),
     ("name", "name", "this daemon's own name, unique in the fleet"),
     ("region", "region", "the region it stands in"),
@@ -52,12 +79,26 @@
     ("seat", "seat", "store only: its seat, 0, 1 or 2"),
     ("platform", "platform", "registry only: http://IP:PORT/PATH of the platform list"),
     ("graceMs", "grace-ms", "how long a stop may take before what is left is cut"),
+    (
+        "seedPort",
+        "seed-port",
+        "the sibling port of all seeds, where they are given with another one",
+    ),
+    ("pagesListen", "pages-listen", "IP:PORT for its own pages (default: beside the rest)"),
+    ("directoryListen", "directory-listen", "registry only: IP:PORT for clients of the directory"),
+    (
+        "zones",
+        "zones",
+        "the region of each zone, if the platform list does not tell it (file only)",
+    ),
+    ("retries", "retries", "proxy only: further attempts of the fleet for a service (file only)"),
 ];
 
 fn allowed(role: Role, key: &str) -> bool {
     match key {
         "dataFolder" | "seat" => role == Role::Store,
-        "platform" => role == Role::Registry,
+        "platform" | "directoryListen" => role == Role::Registry,
+        "retries" => role == Role::Proxy,
         _ => true,
     }
 }
@@ -79,6 +120,7 @@
     }
     for (key, flag, meaning) in KEYS.iter().filter(|(key, _, _)| allowed(role, key)) {
         match *key {
+            "zones" | "retries" => continue,
             "seeds" => options.optmulti("", flag, meaning, "IP:PORT"),
             _ => options.optopt("", flag, meaning, "VALUE"),
         };
@@ -125,13 +167,16 @@
         }
     }
     for (key, flag, _) in KEYS.iter().filter(|(key, _, _)| allowed(role, key)) {
+        if matches!(*key, "zones" | "retries") {
+            continue;
+        }
         let given = matches.opt_strs(flag);
         if given.is_empty() {
             continue;
         }
         let value = match *key {
             "seeds" => jzon::JsonValue::Array(given.into_iter().map(Into::into).collect()),
-            "seat" | "graceMs" => {
+            "seat" | "graceMs" | "seedPort" => {
                 jzon::parse(&given[0]).unwrap_or_else(|_| jzon::JsonValue::String(given[0].clone()))
             }
             _ => jzon::JsonValue::String(given[0].clone()),
@@ -141,6 +186,8 @@
     let settings = check(role, &values, &mut reader);
     match settings {
         Some(mut settings) if reader.faults.is_empty() => {
+            settings.arguments = arguments.to_vec();
+            settings.file = matches.opt_str("settings").map(std::path::PathBuf::from);
             settings.rescue = role == Role::Store && matches.opt_present("rescue");
             if matches.opt_present("check") {
                 Ok(Start::Say("settings are good".to_string()))
@@ -185,6 +232,7 @@
     if listen.is_some() && listen == sibling_listen {
         reader.fault("$.siblingListen", "the same as listen");
     }
+    let seed_port = reader.whole("$.seedPort", values.get("seedPort"), 1, 65_535);
     let mut seeds = Vec::new();
     if values.get("seeds").is_none() {
         reader.fault("$.seeds", "missing");
@@ -192,7 +240,10 @@
     let listed = reader.array("$.seeds", values.get("seeds"), 3);
     for (index, value) in listed.iter().enumerate() {
         let path = format!("$.seeds[{index}]");
-        if let Some(seed) = address(reader, &path, Some(value), true, true) {
+        if let Some(mut seed) = address(reader, &path, Some(value), true, true) {
+            if let Some(port) = seed_port {
+                seed.set_port(port as u16);
+            }
             if seeds.contains(&seed) {
                 reader.fault(&path, "named twice");
             }
@@ -222,6 +273,11 @@
         reader.fault("$.platform", "missing");
     }
     let grace_ms = reader.whole("$.graceMs", values.get("graceMs"), 0, 600_000).unwrap_or(10_000);
+    let pages_listen = address(reader, "$.pagesListen", values.get("pagesListen"), false, false);
+    let directory_listen =
+        address(reader, "$.directoryListen", values.get("directoryListen"), false, false);
+    let zones = zones(reader, values.get("zones"));
+    let retries = retries(reader, values.get("retries"));
     Some(Settings {
         role,
         fleet: fleet?,
@@ -237,10 +293,54 @@
         seat,
         platform,
         grace: std::time::Duration::from_millis(grace_ms),
+        pages_listen,
+        directory_listen,
+        zones,
+        retries,
+        dialect: Default::default(),
+        arguments: Vec::new(),
+        file: None,
         rescue: false,
     })
 }
 
+fn zones(
+    reader: &mut crate::read::Reader,
+    value: Option<&jzon::JsonValue>,
+) -> std::collections::BTreeMap<String, String> {
+    let mut zones = std::collections::BTreeMap::new();
+    let Some(value) = value else { return zones };
+    let Some(object) = value.as_object() else {
+        reader.fault("$.zones", "must be an object");
+        return zones;
+    };
+    for (zone, region) in object.iter() {
+        let path = format!("$.zones.{zone}");
+        if !crate::read::is_name(zone) {
+            reader.fault(&path, "not a zone's name");
+        }
+        if let Some(region) = reader.name(&path, Some(region)) {
+            zones.insert(zone.to_string(), region);
+        }
+    }
+    zones
+}
+
+fn retries(reader: &mut crate::read::Reader, value: Option<&jzon::JsonValue>) -> Retries {
+    let mut retries = Retries::default();
+    if let Some(value) = value
+        && let Some(object) = reader.object("$.retries", value, &["ratio", "windowMs", "extra"])
+    {
+        let ratio = reader.number("$.retries.ratio", object.get("ratio"), 0.0, 10.0);
+        let window_ms = reader.whole("$.retries.windowMs", object.get("windowMs"), 100, 600_000);
+        let extra = reader.number("$.retries.extra", object.get("extra"), 0.0, 1e9);
+        retries.ratio = ratio.unwrap_or(retries.ratio);
+        retries.window = window_ms.map_or(retries.window, std::time::Duration::from_millis);
+        retries.extra = extra.unwrap_or(retries.extra);
+    }
+    retries
+}
+
 fn address(
     reader: &mut crate::read::Reader,
     path: &str,
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -59,6 +59,8 @@
     pub is_fresh: bool,
     /// No sibling has replied for a while: others may know more.
     pub is_alone: bool,
+    /// How the operator's documents read here.
+    pub dialect: vanepath_setup::dialect::Spoken,
 }
 
 impl View {
@@ -73,7 +75,7 @@
         let word = core.word.clone();
         let mut setup = before.setup.clone();
         if word.setup_revision != before.word.setup_revision {
-            match vanepath_setup::model::parse(&word.setup) {
+            match before.dialect.setup(&word.setup) {
                 Ok(parsed) => {
                     setup = Arc::new(parsed);
                     notes.push(format!("setup of revision {} is in force", word.setup_revision));
@@ -105,6 +107,7 @@
             lost: core.lost(now).map(|(card, report)| (card.clone(), report.clone())).collect(),
             is_fresh: core.is_fresh(now),
             is_alone: core.is_alone(now),
+            dialect: before.dialect,
         };
         (view, notes)
     }
@@ -288,7 +291,8 @@
             .map_or(0, |since| since.as_millis() as u64);
         let life = (life << 12) | (random() & 0xfff);
         let core = news::News::new(card.clone(), settings.seeds.clone(), life, clock.now());
-        let table = Arc::new(arc_swap::ArcSwap::from_pointee(View::default()));
+        let first = View { dialect: settings.dialect, ..View::default() };
+        let table = Arc::new(arc_swap::ArcSwap::from_pointee(first));
         let (sender, view) = tokio::sync::watch::channel(table.load_full());
         let actor = NewsActor {
             core,
@@ -334,6 +338,7 @@
                 }
             }
         });
+        tokio::spawn(follow_settings(settings.clone(), news.clone()));
         log::info!(
             "{} {} in zone {} started; HTTP at {}, siblings at {}",
             settings.role,
@@ -371,6 +376,44 @@
     }
 }
 
+/// The settings file may change while the daemon runs, with a SIGHUP or without: seeds are taken
+/// over then, everything else with the next start (design 2.2).
+async fn follow_settings(
+    mut known: vanepath_setup::settings::Settings,
+    news: xtra::Address<NewsActor>,
+) {
+    use vanepath_setup::settings::{Start, start};
+    let Some(file) = known.file.clone() else { return };
+    let hangup = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup());
+    let Ok(mut hangup) = hangup else { return };
+    let mark = || std::fs::metadata(&file).ok().map(|meta| (meta.modified().ok(), meta.len()));
+    let mut last = mark();
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(SETTINGS_EVERY) => {
+                if mark() == last {
+                    continue;
+                }
+            }
+        }
+        last = mark();
+        match start(known.role, &known.arguments) {
+            Ok(Start::Run(settings)) => {
+                if settings.seeds != known.seeds {
+                    log::info!("other seeds: {:?}", settings.seeds);
+                    known.seeds = settings.seeds.clone();
+                    let _ = news.send(Tell(news::Event::Seeds(settings.seeds))).await;
+                }
+            }
+            Ok(Start::Say(_)) => {}
+            Err(report) => log::warn!("changed settings are not taken: {report}"),
+        }
+    }
+}
+
+const SETTINGS_EVERY: Duration = Duration::from_secs(3);
+
 async fn serve_siblings(
     listener: tokio::net::TcpListener,
     greeting: wire::Greeting,
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -101,6 +101,8 @@
     Word(Arc<wire::Word>),
     Platform(Arc<vanepath_setup::platform::PlatformList>),
     Plan(Arc<wire::Plan>),
+    /// The settings name other seeds from now on.
+    Seeds(Vec<std::net::SocketAddr>),
 }
 
 #[derive(Debug)]
@@ -253,6 +255,10 @@
             Event::Word(word) => self.hear_word(word, &mut effects),
             Event::Platform(list) => self.hear_platform(list, &mut effects),
             Event::Plan(plan) => self.hear_plan(plan, &mut effects),
+            Event::Seeds(mut seeds) => {
+                seeds.retain(|seed| *seed != self.own.sibling_address);
+                self.seeds = seeds;
+            }
         }
         self.answer_parked(now, &mut effects);
         effects
