--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod carry;
 pub mod chart;
+pub mod choice;
 pub mod classes;
 pub mod liveness;
 pub mod pool;
--- a/proxy/src/liveness.rs
+++ b/proxy/src/liveness.rs
@@ -69,6 +69,8 @@
     /// When the next request may go under the cold rate.
     next_cold_at: Duration,
     cold: ColdRate,
+    /// Judged by the traffic that it gets; a probe only settles a doubt.
+    pub by_traffic: bool,
     strikes: u32,
     limps: bool,
     rests_until: Duration,
@@ -131,6 +133,7 @@
             is_doubted: false,
             next_cold_at: now,
             cold: ColdRate::default(),
+            by_traffic: false,
             strikes: 0,
             limps: false,
             rests_until: now,
@@ -218,7 +221,7 @@
             Phase::Unknown => self.enter(now, Phase::Live),
             Phase::Suspect => {
                 self.good += 1;
-                if self.good >= GOOD_NEEDED {
+                if self.by_traffic || self.good >= GOOD_NEEDED {
                     let phase = if self.was_away { Phase::Cold } else { Phase::Live };
                     self.refused &= self.was_away;
                     self.was_away = false;
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -48,6 +48,10 @@
     pub in_hand: u64,
     pub demand_milli: u32,
     demand_at: Duration,
+    /// Requests that it works on at one time, as the platform says; 0: not told.
+    slots: u32,
+    /// Requests of other proxies that are with it, by what it told lately.
+    others: f64,
     pub idle: Vec<Idle<C>>,
     pub probing: bool,
     /// It sent bytes that nobody had asked for: each connection carries one request at most.
@@ -64,7 +68,7 @@
 const PROBE_REGION: Duration = Duration::from_millis(3000);
 const PROBE_FAR: Duration = Duration::from_millis(10_000);
 const PROBE_DOUBT: Duration = Duration::from_millis(400);
-const PROBE_DOUBT_SELDOM: Duration = Duration::from_millis(800);
+const PROBE_DOUBT_SELDOM: Duration = Duration::from_millis(500);
 
 /// Whether this proxy is one of the few that watch a server for the whole fleet: by rendezvous
 /// hashing one of the server's own region and two of outside, who are there when the region isn't.
@@ -227,6 +231,9 @@
 const IDLE_COUNT_MOST: usize = 64;
 /// What a server told of its demand is believed for so long.
 const DEMAND_HOLDS: Duration = Duration::from_secs(5);
+/// What a server told of others' requests fades in so long, and a new telling counts so much.
+const OTHERS_HOLD_S: f64 = 1.5;
+const OTHERS_PART: f64 = 0.5;
 /// That it is full, for less: what queued there may be done by now.
 const FULL_HOLDS: Duration = Duration::from_millis(700);
 /// So many requests of this proxy in one server's hands are a pile: further ones go to a later step,
@@ -335,6 +342,8 @@
                         in_hand: 0,
                         demand_milli: 0,
                         demand_at: Duration::ZERO,
+                        slots: server.slots,
+                        others: 0.0,
                         idle: Vec::new(),
                         probing: false,
                         is_untidy: false,
@@ -354,6 +363,7 @@
             if by_list {
                 let was_cold = known.is_some_and(|entry| entry.server.cold);
                 self.moved(slot, |liveness| {
+                    liveness.by_traffic = true;
                     if server.cold && (!was_cold || liveness.phase == Phase::Unknown) {
                         liveness.chill(now, Duration::ZERO);
                     } else if !server.cold && (was_cold || liveness.phase == Phase::Unknown) {
@@ -504,6 +514,11 @@
     pub fn choose(&self, now: Duration, table: &Table, want: &Want<'_>, random: u64) -> Choice {
         let setup = &table.setup;
         let rule = &setup.rules[want.rule];
+        let own = &table.by_service[want.service];
+        let tells_slots = |index: &usize| table.entries[*index].server.slots > 0;
+        if rule.spill.is_empty() && !own.is_empty() && own.iter().all(tells_slots) {
+            return self.choose_by_slots(now, table, want, random);
+        }
         let zone = |server: &vanepath_setup::platform::Server| server.zone == want.zone;
         let region = |server: &vanepath_setup::platform::Server| {
             server.region == want.region && server.zone != want.zone
@@ -621,6 +636,84 @@
         Choice::None
     }
 
+    /// Among servers that say how many requests each works on at one time.
+    fn choose_by_slots(
+        &self,
+        now: Duration,
+        table: &Table,
+        want: &Want<'_>,
+        random: u64,
+    ) -> Choice {
+        use crate::choice::{Candidate, Distance};
+        let rule = &table.setup.rules[want.rule];
+        let class = &table.setup.classes[rule.class];
+        let is_lookup = class.kind == vanepath_setup::model::Kind::Repeatable;
+        let mut cold_at: Option<Duration> = None;
+        // Well; not trusted with much; dead as far as is known.
+        let mut tiers: [Vec<Candidate>; 3] = Default::default();
+        for index in &table.by_service[want.service] {
+            let entry = &table.entries[*index];
+            let server = &entry.server;
+            let may_serve = !server.leaving
+                && rule.allows(&server.region)
+                && !want.emptied.contains(&server.zone)
+                && !want.tried.contains(&entry.slot);
+            if !may_serve {
+                continue;
+            }
+            let distance = if server.zone == want.zone {
+                Distance::Zone
+            } else if server.region == want.region {
+                Distance::Region
+            } else {
+                Distance::Far
+            };
+            let found = self.with(entry.slot, |quick| {
+                if let Some(next_at) = quick.liveness.next_at()
+                    && now < next_at
+                {
+                    if next_at < Duration::MAX {
+                        cold_at = Some(cold_at.map_or(next_at, |at| at.min(next_at)));
+                    }
+                    return None;
+                }
+                let may_try = is_lookup && quick.in_hand == 0;
+                let tier = match quick.liveness.phase {
+                    Phase::Suspect => 2,
+                    Phase::Unknown => 1,
+                    _ if quick.liveness.is_limping(now, may_try) => 1,
+                    _ => 0,
+                };
+                let (load, slots) = (quick.load(now), f64::from(server.slots));
+                Some((tier, Candidate { index: *index, distance, load, slots }))
+            });
+            if let Some(Some((tier, candidate))) = found {
+                tiers[tier].push(candidate);
+            }
+        }
+        for (tier, candidates) in tiers.iter().enumerate() {
+            if want.looks && tier == 2 {
+                break;
+            }
+            for attempt in 0..3_u64 {
+                let draw = random.rotate_left(attempt as u32 * 16);
+                let Some(index) = crate::choice::choose(candidates, class.bulk, draw) else {
+                    break;
+                };
+                if want.looks || self.take(now, table, index, want.service, tier == 2) {
+                    return Choice::Server(index, want.service);
+                }
+            }
+            if tier == 1
+                && let Some(cold_at) = cold_at
+                && !want.looks
+            {
+                return Choice::Wait(cold_at);
+            }
+        }
+        Choice::None
+    }
+
     /// Looked at without holding all locks: looks again while taking it.
     fn take(
         &self,
@@ -751,6 +844,10 @@
 
     pub fn told(&self, now: Duration, slot: usize, demand_milli: u32) {
         self.with(slot, |quick| {
+            // It tells this while the answer's own request still counts as in hand here.
+            let told = f64::from(demand_milli) * f64::from(quick.slots) / 1000.0;
+            let own = quick.in_hand.saturating_sub(1) as f64;
+            quick.others += OTHERS_PART * ((told - own).max(0.0) - quick.others);
             quick.demand_milli = demand_milli;
             quick.demand_at = now;
         });
@@ -764,6 +861,12 @@
         self.in_hand == 0 && now.saturating_sub(self.demand_at) > FULL_HOLDS
     }
 
+    /// Requests that are with it, those of other proxies as far as is known.
+    fn load(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.demand_at).as_secs_f64();
+        self.in_hand as f64 + self.others * (1.0 - age / OTHERS_HOLD_S).max(0.0)
+    }
+
     pub fn demand(&self, now: Duration) -> u32 {
         // A server that owes replies and sends none has not become idle.
         let holds = self.in_hand > 0 || now.saturating_sub(self.demand_at) < DEMAND_HOLDS;
--- a/setup/src/model.rs
+++ b/setup/src/model.rs
@@ -31,6 +31,8 @@
     /// The largest body of a request.
     pub body_most: u64,
     pub deadline: std::time::Duration,
+    /// Its answers are large: they are better served near by, a little later, than far away.
+    pub bulk: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -273,8 +275,17 @@
     class_names: &[String],
     setup: &mut Setup,
 ) {
-    let known =
-        ["name", "urgency", "kind", "room", "borrows", "queue", "bodyMostBytes", "deadlineMs"];
+    let known = [
+        "name",
+        "urgency",
+        "kind",
+        "room",
+        "borrows",
+        "queue",
+        "bodyMostBytes",
+        "deadlineMs",
+        "bulk",
+    ];
     let at = |key: &str| format!("{path}.{key}");
     let object = reader.object(path, entry, &known);
     let empty = jzon::object::Object::new();
@@ -317,7 +328,9 @@
         }
     }
     let deadline = std::time::Duration::from_millis(deadline_ms.unwrap_or(10_000));
-    setup.classes.push(Class { name, urgency, kind, room, borrows, queue, body_most, deadline });
+    let bulk = reader.boolean(&at("bulk"), object.get("bulk")).unwrap_or(false);
+    let class = Class { name, urgency, kind, room, borrows, queue, body_most, deadline, bulk };
+    setup.classes.push(class);
 }
 
 fn borrow_cycles(reader: &mut crate::read::Reader, setup: &Setup) {
