Lookups behind another request on a connection are begun before their turn

Ruled out: two lanes for each connection (an answer's end cannot be told without closing it). Change: the bytes behind a request are followed with the library's own head parser; bodiless lookups are begun at once, and the library, which still reads every request in order, finds the answer under way.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -225,10 +225,7 @@
     }
 }
 
-pub async fn carry(
-    proxy: Arc<Proxy>,
-    request: hyper::Request<hyper::body::Incoming>,
-) -> hyper::Response<Body> {
+pub async fn carry(proxy: Arc<Proxy>, request: hyper::Request<Body>) -> hyper::Response<Body> {
     let tally = proxy.tally.clone();
     tally.one(Counter::Requests);
     let guard = proxy.clone();
@@ -313,13 +310,13 @@
 enum TellBody {
     Whole(bytes::Bytes),
     /// What was read of it, and the rest; gone after the first go that sends any of it.
-    Stream(Option<(bytes::Bytes, hyper::body::Incoming, u64)>),
+    Stream(Option<(bytes::Bytes, Body, u64)>),
 }
 
 /// The way from received to done. An error is the refusal; the chart says the rest.
 async fn walk(
     proxy: &Arc<Proxy>,
-    request: hyper::Request<hyper::body::Incoming>,
+    request: hyper::Request<Body>,
     chart: &mut Chart,
     more: &mut More,
 ) -> Result<hyper::Response<Body>, Refusal> {
@@ -448,6 +445,28 @@
     allowed.next().unwrap_or(facts.service)
 }
 
+/// Begins a lookup that stands behind another request on its connection (design 8.9); what runs at
+/// most once waits for its turn.
+pub fn begin(
+    proxy: &Arc<Proxy>,
+    head: &crate::ahead::Head,
+) -> Option<tokio::task::JoinHandle<hyper::Response<Body>>> {
+    if head.method != "GET" && head.method != "HEAD" {
+        return None;
+    }
+    let host = head.fields.iter().find(|(name, _)| name.eq_ignore_ascii_case("host"))?;
+    let host = std::str::from_utf8(&host.1).ok()?;
+    let host = host.split(':').next().unwrap_or(host);
+    let table = proxy.servers.table.load();
+    let rule = table.setup.rule_for(&head.method, host, &head.target)?;
+    let class = &table.setup.classes[table.setup.rules[rule].class];
+    if class.kind != Kind::Repeatable {
+        return None;
+    }
+    let request = head.request()?;
+    Some(tokio::spawn(carry(proxy.clone(), request)))
+}
+
 /// What the library lets through and yet could be read in two ways is refused (design 8.3).
 /// Gives the host that the request is for.
 fn check(head: &mut hyper::http::request::Parts) -> Result<String, Refusal> {
@@ -552,7 +571,7 @@
     slot.map(|slot| Held { proxy: proxy.clone(), slot }).ok_or(Refusal::Late)
 }
 
-async fn read_body(mut incoming: hyper::body::Incoming, most: u64) -> Result<TellBody, Refusal> {
+async fn read_body(mut incoming: Body, most: u64) -> Result<TellBody, Refusal> {
     if hyper::body::Body::is_end_stream(&incoming) {
         return Ok(TellBody::Whole(bytes::Bytes::new()));
     }
@@ -955,10 +974,10 @@
 }
 
 /// What was read of a request's body, then the rest as it comes.
-fn streamed(read: bytes::Bytes, rest: hyper::body::Incoming, most: u64) -> Body {
+fn streamed(read: bytes::Bytes, rest: Body, most: u64) -> Body {
     struct Rest {
         read: Option<bytes::Bytes>,
-        rest: hyper::body::Incoming,
+        rest: Body,
         left: u64,
     }
     impl hyper::body::Body for Rest {
@@ -982,7 +1001,7 @@
                     self.left -= length;
                     Some(Ok(frame))
                 }
-                Some(Err(error)) => Some(Err(error.into())),
+                Some(Err(error)) => Some(Err(error)),
                 None => None,
             })
         }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,5 +1,6 @@
 //! The proxy: carries requests, keeps nothing on disk (design 8).
 
+pub mod ahead;
 pub mod budget;
 pub mod carry;
 pub mod chart;
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -74,30 +74,114 @@
             daemon::serve_http(listener, never, http, pages).await;
         });
     }
-    let handler_proxy = proxy.clone();
-    let handler = move |request: hyper::Request<hyper::body::Incoming>| {
-        let proxy = handler_proxy.clone();
-        async move {
-            let own = request.uri().path().strip_prefix(crate::carry::OWN_PREFIX);
-            if let Some(path) = own.filter(|_| !has_pages) {
-                let path = format!("/{path}");
-                return answer_own(&proxy, &path);
-            }
-            crate::carry::carry(proxy, request).await
-        }
-    };
+    let served = proxy.clone();
+    let serve = move |stream, stop| serve(served.clone(), stream, stop, http, has_pages);
     let mut stop = daemon.stop.clone();
     let cut = async {
         let _ = stop.wait_for(|stop| *stop).await;
         tokio::time::sleep(grace).await;
     };
     tokio::select! {
-        _ = daemon::serve_http(listener, close, http, handler) => log::info!("stopped"),
+        _ = daemon::accept(listener, close, serve) => log::info!("stopped"),
         _ = cut => log::warn!("stopped at the end of the grace period with work in hand"),
     }
     Ok(())
 }
 
+/// One client's connection, read ahead of the library (design 8.9).
+async fn serve(
+    proxy: Arc<Proxy>,
+    stream: tokio::net::TcpStream,
+    stop: tokio::sync::watch::Receiver<bool>,
+    http: daemon::HttpSettings,
+    has_pages: bool,
+) {
+    let ahead = crate::ahead::Ahead::new(stream);
+    let (beginner, handed) = (proxy.clone(), ahead.clone());
+    let io = crate::ahead::Io {
+        ahead: ahead.clone(),
+        begin: Box::new(move |head| crate::carry::begin(&beginner, head)),
+    };
+    let server = proxy.clone();
+    let service = hyper::service::service_fn(move |request| {
+        let (proxy, ahead) = (server.clone(), handed.clone());
+        async move {
+            let answer = take(&proxy, &ahead, request, has_pages).await;
+            let watch =
+                |body| http_body_util::BodyExt::boxed_unsync(crate::ahead::Watched { body, ahead });
+            Ok::<_, std::convert::Infallible>(answer.map(watch))
+        }
+    });
+    let connection = http.builder().serve_connection(hyper_util::rt::TokioIo::new(io), service);
+    tokio::pin!(connection);
+    let mut stopped = stop.clone();
+    let stopping = async move { stopped.wait_for(|stop| *stop).await.is_ok() };
+    tokio::pin!(stopping);
+    let mut is_stopping = false;
+    std::future::poll_fn(|context| {
+        if !is_stopping && stopping.as_mut().poll(context).is_ready() {
+            is_stopping = true;
+            connection.as_mut().graceful_shutdown();
+        }
+        let begin = |head: &crate::ahead::Head| crate::carry::begin(&proxy, head);
+        ahead.poll(context, &begin);
+        let polled = connection.as_mut().poll(context).map(|_| ());
+        if polled.is_pending() {
+            // The library may have taken a request just now: what is behind it is awaited too.
+            ahead.poll(context, &begin);
+        }
+        polled
+    })
+    .await;
+}
+
+/// One request as the library gives it.
+async fn take(
+    proxy: &Arc<Proxy>,
+    ahead: &crate::ahead::Ahead,
+    request: hyper::Request<hyper::body::Incoming>,
+    has_pages: bool,
+) -> hyper::Response<daemon::Body> {
+    let target = request.uri().path_and_query().map_or("", |target| target.as_str());
+    let begun = ahead.take(request.method().as_str(), target);
+    let own = request.uri().path().strip_prefix(crate::carry::OWN_PREFIX);
+    if let Some(path) = own.filter(|_| !has_pages) {
+        return answer_own(proxy, &format!("/{path}"));
+    }
+    if let Some(begun) = begun
+        && let Ok(answer) = (Wanted { task: begun }).await
+    {
+        return answer;
+    }
+    let boxed = |body: hyper::body::Incoming| {
+        use http_body_util::BodyExt;
+        body.map_err(daemon::BodyError::from).boxed_unsync()
+    };
+    crate::carry::carry(proxy.clone(), request.map(boxed)).await
+}
+
+/// A request that was begun before its turn, and ends when nobody waits for it any more.
+struct Wanted {
+    task: tokio::task::JoinHandle<crate::ahead::Answer>,
+}
+
+impl Future for Wanted {
+    type Output = Result<crate::ahead::Answer, tokio::task::JoinError>;
+
+    fn poll(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Self::Output> {
+        std::pin::Pin::new(&mut self.task).poll(context)
+    }
+}
+
+impl Drop for Wanted {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// Brings servers, classes and readiness to what the news wants, pulse by pulse.
 #[derive(xtra::Actor)]
 struct Keeper {
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -456,16 +456,14 @@
         .map_err(|error| miette::miette!("$.{key}: cannot listen at {address}: {error}"))
 }
 
-/// Serves HTTP until `stop` turns true; then no new connections, and those open end after the
-/// request in hand.
-pub async fn serve_http<H, F>(
+/// Takes connections until `stop` turns true, and then waits until those that are open have ended;
+/// the program's own grace bounds that.
+pub async fn accept<F>(
     listener: tokio::net::TcpListener,
     mut stop: tokio::sync::watch::Receiver<bool>,
-    settings: HttpSettings,
-    handler: H,
+    serve: impl Fn(tokio::net::TcpStream, tokio::sync::watch::Receiver<bool>) -> F,
 ) where
-    H: Fn(hyper::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = hyper::Response<Body>> + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
 {
     let open = Arc::new(());
     let stopped = stop.clone();
@@ -480,24 +478,40 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let mut stop = stopped.clone();
+        let served = serve(stream, stopped.clone());
         let open = open.clone();
         tokio::spawn(async move {
             let _open = open;
+            served.await;
+        });
+    }
+    drop(listener);
+    // Whatever is in hand is finished.
+    while Arc::strong_count(&open) > 1 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Serves HTTP until `stop` turns true; then no new connections, and those open end after the
+/// request in hand.
+pub async fn serve_http<H, F>(
+    listener: tokio::net::TcpListener,
+    stop: tokio::sync::watch::Receiver<bool>,
+    settings: HttpSettings,
+    handler: H,
+) where
+    H: Fn(hyper::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = hyper::Response<Body>> + Send + 'static,
+{
+    accept(listener, stop, |stream, mut stop| {
+        let handler = handler.clone();
+        async move {
             let service = hyper::service::service_fn(move |request| {
                 let answered = handler(request);
                 async move { Ok::<_, std::convert::Infallible>(answered.await) }
             });
-            let mut builder = hyper::server::conn::http1::Builder::new();
-            builder
-                .timer(hyper_util::rt::TokioTimer::new())
-                .header_read_timeout(settings.header_limit)
-                .preserve_header_case(settings.preserve_header_case)
-                .max_buf_size(settings.buffer_most)
-                .half_close(false);
-            let connection =
-                builder.serve_connection(hyper_util::rt::TokioIo::new(stream), service);
+            let io = hyper_util::rt::TokioIo::new(stream);
+            let connection = settings.builder().serve_connection(io, service);
             tokio::pin!(connection);
             let ended = tokio::select! {
                 _ = &mut connection => true,
@@ -507,13 +521,9 @@
                 connection.as_mut().graceful_shutdown();
                 let _ = connection.await;
             }
-        });
-    }
-    drop(listener);
-    // Whatever is in hand is finished; the program's own grace bounds this.
-    while Arc::strong_count(&open) > 1 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+        }
+    })
+    .await;
 }
 
 #[derive(Clone, Copy)]
@@ -523,6 +533,19 @@
     pub buffer_most: usize,
 }
 
+impl HttpSettings {
+    pub fn builder(&self) -> hyper::server::conn::http1::Builder {
+        let mut builder = hyper::server::conn::http1::Builder::new();
+        builder
+            .timer(hyper_util::rt::TokioTimer::new())
+            .header_read_timeout(self.header_limit)
+            .preserve_header_case(self.preserve_header_case)
+            .max_buf_size(self.buffer_most)
+            .half_close(false);
+        builder
+    }
+}
+
 impl Default for HttpSettings {
     fn default() -> HttpSettings {
         HttpSettings {
