A refused sibling is dead at once; pulls go round region by region; cards are told once

Change: whose connection ends while its pull waits is asked itself, and where nobody listens it is dead until heard of anew; the ring of pulls goes region by region; a daemon's card goes with the first pull of a connection only.

--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -158,6 +158,11 @@
                         let request = wire::Request::Pull(pull);
                         let told = match links.call(address, &request, limit, other_zone).await {
                             Ok(wire::Reply::News(news)) => Some(Box::new(news)),
+                            Err(link::Broken::Refused) => {
+                                let refused = news::Event::Refused { address };
+                                let _ = own.send(Tell(refused)).await;
+                                None
+                            }
                             _ => None,
                         };
                         let _ = own.send(Tell(news::Event::Told { address, news: told })).await;
@@ -414,6 +419,24 @@
 
 const SETTINGS_EVERY: Duration = Duration::from_secs(3);
 
+/// A sibling's pull that waits for news. Dropped before that came: the asker is gone.
+struct Waits {
+    news: xtra::Address<NewsActor>,
+    ticket: u64,
+    is_over: bool,
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let (news, ticket) = (self.news.clone(), self.ticket);
+            tokio::spawn(async move {
+                let _ = news.send(Tell(news::Event::Left { ticket })).await;
+            });
+        }
+    }
+}
+
 async fn serve_siblings(
     listener: tokio::net::TcpListener,
     greeting: wire::Greeting,
@@ -431,8 +454,11 @@
                 wire::Request::Pull(pull) => {
                     let ticket = tickets.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                     let (sender, receiver) = tokio::sync::oneshot::channel();
+                    let mut waits = Waits { news: news.clone(), ticket, is_over: false };
                     let _ = news.send(Asked(ticket, pull, sender)).await;
-                    match receiver.await {
+                    let told = receiver.await;
+                    waits.is_over = true;
+                    match told {
                         Ok(news) => wire::Reply::News(news),
                         Err(_) => wire::Reply::NoDuty,
                     }
--- a/sibling/src/kin.rs
+++ b/sibling/src/kin.rs
@@ -19,11 +19,15 @@
     };
     let all = || 0..live.len();
     let mut chosen = Vec::new();
-    let place = |name: &str| vanepath_setup::stable_hash(&["ring", name]);
-    let own_place = place(own.name);
+    // Region by region, so that few of the pulls along the ring cross from one to another.
+    let place = |region: &str, name: &str| {
+        let high = vanepath_setup::stable_hash(&["ring", region]) >> 48 << 48;
+        high | vanepath_setup::stable_hash(&["ring", name]) >> 16
+    };
+    let own_place = place(own.region, own.name);
     chosen.extend(all().min_by_key(|index| {
-        let name = live[*index].name;
-        (place(name).wrapping_sub(own_place), name)
+        let other = &live[*index];
+        (place(other.region, other.name).wrapping_sub(own_place), other.name)
     }));
     chosen.extend(
         all()
@@ -39,6 +43,17 @@
             },
         ),
     );
+    if own.role == crate::wire::Role::Registry {
+        // The nearest store, most often on the same machine: the word comes from there.
+        chosen.extend(
+            all().filter(|index| live[*index].role == crate::wire::Role::Store).max_by_key(
+                |index| {
+                    let other = &live[*index];
+                    (other.zone == own.zone, other.region == own.region, rank(index))
+                },
+            ),
+        );
+    }
     if own.role != crate::wire::Role::Proxy {
         chosen.extend(all().filter(|index| live[*index].role == own.role));
     }
--- a/sibling/src/link.rs
+++ b/sibling/src/link.rs
@@ -28,6 +28,8 @@
 #[strum(serialize_all = "kebab-case")]
 pub enum Broken {
     Closed,
+    /// Nobody listens at the address.
+    Refused,
     Oversized,
     Malformed,
     TurnedAway,
@@ -132,7 +134,10 @@
             Some(stream) => stream,
             None => {
                 let connected = tokio::net::TcpStream::connect(address).await;
-                let mut stream = connected.map_err(|_| Broken::Closed)?;
+                let mut stream = connected.map_err(|error| match error.kind() {
+                    std::io::ErrorKind::ConnectionRefused => Broken::Refused,
+                    _ => Broken::Closed,
+                })?;
                 let _ = stream.set_nodelay(true);
                 write_frame(&mut stream, &self.greeting, &self.tally).await?;
                 let (theirs, _) = read_frame::<wire::Greeting>(&mut stream, &self.tally).await?;
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -41,6 +41,8 @@
     pub report: wire::Report,
     pub detail: wire::Detail,
     heard_at: Duration,
+    /// Nobody listened at its address then: it is dead until it is heard of anew (design 5.7).
+    refused_at: Option<Duration>,
     /// At the last pulse.
     was_live: bool,
 }
@@ -51,7 +53,8 @@
     fn is_live(&self, now: Duration, own: wire::Role) -> bool {
         let is_both_registry = own == wire::Role::Registry && self.card.role == own;
         let after = if is_both_registry { REGISTRY_DEAD_AFTER } else { DEAD_AFTER };
-        now.saturating_sub(self.heard_at) < after
+        let is_refuted = self.refused_at.is_some_and(|at| self.heard_at <= at);
+        !is_refuted && now.saturating_sub(self.heard_at) < after
     }
 }
 
@@ -66,6 +69,8 @@
     wanted: bool,
     /// The detail that went out with the last pull to this registry.
     detail_told: u64,
+    /// It has this daemon's card, unless it was started anew, and then the connection ends.
+    knows_card: bool,
 }
 
 struct Parked {
@@ -90,6 +95,10 @@
     Left {
         ticket: u64,
     },
+    /// Nobody listens at a sibling's address.
+    Refused {
+        address: std::net::SocketAddr,
+    },
     /// A pull of ours came back.
     Told {
         address: std::net::SocketAddr,
@@ -133,6 +142,8 @@
     pub plan: Arc<wire::Plan>,
     lines: std::collections::BTreeMap<std::net::SocketAddr, Line>,
     parked: Vec<Parked>,
+    /// Whose connections ended lately: asked themselves with the next pulse.
+    doubted: Vec<std::net::SocketAddr>,
     beat_at: Duration,
     seed_at: Duration,
     pulsed_at: Duration,
@@ -167,6 +178,7 @@
             plan: Arc::default(),
             lines: std::collections::BTreeMap::new(),
             parked: Vec::new(),
+            doubted: Vec::new(),
             beat_at: now,
             seed_at: now,
             pulsed_at: now,
@@ -236,7 +248,8 @@
         match event {
             Event::Pulse => self.pulse(now, &mut effects),
             Event::Asked { ticket, pull } => self.asked(now, ticket, pull, &mut effects),
-            Event::Left { ticket } => self.parked.retain(|parked| parked.ticket != ticket),
+            Event::Left { ticket } => self.left(ticket),
+            Event::Refused { address } => self.refused(now, address, &mut effects),
             Event::Told { address, news } => self.told(now, address, news, &mut effects),
             Event::Report(report) => {
                 if report != self.report {
@@ -264,6 +277,25 @@
         effects
     }
 
+    /// Its connection ended while it waited: it may be dead, so it is asked itself at once.
+    fn left(&mut self, ticket: u64) {
+        if let Some(parked) = self.parked.iter().find(|parked| parked.ticket == ticket) {
+            let asker = &parked.asker;
+            let source = self.sources.iter().find(|source| source.card.name == *asker);
+            self.doubted.extend(source.map(|source| source.card.sibling_address));
+        }
+        self.parked.retain(|parked| parked.ticket != ticket);
+    }
+
+    fn refused(&mut self, now: Duration, address: std::net::SocketAddr, effects: &mut Vec<Effect>) {
+        for source in &mut self.sources {
+            if source.card.sibling_address == address && source.is_live(now, self.own.role) {
+                source.refused_at = Some(now);
+                effects.push(Effect::Changed);
+            }
+        }
+    }
+
     fn hear_word(&mut self, word: Arc<wire::Word>, effects: &mut Vec<Effect>) {
         // Never backwards (design 5.4).
         if word.revision > self.word.revision {
@@ -315,7 +347,7 @@
             self.mark.counter += 1;
         }
         self.sources.retain(|source| now.saturating_sub(source.heard_at) < FORGOTTEN_AFTER);
-        let mut just_lost = Vec::new();
+        let mut just_lost = std::mem::take(&mut self.doubted);
         for source in &mut self.sources {
             let is_live = source.is_live(now, self.own.role);
             if std::mem::replace(&mut source.was_live, is_live) != is_live {
@@ -382,8 +414,14 @@
         }
         self.lines.retain(|_, line| line.busy || line.wanted);
         for address in wanted {
-            let line =
-                Line { busy: false, sent_at: now, next_at: now, wanted: true, detail_told: 0 };
+            let line = Line {
+                busy: false,
+                sent_at: now,
+                next_at: now,
+                wanted: true,
+                detail_told: 0,
+                knows_card: false,
+            };
             self.lines.entry(address).or_insert(line);
         }
     }
@@ -399,6 +437,7 @@
         };
         line.busy = true;
         line.sent_at = now;
+        let tells_card = !line.knows_card;
         let is_registry = self.sources.iter().any(|source| {
             source.card.sibling_address == address && source.card.role == wire::Role::Registry
         });
@@ -417,19 +456,19 @@
             word: self.word.revision,
             platform: self.platform.revision,
             plan: (self.plan.epoch, self.plan.counter),
-            own: self.own_delta(tells_detail),
+            own: self.own_delta(tells_card, tells_detail),
             wait_ms,
             wants_detail: self.own.role == wire::Role::Registry,
         };
         effects.push(Effect::Pull { address, pull });
     }
 
-    fn own_delta(&self, tells_detail: bool) -> wire::Delta {
+    fn own_delta(&self, tells_card: bool, tells_detail: bool) -> wire::Delta {
         wire::Delta {
             name: self.own.name.clone(),
             mark: self.mark,
             age_ms: 0,
-            card: Some(self.own.clone()),
+            card: tells_card.then(|| self.own.clone()),
             report: Some(self.report.clone()),
             detail: tells_detail.then(|| self.detail.clone()),
         }
@@ -466,12 +505,14 @@
                 self.fresh_since = Some(now);
                 effects.push(Effect::Changed);
             }
-            let registry = self.sources.iter().any(|source| {
+            // A store that has asked a majority since it runs knows the word as well as a registry.
+            let vouches = self.sources.iter().any(|source| {
                 source.card.sibling_address == address
-                    && source.card.role == wire::Role::Registry
                     && source.report.ready
+                    && (source.card.role == wire::Role::Registry
+                        || (source.card.role == wire::Role::Store && source.report.settled))
             });
-            if is_of_now && registry && !self.fresh_registry {
+            if is_of_now && vouches && !self.fresh_registry {
                 self.fresh_registry = true;
                 effects.push(Effect::Changed);
             }
@@ -479,6 +520,7 @@
         if let Some(line) = self.lines.get_mut(&address) {
             line.busy = false;
             line.next_at = if good { now } else { now + BACK_OFF };
+            line.knows_card = good;
             if !good {
                 line.detail_told = 0;
             }
@@ -516,7 +558,15 @@
             }
             let detail = delta.detail.unwrap_or_default();
             let mark = delta.mark;
-            self.sources.push(Source { card, mark, report, detail, heard_at, was_live: false });
+            self.sources.push(Source {
+                card,
+                mark,
+                report,
+                detail,
+                heard_at,
+                refused_at: None,
+                was_live: false,
+            });
             effects.push(Effect::Changed);
             return;
         };
@@ -764,6 +814,52 @@
         assert!(news.is_fresh(second(106.1)));
     }
 
+    /// Whose connection ended is asked itself; where nobody listens it is dead at once, whatever older
+    /// news of it still goes round, and live again with the first newer word.
+    #[test]
+    fn who_is_refused_is_dead_at_once_until_heard_of_anew() {
+        let ms = Duration::from_millis;
+        let mut news = News::new(card("r", wire::Role::Registry, 1), Vec::new(), 1, ms(0));
+        tell(&mut news, ms(10_000), delta(9, 0, None));
+        let is_live = |news: &News, now| news.live(now).any(|(card, _)| card.name == "p");
+        assert!(is_live(&news, ms(10_000)));
+        // Its pull waits here; then its connection ends.
+        let pull = wire::Pull {
+            vector: Vec::new(),
+            word: 0,
+            platform: 0,
+            plan: (0, 0),
+            own: delta(10, 0, None),
+            wait_ms: 700,
+            wants_detail: false,
+        };
+        news.step(ms(10_100), Event::Asked { ticket: 7, pull: pull.clone() });
+        let address = card("p", wire::Role::Proxy, 2).sibling_address;
+        for effect in news.step(ms(10_101), Event::Pulse) {
+            if let Effect::Pull { address, .. } = effect {
+                news.step(ms(10_102), Event::Told { address, news: Some(Box::default()) });
+            }
+        }
+        let mut pull = pull;
+        pull.own = delta(11, 0, None);
+        pull.vector = vec![(wire::short_name("r"), wire::Mark { life: 1, ..news.own_mark() })];
+        news.step(ms(10_200), Event::Asked { ticket: 8, pull });
+        news.step(ms(10_300), Event::Left { ticket: 8 });
+        news.step(ms(10_350), Event::Pulse);
+        news.step(ms(10_351), Event::Refused { address });
+        assert!(!is_live(&news, ms(10_352)), "nobody listens there");
+        // A third tells of it as it was before that.
+        let older = wire::Delta { age_ms: 200, ..delta(12, 0, None) };
+        tell(&mut news, ms(10_400), older);
+        assert!(!is_live(&news, ms(10_400)), "that is from before");
+        let anew = wire::Delta {
+            mark: wire::Mark { life: 8, ..delta(1, 0, None).mark },
+            ..delta(1, 0, None)
+        };
+        tell(&mut news, ms(11_500), anew);
+        assert!(is_live(&news, ms(11_500)));
+    }
+
     /// Awake again, it goes by what it had only once somebody replied, and asks everyone it knew:
     /// its few siblings may be gone by then.
     #[test]
