--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -36,9 +36,11 @@
     Step { farthest, fill }
 }
 
-/// A free slot near by, then a short queue near by, then a free slot far away, then longer queues.
-const STEPS: [Step; 7] = [
+/// A free slot in the zone, or a queue of half its slots there; a free slot or a short queue in the
+/// region; then a free slot far away, then longer queues.
+const STEPS: [Step; 8] = [
     step(Distance::Zone, 1.0),
+    step(Distance::Zone, 1.5),
     step(Distance::Region, 1.0),
     step(Distance::Region, 2.0),
     step(Distance::Far, 1.0),
