Daemons go by what registries say of who is live: no beats, no vectors on every pull

Change: proxies and stores pull from two registries (the nearest that hears from most others, and one of another region; the next where one is slow), are told of what changed and of who is silent, and send their vector once for each connection; registries pull from each other with beats as before, and from the nearest store. Where no registry is live the old way holds. Whom any registry that speaks holds for live is live; while none speaks nobody is judged. Ruled out: rarer beats (a silent death would be seen later), shorter vectors (still quadratic).

--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -819,8 +819,14 @@
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         let may_hold = registry.tenure.may_hold(now, view.is_fresh);
         let revision = view.word.revision;
-        let report =
-            wire::Report { ready, leaving, revision, settled: may_hold, ..wire::Report::default() };
+        let report = wire::Report {
+            ready,
+            leaving,
+            revision,
+            settled: may_hold,
+            whole: vanepath_registry::duty::is_whole(&view),
+            ..wire::Report::default()
+        };
         self.step_news(index, news::Event::Report(report));
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         if !may_hold || view.holder(wire::Role::Registry).is_none_or(|card| card.name != name) {
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -492,8 +492,10 @@
         let table = self.table.load();
         let sights = table.entries.iter().filter_map(|entry| {
             let is_telling = self.with(entry.slot, |quick| {
+                // What the traffic shows of one that is well is nobody else's business.
+                let is_steady = quick.liveness.steady(now) > Duration::ZERO;
                 !matches!(quick.liveness.phase, Phase::Live | Phase::Unknown)
-                    || quick.liveness.steady(now) > Duration::ZERO
+                    || (is_steady && !quick.liveness.by_traffic)
             });
             is_telling.filter(|is_telling| *is_telling)?;
             self.with(entry.slot, |quick| wire::Sight {
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -276,9 +276,17 @@
             return;
         }
         proxy.is_news.store(false, Ordering::Relaxed);
+        let sights = proxy.servers.sights(now);
+        let services = &proxy.servers.table.load().setup.services;
+        if services.iter().all(|service| service.probes_in_doubt_only) {
+            // Nobody plans by told demand where servers are judged by traffic.
+            let detail = wire::Detail { sights, ..wire::Detail::default() };
+            let _ = proxy.daemon.news.send(daemon::Tell(news::Event::Detail(detail))).await;
+            return;
+        }
         let counts = proxy.classes.lock().expect("no panic under this lock").counts();
         let detail = wire::Detail {
-            sights: proxy.servers.sights(now),
+            sights,
             in_hand: counts.iter().map(|one| one.2 as u32).collect(),
             waiting: counts.iter().map(|one| one.3 as u32).collect(),
             taken: proxy.takings.lock().expect("no panic under this lock").tell(now),
--- a/registry/src/duty.rs
+++ b/registry/src/duty.rs
@@ -15,6 +15,15 @@
 /// Twice what a proxy takes to tell all that it sees.
 const SETTLED_AFTER: std::time::Duration = std::time::Duration::from_millis(4000);
 
+/// Whether this registry hears from more than half of all that there are, itself counted: one that
+/// does not may be cut off, and others are asked first (design 5.3).
+pub fn is_whole(view: &View) -> bool {
+    let is_registry = |one: &&(wire::Card, wire::Report)| one.0.role == wire::Role::Registry;
+    let live = view.live.iter().filter(is_registry).count();
+    let lost = view.lost.iter().filter(is_registry).count();
+    2 * live > live + lost
+}
+
 impl Tenure {
     pub fn may_hold(&mut self, now: std::time::Duration, is_fresh: bool) -> bool {
         if !is_fresh {
--- a/registry/src/platform.rs
+++ b/registry/src/platform.rs
@@ -138,9 +138,11 @@
     let registries = view.live.iter().filter(|(card, report)| {
         card.role == vanepath_sibling::wire::Role::Registry && !report.leaving
     });
-    let first = registries.map(|(card, _)| card.name.as_str()).min();
-    let is_first = first.is_none_or(|first| first == own) && !view.is_alone;
-    let every = if is_first { DUTY_EVERY } else { OTHERS_EVERY };
+    let names: Vec<&str> = registries.map(|(card, _)| card.name.as_str()).collect();
+    let first = names.iter().min();
+    let is_first = first.is_none_or(|first| *first == own) && !view.is_alone;
+    let others = names.len().saturating_sub(1).max(2) as u32;
+    let every = if is_first { DUTY_EVERY } else { OTHERS_EVERY * others };
     read_at.is_none_or(|at| now >= at + every)
 }
 
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -118,6 +118,7 @@
             leaving: daemon.is_stopping(),
             revision: view.word.revision,
             settled: may_hold,
+            whole: crate::duty::is_whole(&view),
             ..wire::Report::default()
         };
         daemon.report(report).await;
--- a/sibling/src/kin.rs
+++ b/sibling/src/kin.rs
@@ -43,17 +43,6 @@
             },
         ),
     );
-    if own.role == crate::wire::Role::Registry {
-        // The nearest store, most often on the same machine: the word comes from there.
-        chosen.extend(
-            all().filter(|index| live[*index].role == crate::wire::Role::Store).max_by_key(
-                |index| {
-                    let other = &live[*index];
-                    (other.zone == own.zone, other.region == own.region, rank(index))
-                },
-            ),
-        );
-    }
     if own.role != crate::wire::Role::Proxy {
         chosen.extend(all().filter(|index| live[*index].role == own.role));
     }
@@ -62,6 +51,43 @@
     chosen
 }
 
+/// The registries among `live` in the order in which `own` pulls from them: the nearest that hears
+/// from most others, then one of another region, then the rest. `is_whole` says which do.
+pub fn registries(
+    own: &Known<'_>,
+    live: &[Known<'_>],
+    is_whole: impl Fn(usize) -> bool,
+) -> Vec<usize> {
+    let mut ranked: Vec<usize> =
+        (0..live.len()).filter(|index| live[*index].role == crate::wire::Role::Registry).collect();
+    ranked.sort_by_key(|index| {
+        let other = &live[*index];
+        let hash = vanepath_setup::stable_hash(&[own.name, other.name]);
+        let near = (is_whole(*index), other.zone == own.zone, other.region == own.region);
+        std::cmp::Reverse((near, hash, other.name))
+    });
+    if let Some(first) = ranked.first().copied() {
+        let elsewhere = ranked.iter().position(|index| {
+            live[*index].region != live[first].region && is_whole(*index) >= is_whole(first)
+        });
+        if let Some(elsewhere) = elsewhere {
+            ranked[1..=elsewhere].rotate_right(1);
+        }
+    }
+    ranked
+}
+
+/// The nearest store, most often on the same machine: the word comes from there.
+pub fn nearest_store(own: &Known<'_>, live: &[Known<'_>]) -> Option<usize> {
+    (0..live.len()).filter(|index| live[*index].role == crate::wire::Role::Store).max_by_key(
+        |index| {
+            let other = &live[*index];
+            let hash = vanepath_setup::stable_hash(&[own.name, other.name]);
+            (other.zone == own.zone, other.region == own.region, hash, other.name)
+        },
+    )
+}
+
 #[cfg(test)]
 mod tests {
     use crate::wire::Role;
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -12,6 +12,10 @@
 pub const REGISTRY_DEAD_AFTER: Duration = Duration::from_millis(2200);
 /// Not heard of for so long: forgotten.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(600);
+/// A daemon that registries serve pulls from so many of them.
+const LIGHT_LINES: usize = 2;
+/// A pull that is out for so long is slow: another registry is asked too.
+const SLOW_AFTER: Duration = Duration::from_millis(1100);
 /// A pull that finds nothing loud waits so long for it.
 pub const WAIT: Duration = Duration::from_millis(700);
 /// After a failed pull.
@@ -43,16 +47,28 @@
     heard_at: Duration,
     /// Nobody listened at its address then: it is dead until it is heard of anew (design 5.7).
     refused_at: Option<Duration>,
+    /// All registries that speak to this light daemon say that it is not live.
+    is_silent: bool,
     /// At the last pulse.
     was_live: bool,
 }
 
 impl Source {
     /// As seen by a daemon of the role `own`: registries pull straight from each other and know of
-    /// each other's death sooner.
-    fn is_live(&self, now: Duration, own: wire::Role) -> bool {
+    /// each other's death sooner. The others go by what registries say, and judge nobody but
+    /// registries while none speaks: `judged_at` is when one last did (design 5.3).
+    fn is_live(&self, now: Duration, own: wire::Role, judged_at: Option<Duration>) -> bool {
         let is_both_registry = own == wire::Role::Registry && self.card.role == own;
         let after = if is_both_registry { REGISTRY_DEAD_AFTER } else { DEAD_AFTER };
+        let now = match judged_at {
+            Some(judged_at) if own != wire::Role::Registry => {
+                if self.is_silent {
+                    return false;
+                }
+                if self.card.role == wire::Role::Registry { now } else { judged_at.min(now) }
+            }
+            _ => now,
+        };
         let is_refuted = self.refused_at.is_some_and(|at| self.heard_at <= at);
         !is_refuted && now.saturating_sub(self.heard_at) < after
     }
@@ -69,8 +85,13 @@
     wanted: bool,
     /// The detail that went out with the last pull to this registry.
     detail_told: u64,
-    /// It has this daemon's card, unless it was started anew, and then the connection ends.
-    knows_card: bool,
+    /// It has this daemon's card and vector, unless it was started anew, and then the connection
+    /// ends.
+    is_known: bool,
+    /// What it said last of who is silent, and when.
+    silent: Option<(Duration, Vec<u32>)>,
+    /// Its last pull failed.
+    failed: bool,
 }
 
 struct Parked {
@@ -82,6 +103,11 @@
     wants_detail: bool,
     until: Duration,
     asker: String,
+    /// The asker's own life.
+    life: u64,
+    light: bool,
+    silent: u64,
+    resend: bool,
 }
 
 pub enum Event {
@@ -142,6 +168,16 @@
     pub plan: Arc<wire::Plan>,
     lines: std::collections::BTreeMap<std::net::SocketAddr, Line>,
     parked: Vec<Parked>,
+    /// What each light asker has, by name.
+    askers: std::collections::HashMap<String, std::collections::HashMap<u32, wire::Mark>>,
+    /// Who is not live, by short names in order; and all names.
+    silent: Vec<u32>,
+    names: std::collections::HashSet<u32>,
+    /// Raised with everything that askers are told of at once, and as it was when they last were.
+    loudness: u64,
+    told_loudness: u64,
+    /// When a registry last said who is live.
+    judged_at: Option<Duration>,
     /// Whose connections ended lately: asked themselves with the next pulse.
     doubted: Vec<std::net::SocketAddr>,
     beat_at: Duration,
@@ -178,6 +214,12 @@
             plan: Arc::default(),
             lines: std::collections::BTreeMap::new(),
             parked: Vec::new(),
+            askers: std::collections::HashMap::new(),
+            silent: Vec::new(),
+            names: Default::default(),
+            loudness: 0,
+            told_loudness: 0,
+            judged_at: None,
             doubted: Vec::new(),
             beat_at: now,
             seed_at: now,
@@ -221,7 +263,7 @@
         std::iter::once((&self.own, &self.report)).chain(
             self.sources
                 .iter()
-                .filter(move |source| source.is_live(now, self.own.role))
+                .filter(move |source| source.is_live(now, self.own.role, self.judged_at))
                 .map(|source| (&source.card, &source.report)),
         )
     }
@@ -230,7 +272,7 @@
     pub fn lost(&self, now: Duration) -> impl Iterator<Item = (&wire::Card, &wire::Report)> {
         self.sources
             .iter()
-            .filter(move |source| !source.is_live(now, self.own.role))
+            .filter(move |source| !source.is_live(now, self.own.role, self.judged_at))
             .map(|source| (&source.card, &source.report))
     }
 
@@ -245,6 +287,7 @@
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.notice(now, &mut effects);
+        let is_pulse = matches!(event, Event::Pulse);
         match event {
             Event::Pulse => self.pulse(now, &mut effects),
             Event::Asked { ticket, pull } => self.asked(now, ticket, pull, &mut effects),
@@ -256,6 +299,7 @@
                     self.report = report;
                     self.mark.edition += 1;
                     self.mark.counter += 1;
+                    self.loudness += 1;
                     effects.push(Effect::Changed);
                 }
             }
@@ -273,7 +317,11 @@
                 self.seeds = seeds;
             }
         }
-        self.answer_parked(now, &mut effects);
+        // Nothing loud and no time passed: nobody is waiting for this.
+        if is_pulse || self.loudness != self.told_loudness {
+            self.told_loudness = self.loudness;
+            self.answer_parked(now, &mut effects);
+        }
         effects
     }
 
@@ -288,9 +336,13 @@
     }
 
     fn refused(&mut self, now: Duration, address: std::net::SocketAddr, effects: &mut Vec<Effect>) {
+        let judged_at = self.judged_at;
         for source in &mut self.sources {
-            if source.card.sibling_address == address && source.is_live(now, self.own.role) {
+            if source.card.sibling_address == address
+                && source.is_live(now, self.own.role, judged_at)
+            {
                 source.refused_at = Some(now);
+                source.was_live = false;
                 effects.push(Effect::Changed);
             }
         }
@@ -300,6 +352,7 @@
         // Never backwards (design 5.4).
         if word.revision > self.word.revision {
             self.word = word;
+            self.loudness += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -311,6 +364,7 @@
     ) {
         if list.revision > self.platform.revision {
             self.platform = list;
+            self.loudness += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -319,6 +373,7 @@
         // Under a lower epoch nothing is taken (design 5.6).
         if (plan.epoch, plan.counter) > (self.plan.epoch, self.plan.counter) {
             self.plan = plan;
+            self.loudness += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -348,8 +403,9 @@
         }
         self.sources.retain(|source| now.saturating_sub(source.heard_at) < FORGOTTEN_AFTER);
         let mut just_lost = std::mem::take(&mut self.doubted);
+        let (role, judged_at) = (self.own.role, self.judged_at);
         for source in &mut self.sources {
-            let is_live = source.is_live(now, self.own.role);
+            let is_live = source.is_live(now, role, judged_at);
             if std::mem::replace(&mut source.was_live, is_live) != is_live {
                 effects.push(Effect::Changed);
                 if !is_live {
@@ -357,6 +413,7 @@
                 }
             }
         }
+        self.note_silent(now);
         self.choose(now, just_lost);
         let due: Vec<std::net::SocketAddr> = self
             .lines
@@ -369,24 +426,85 @@
         }
     }
 
+    /// Who is not live, for those who go by what registries say.
+    fn note_silent(&mut self, now: Duration) {
+        if self.own.role != wire::Role::Registry {
+            return;
+        }
+        let silent = self.sources.iter().filter(|one| !one.is_live(now, self.own.role, None));
+        let mut silent: Vec<u32> =
+            silent.map(|source| wire::short_name(&source.card.name)).collect();
+        silent.sort_unstable();
+        if silent != self.silent {
+            self.silent = silent;
+            self.loudness += 1;
+        }
+        let names = self.sources.iter().map(|source| wire::short_name(&source.card.name));
+        self.names = names.chain([wire::short_name(&self.own.name)]).collect();
+        self.askers.retain(|name, _| self.sources.iter().any(|one| one.card.name == *name));
+    }
+
+    /// The lines of a daemon that registries serve: the nearest registry and one of another region;
+    /// where one does not reply, the next. `None` where no registry is live.
+    fn registry_lines(
+        &self,
+        now: Duration,
+        live: &[&Source],
+        others: &[crate::kin::Known<'_>],
+    ) -> Option<Vec<std::net::SocketAddr>> {
+        let is_whole = |index: usize| live[index].report.whole;
+        let ranked = crate::kin::registries(&known(&self.own), others, is_whole);
+        if ranked.is_empty() {
+            return None;
+        }
+        let mut wanted = Vec::new();
+        if self.own.role == wire::Role::Registry {
+            wanted.extend(ranked.iter().map(|index| live[*index].card.sibling_address));
+            let store = crate::kin::nearest_store(&known(&self.own), others);
+            wanted.extend(store.map(|index| live[index].card.sibling_address));
+            return Some(wanted);
+        }
+        let mut good = 0;
+        for index in ranked {
+            let address = live[index].card.sibling_address;
+            wanted.push(address);
+            let is_bad = self.lines.get(&address).is_some_and(|line| {
+                line.failed || (line.busy && now.saturating_sub(line.sent_at) > SLOW_AFTER)
+            });
+            good += usize::from(!is_bad);
+            if good >= LIGHT_LINES {
+                break;
+            }
+        }
+        Some(wanted)
+    }
+
     /// The wanted lines: siblings by rendezvous, and in turn a seed or a lost source.
     fn choose(&mut self, now: Duration, just_lost: Vec<std::net::SocketAddr>) {
-        let live: Vec<&Source> =
-            self.sources.iter().filter(|one| one.is_live(now, self.own.role)).collect();
+        let live: Vec<&Source> = self
+            .sources
+            .iter()
+            .filter(|one| one.is_live(now, self.own.role, self.judged_at))
+            .collect();
         let others: Vec<crate::kin::Known<'_>> =
             live.iter().map(|source| known(&source.card)).collect();
-        let mut wanted: std::collections::BTreeSet<std::net::SocketAddr> =
-            crate::kin::siblings(&known(&self.own), &others)
+        let by_registries = self.registry_lines(now, &live, &others);
+        let is_served = by_registries.is_some();
+        let mut wanted: std::collections::BTreeSet<std::net::SocketAddr> = match by_registries {
+            Some(addresses) => addresses.into_iter().collect(),
+            None => crate::kin::siblings(&known(&self.own), &others)
                 .into_iter()
                 .map(|index| live[index].card.sibling_address)
-                .collect();
+                .collect(),
+        };
         let alone = wanted.is_empty();
         if alone {
             wanted.extend(&self.seeds);
         }
         if self.fresh_since.is_none() {
             // Just awake: its few siblings may all be gone by now, so everyone is asked once.
-            wanted.extend(live.iter().map(|source| source.card.sibling_address));
+            let asked = live.iter().filter(|one| !is_served || one.card.role != wire::Role::Proxy);
+            wanted.extend(asked.map(|source| source.card.sibling_address));
         }
         // Who is not heard of any more is asked itself, once: it may be there and cut off from all but
         // this daemon, which it does not know of.
@@ -396,7 +514,7 @@
             let lost: Vec<std::net::SocketAddr> = self
                 .sources
                 .iter()
-                .filter(|source| !source.is_live(now, self.own.role))
+                .filter(|source| !source.is_live(now, self.own.role, self.judged_at))
                 .map(|source| source.card.sibling_address)
                 .chain(self.seeds.iter().copied())
                 .filter(|address| {
@@ -420,7 +538,9 @@
                 next_at: now,
                 wanted: true,
                 detail_told: 0,
-                knows_card: false,
+                is_known: false,
+                silent: None,
+                failed: false,
             };
             self.lines.entry(address).or_insert(line);
         }
@@ -432,15 +552,18 @@
         address: std::net::SocketAddr,
         effects: &mut Vec<Effect>,
     ) {
+        let is_registry = self.sources.iter().any(|source| {
+            source.card.sibling_address == address && source.card.role == wire::Role::Registry
+        });
         let Some(line) = self.lines.get_mut(&address) else {
             return;
         };
         line.busy = true;
         line.sent_at = now;
-        let tells_card = !line.knows_card;
-        let is_registry = self.sources.iter().any(|source| {
-            source.card.sibling_address == address && source.card.role == wire::Role::Registry
-        });
+        let tells_card = !line.is_known;
+        let light = self.own.role != wire::Role::Registry;
+        let has_vector = is_registry && light && line.is_known;
+        let silent = line.silent.as_ref().map_or(0, |(_, silent)| digest_of(silent));
         let tells_detail = is_registry && line.detail_told < self.mark.detail;
         if tells_detail {
             line.detail_told = self.mark.detail;
@@ -448,17 +571,18 @@
         // The first pull of a life does not wait: it is how the daemon learns of the rest.
         let wait_ms = if self.fresh_since.is_none() { 0 } else { WAIT.as_millis() as u32 };
         let pull = wire::Pull {
-            vector: self
-                .sources
-                .iter()
-                .map(|one| (wire::short_name(&one.card.name), one.mark))
-                .collect(),
+            vector: (!has_vector).then(|| {
+                let sources = self.sources.iter();
+                sources.map(|one| (wire::short_name(&one.card.name), one.mark)).collect()
+            }),
             word: self.word.revision,
             platform: self.platform.revision,
             plan: (self.plan.epoch, self.plan.counter),
             own: self.own_delta(tells_card, tells_detail),
             wait_ms,
             wants_detail: self.own.role == wire::Role::Registry,
+            light: light && is_registry,
+            silent,
         };
         effects.push(Effect::Pull { address, pull });
     }
@@ -481,6 +605,7 @@
         news: Option<Box<wire::News>>,
         effects: &mut Vec<Effect>,
     ) {
+        let resend = news.as_ref().is_some_and(|news| news.resend);
         let good = news.is_some();
         if good {
             self.good_at = now;
@@ -492,6 +617,9 @@
             for delta in news.deltas {
                 self.hear(now, delta, effects);
             }
+            if let Some(silent) = news.silent {
+                self.judge(now, address, silent);
+            }
             if let Some(word) = news.word {
                 self.hear_word(Arc::new(word), effects);
             }
@@ -520,7 +648,8 @@
         if let Some(line) = self.lines.get_mut(&address) {
             line.busy = false;
             line.next_at = if good { now } else { now + BACK_OFF };
-            line.knows_card = good;
+            line.is_known = good && !resend;
+            line.failed = !good;
             if !good {
                 line.detail_told = 0;
             }
@@ -532,6 +661,29 @@
         }
     }
 
+    /// A registry said who is not live. Whom any that speaks holds for live is live.
+    fn judge(&mut self, now: Duration, address: std::net::SocketAddr, silent: Vec<u32>) {
+        self.judged_at = Some(now);
+        if let Some(line) = self.lines.get_mut(&address) {
+            line.silent = Some((now, silent));
+        }
+        let lines = self.lines.values().filter_map(|line| line.silent.as_ref());
+        let spoken: Vec<&Vec<u32>> = lines
+            .filter(|(at, _)| now.saturating_sub(*at) < ALONE_AFTER)
+            .map(|one| &one.1)
+            .collect();
+        for source in &mut self.sources {
+            let name = wire::short_name(&source.card.name);
+            let says_dead = |silent: &&Vec<u32>| silent.binary_search(&name).is_ok();
+            source.is_silent = !spoken.is_empty() && spoken.iter().all(says_dead);
+            let is_refuted =
+                source.refused_at.is_some_and(|at| now.saturating_sub(at) < DEAD_AFTER);
+            if !source.is_silent && !is_refuted && source.card.role != wire::Role::Registry {
+                source.heard_at = now;
+            }
+        }
+    }
+
     fn hear(&mut self, now: Duration, delta: wire::Delta, effects: &mut Vec<Effect>) {
         if delta.name == self.own.name {
             // Told of a life of ours that is not this one: outlive it (design 5.3).
@@ -558,6 +710,8 @@
             }
             let detail = delta.detail.unwrap_or_default();
             let mark = delta.mark;
+            self.loudness += 1;
+            self.names.insert(wire::short_name(&card.name));
             self.sources.push(Source {
                 card,
                 mark,
@@ -565,6 +719,7 @@
                 detail,
                 heard_at,
                 refused_at: None,
+                is_silent: false,
                 was_live: false,
             });
             effects.push(Effect::Changed);
@@ -591,6 +746,7 @@
         if rank(&delta.mark) > rank(&source.mark) {
             source.heard_at = source.heard_at.max(heard_at);
         }
+        self.loudness += u64::from(new_life || delta.mark.edition > source.mark.edition);
         let old_detail = source.mark.detail;
         if let Some(card) = delta.card
             && card != source.card
@@ -617,19 +773,46 @@
 
     fn asked(&mut self, now: Duration, ticket: u64, pull: wire::Pull, effects: &mut Vec<Effect>) {
         let asker = pull.own.name.clone();
+        let life = pull.own.mark.life;
         self.hear(now, pull.own, effects);
         let wait = Duration::from_millis(u64::from(pull.wait_ms)).min(WAIT * 4);
         self.parked.retain(|parked| parked.asker != asker || parked.ticket == ticket);
-        self.parked.push(Parked {
+        let known = self.askers.remove(&asker);
+        let resend = pull.vector.is_none() && known.is_none();
+        let vector = match pull.vector {
+            Some(vector) => vector.into_iter().collect(),
+            None => known.unwrap_or_default(),
+        };
+        let parked = Parked {
             ticket,
-            vector: pull.vector.into_iter().collect(),
+            vector,
             word: pull.word,
             platform: pull.platform,
             plan: pull.plan,
             wants_detail: pull.wants_detail,
             until: now + wait,
             asker,
-        });
+            life,
+            light: pull.light,
+            silent: pull.silent,
+            resend,
+        };
+        if resend || now >= parked.until || self.is_loud(&parked) {
+            self.answer(now, parked, effects);
+        } else {
+            self.parked.push(parked);
+        }
+    }
+
+    fn answer(&mut self, now: Duration, mut parked: Parked, effects: &mut Vec<Effect>) {
+        let news = self.news_for(now, &parked);
+        if parked.light && !parked.resend {
+            for delta in &news.deltas {
+                parked.vector.insert(wire::short_name(&delta.name), delta.mark);
+            }
+            self.askers.insert(parked.asker, parked.vector);
+        }
+        effects.push(Effect::Answer { ticket: parked.ticket, news });
     }
 
     /// A parked pull is answered when something loud is there for it, or when its time is up.
@@ -638,8 +821,7 @@
         while index < self.parked.len() {
             if now >= self.parked[index].until || self.is_loud(&self.parked[index]) {
                 let parked = self.parked.swap_remove(index);
-                let news = self.news_for(now, &parked);
-                effects.push(Effect::Answer { ticket: parked.ticket, news });
+                self.answer(now, parked, effects);
             } else {
                 index += 1;
             }
@@ -654,14 +836,31 @@
                     mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
                 }
             };
-        self.word.revision > parked.word
+        let is_silent_new = parked.light && parked.silent != digest_of(&self.silent_for(parked));
+        is_silent_new
+            || self.word.revision > parked.word
             || self.platform.revision > parked.platform
             || (self.plan.epoch, self.plan.counter) > parked.plan
             || louder(&self.own.name, &self.mark)
             || self.sources.iter().any(|source| louder(&source.card.name, &source.mark))
     }
 
+    /// Who is not live, for one asker: also whom it knows and nobody has told this registry of, once
+    /// it has heard of enough.
+    fn silent_for(&self, parked: &Parked) -> Vec<u32> {
+        let mut silent = self.silent.clone();
+        if self.report.settled {
+            let known = parked.vector.keys().copied();
+            silent.extend(known.filter(|name| !self.names.contains(name)));
+            silent.sort_unstable();
+        }
+        silent
+    }
+
     fn news_for(&self, now: Duration, parked: &Parked) -> wire::News {
+        if parked.resend {
+            return wire::News { resend: true, ..wire::News::default() };
+        }
         let mut deltas = Vec::new();
         let own = (&self.own, &self.mark, &self.report, &self.detail, now);
         let others = self
@@ -681,6 +880,11 @@
             if mark.life < seen.life {
                 continue;
             }
+            let is_own = card.name == parked.asker;
+            let is_beat = !new_life && mark.edition <= seen.edition;
+            if parked.light && (is_beat || (is_own && mark.life <= parked.life)) {
+                continue;
+            }
             deltas.push(wire::Delta {
                 name: card.name.clone(),
                 mark: *mark,
@@ -696,10 +900,18 @@
             platform: (self.platform.revision > parked.platform).then(|| (*self.platform).clone()),
             plan: ((self.plan.epoch, self.plan.counter) > parked.plan)
                 .then(|| (*self.plan).clone()),
+            silent: parked.light.then(|| self.silent_for(parked)),
+            resend: false,
         }
     }
 }
 
+fn digest_of(silent: &[u32]) -> u64 {
+    let text: Vec<String> = silent.iter().map(u32::to_string).collect();
+    let parts: Vec<&str> = text.iter().map(String::as_str).collect();
+    if parts.is_empty() { 0 } else { vanepath_setup::stable_hash(&parts) }
+}
+
 fn known(card: &wire::Card) -> crate::kin::Known<'_> {
     crate::kin::Known { name: &card.name, role: card.role, region: &card.region, zone: &card.zone }
 }
@@ -758,16 +970,18 @@
         assert_eq!(seen(&news).1, [3]);
         // The same from the other side: an asker that has later beats still gets the detail.
         let mut pull = wire::Pull {
-            vector: vec![(
+            vector: Some(vec![(
                 wire::short_name("p"),
                 wire::Mark { life: 7, counter: 99, edition: 1, detail: 2 },
-            )],
+            )]),
             word: 0,
             platform: 0,
             plan: (0, 0),
             own: delta(1, 0, None),
             wait_ms: 0,
             wants_detail: true,
+            light: false,
+            silent: 0,
         };
         pull.own.name = "s".to_string();
         let effects = news.step(now, Event::Asked { ticket: 1, pull });
@@ -824,13 +1038,15 @@
         assert!(is_live(&news, ms(10_000)));
         // Its pull waits here; then its connection ends.
         let pull = wire::Pull {
-            vector: Vec::new(),
+            vector: Some(Vec::new()),
             word: 0,
             platform: 0,
             plan: (0, 0),
             own: delta(10, 0, None),
             wait_ms: 700,
             wants_detail: false,
+            light: false,
+            silent: 0,
         };
         news.step(ms(10_100), Event::Asked { ticket: 7, pull: pull.clone() });
         let address = card("p", wire::Role::Proxy, 2).sibling_address;
@@ -841,7 +1057,8 @@
         }
         let mut pull = pull;
         pull.own = delta(11, 0, None);
-        pull.vector = vec![(wire::short_name("r"), wire::Mark { life: 1, ..news.own_mark() })];
+        pull.vector =
+            Some(vec![(wire::short_name("r"), wire::Mark { life: 1, ..news.own_mark() })]);
         news.step(ms(10_200), Event::Asked { ticket: 8, pull });
         news.step(ms(10_300), Event::Left { ticket: 8 });
         news.step(ms(10_350), Event::Pulse);
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -63,8 +63,8 @@
 /// What a daemon tells all others; small, and told again whenever it changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(
-    from = "(bool, bool, u64, bool, bool, Option<Disk>)",
-    into = "(bool, bool, u64, bool, bool, Option<Disk>)"
+    from = "(bool, bool, u64, bool, bool, Option<Disk>, bool)",
+    into = "(bool, bool, u64, bool, bool, Option<Disk>, bool)"
 )]
 pub struct Report {
     pub ready: bool,
@@ -76,6 +76,8 @@
     /// Registry only: it has heard enough to have the duty of shares.
     pub settled: bool,
     pub disk: Option<Disk>,
+    /// Registry only: it hears from more than half of all registries.
+    pub whole: bool,
 }
 
 bare!(Report {
@@ -85,6 +87,7 @@
     blank: bool,
     settled: bool,
     disk: Option<Disk>,
+    whole: bool,
 });
 
 /// What a store tells of its disk.
@@ -205,14 +208,18 @@
 
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Pull {
-    /// Sources by the short hash of their names.
-    pub vector: Vec<(u32, Mark)>,
+    /// Sources by the short hash of their names; `None`: as after the last reply to this asker.
+    pub vector: Option<Vec<(u32, Mark)>>,
     pub word: u64,
     pub platform: u64,
     pub plan: (u64, u64),
     pub own: Delta,
     pub wait_ms: u32,
     pub wants_detail: bool,
+    /// The asker goes by what registries say of who is live, and wants no beats (design 5.3).
+    pub light: bool,
+    /// The digest of the silent ones that it was told of last.
+    pub silent: u64,
 }
 
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
@@ -221,6 +228,10 @@
     pub word: Option<Word>,
     pub platform: Option<vanepath_setup::platform::PlatformList>,
     pub plan: Option<Plan>,
+    /// For a light asker: who is not live as the teller sees it, by short names.
+    pub silent: Option<Vec<u32>>,
+    /// The teller does not know what this asker has: it is to send its vector.
+    pub resend: bool,
 }
 
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
