A setup, list and route of the design size: bounds lifted, rules found by an index

Cause: 256 KB of setup, 256 services, 1,024 rules and 4,096 servers forbade the design size; names, covered rules and each request's rule were found by walks. Change: bounds at three times the size; an index by host and whole path segments, built once, has the candidates, and the rule itself the last word; names by hash map; a key's path is only made where it is a duplicate.

--- a/setup/src/lib.rs
+++ b/setup/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod model;
 pub mod platform;
 pub mod read;
+pub mod routes;
 pub mod selector;
 pub mod settings;
 
--- a/setup/src/model.rs
+++ b/setup/src/model.rs
@@ -1,6 +1,10 @@
 //! The operator's setup: classes, services, places and rules, by index into arenas (design 3.1).
 
-pub const BYTES_MOST: usize = 256 << 10;
+/// Room for three times 1,100 routes, 270 services and 22,000 tenants of a hundred bytes each
+/// (docs/CAPACITY.md).
+pub const BYTES_MOST: usize = 8 << 20;
+const SERVICES_MOST: usize = 1024;
+const RULES_MOST: usize = 4096;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -122,11 +126,23 @@
     pub services: Vec<Service>,
     pub places: Vec<Place>,
     pub rules: Vec<Rule>,
+    /// Made of the rules once all are read.
+    routes: crate::routes::Routes,
 }
 
 impl Setup {
+    /// The first rule in the document's order that matches.
     pub fn rule_for(&self, method: &str, host: &str, path: &str) -> Option<usize> {
-        self.rules.iter().position(|rule| rule.matches(method, host, path))
+        let fits = |index: usize| self.rules[index].matches(method, host, path);
+        self.routes.first(Some(host), path, fits)
+    }
+
+    /// The first rule above that takes all of what this one would.
+    fn covered_by(&self, index: usize) -> Option<&Rule> {
+        let rule = &self.rules[index];
+        let covers = |above: usize| above < index && self.rules[above].covers(rule);
+        let above = self.routes.first(rule.host.as_deref(), &rule.path_prefix, covers)?;
+        Some(&self.rules[above])
     }
 }
 
@@ -149,8 +165,8 @@
         }
         places(&mut reader, object.get("places"), &mut setup);
         let class_names = names(&mut reader, "$.classes", object.get("classes"), 64);
-        let service_names = names(&mut reader, "$.services", object.get("services"), 256);
-        names(&mut reader, "$.rules", object.get("rules"), 1024);
+        let service_names = names(&mut reader, "$.services", object.get("services"), SERVICES_MOST);
+        names(&mut reader, "$.rules", object.get("rules"), RULES_MOST);
         for (index, entry) in entries(object.get("classes")).iter().enumerate() {
             class(&mut reader, &format!("$.classes[{index}]"), entry, &class_names, &mut setup);
         }
@@ -162,8 +178,9 @@
             let path = format!("$.rules[{index}]");
             rule(&mut reader, &path, entry, &class_names, &service_names, &mut setup);
         }
-        for (index, rule) in setup.rules.iter().enumerate() {
-            if let Some(above) = setup.rules[..index].iter().find(|above| above.covers(rule)) {
+        setup.routes = crate::routes::Routes::of(&setup.rules);
+        for index in 0..setup.rules.len() {
+            if let Some(above) = setup.covered_by(index) {
                 reader.fault(
                     &format!("$.rules[{index}].match"),
                     format!("can never match: rule '{}' above takes all of it", above.name),
@@ -178,21 +195,24 @@
     value.and_then(|value| value.as_array()).map(Vec::as_slice).unwrap_or_default()
 }
 
-/// The names of a list's entries; a repeated one is a fault.
+/// Indices of a list's entries by their names.
+type Names = std::collections::HashMap<String, usize>;
+
+/// The names of a list's entries; a repeated one is a fault, and stands for the first.
 fn names(
     reader: &mut crate::read::Reader,
     path: &str,
     value: Option<&jzon::JsonValue>,
     most: usize,
-) -> Vec<String> {
-    let mut names: Vec<String> = Vec::new();
+) -> Names {
+    let mut names = Names::new();
     for (index, entry) in reader.array(path, value, most).iter().enumerate() {
         let name = entry.as_object().and_then(|object| object.get("name"));
         let name = name.and_then(|name| name.as_str()).unwrap_or_default().to_string();
-        if !name.is_empty() && names.contains(&name) {
+        if !name.is_empty() && names.contains_key(&name) {
             reader.fault(&format!("{path}[{index}].name"), format!("'{name}' is named twice"));
         }
-        names.push(name);
+        names.entry(name).or_insert(index);
     }
     names
 }
@@ -201,10 +221,10 @@
     reader: &mut crate::read::Reader,
     path: &str,
     value: Option<&jzon::JsonValue>,
-    names: &[String],
+    names: &Names,
 ) -> Option<usize> {
     let name = reader.needed(path, value, 63)?;
-    let found = names.iter().position(|known| known == name);
+    let found = names.get(name).copied();
     if found.is_none() {
         reader.fault(path, format!("there is no '{name}'"));
     }
@@ -234,7 +254,7 @@
     reader: &mut crate::read::Reader,
     path: &str,
     entry: &jzon::JsonValue,
-    class_names: &[String],
+    class_names: &Names,
     setup: &mut Setup,
 ) {
     let known =
@@ -389,8 +409,8 @@
     reader: &mut crate::read::Reader,
     path: &str,
     entry: &jzon::JsonValue,
-    class_names: &[String],
-    service_names: &[String],
+    class_names: &Names,
+    service_names: &Names,
     setup: &mut Setup,
 ) {
     let known = ["name", "match", "class", "service", "spill", "prefer", "regions"];
@@ -679,7 +699,7 @@
                 $.classes: must be an array
             {"a":1}}
                 $: not JSON: Unexpected character: } at (1:8)
-            $: larger than 262144 bytes"#]]
+            $: larger than 8388608 bytes"#]]
         .assert_eq(&shown);
     }
 }
--- a/setup/src/platform.rs
+++ b/setup/src/platform.rs
@@ -26,8 +26,9 @@
     pub servers: Vec<Server>,
 }
 
-pub const SERVERS_MOST: usize = 4096;
-pub const BYTES_MOST: usize = 4 << 20;
+/// Three times 4,500 servers (docs/CAPACITY.md), with room for labels.
+pub const SERVERS_MOST: usize = 16_384;
+pub const BYTES_MOST: usize = 8 << 20;
 
 /// Reads the platform's document; one fault anywhere refuses the whole of it.
 pub fn parse(bytes: &[u8]) -> Result<PlatformList, Vec<crate::Fault>> {
--- a/setup/src/read.rs
+++ b/setup/src/read.rs
@@ -211,19 +211,21 @@
                         .ok()
                         .and_then(|value| value.as_str().map(str::to_string))
                         .unwrap_or_default();
-                    let mut path = String::from("$");
-                    for level in &levels[..levels.len() - 1] {
-                        match level {
-                            Level::Object(_, current, _) => path += &format!(".{current}"),
-                            Level::Array(index) => path += &format!("[{index}]"),
-                        }
-                    }
+                    let mut is_new = true;
                     if let Some(Level::Object(seen, current, want_key)) = levels.last_mut() {
                         *want_key = false;
-                        if !seen.insert(key.clone()) {
-                            reader.fault(&format!("{path}.{key}"), "duplicate key");
+                        is_new = seen.insert(key.clone());
+                        current.clone_from(&key);
+                    }
+                    if !is_new {
+                        let mut path = String::from("$");
+                        for level in &levels[..levels.len() - 1] {
+                            match level {
+                                Level::Object(_, current, _) => path += &format!(".{current}"),
+                                Level::Array(index) => path += &format!("[{index}]"),
+                            }
                         }
-                        *current = key;
+                        reader.fault(&format!("{path}.{key}"), "duplicate key");
                     }
                 }
             }
