vanepath-fleet scale: the cores under measure at four sizes up to the design's

Cause: nothing showed what 670 daemons cost. Change: hollow daemons run the real news cores against each other on simulated time, each message encoded and decoded as on the wire; setups, platform lists, servers, receipts, the duty's steps and stores' values are measured at several sizes; JSON or a table; bounded in real time.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod relay;
 pub mod replay;
+pub mod scale;
 pub mod shape;
 pub mod sim;
 pub mod standin;
--- /dev/null
+++ b/fleet/src/scale/hollow.rs
@@ -0,0 +1,372 @@
+//! Hollow daemons: the real news core of each, on simulated time, with every message encoded and decoded
+//! as on the wire. Processor time is measured, all other time is simulated.
+
+use super::Row;
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use vanepath_sibling::news::{Effect, Event, News};
+use vanepath_sibling::wire;
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub daemons: usize,
+    pub servers: usize,
+    pub services: usize,
+    pub routes: usize,
+    /// Proxies tell registries what they see.
+    pub details: bool,
+    /// Simulated time before the measure begins, and of it.
+    pub settle: Duration,
+    pub measure: Duration,
+    /// Real time after which it ends with what it has.
+    pub limit: Duration,
+}
+
+const PULSE: Duration = Duration::from_millis(50);
+const DETAIL_EVERY: Duration = Duration::from_millis(2000);
+/// For the messages in the air and the daemons' states: no more than that is begun.
+const EVENTS_MOST: usize = 400_000;
+
+enum What {
+    Pulse,
+    Detail(u64),
+    /// A pull arrives; it names whom to answer.
+    Pull {
+        from: usize,
+        bytes: Vec<u8>,
+    },
+    Answer {
+        from: usize,
+        bytes: Vec<u8>,
+    },
+}
+
+/// One direction and role; processor time by what was done.
+#[derive(Clone, Copy, Default)]
+struct Sum {
+    bytes_out: u64,
+    bytes_in: u64,
+    pulls: u64,
+    answers: u64,
+    largest: usize,
+    step: Duration,
+    code: Duration,
+}
+
+struct Daemon {
+    core: News,
+    /// Who waits under which ticket.
+    waiting: std::collections::HashMap<u64, usize>,
+    tickets: u64,
+    sum: Sum,
+    index: usize,
+}
+
+struct Run {
+    plan: Plan,
+    daemons: Vec<Daemon>,
+    queue: std::collections::BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    whats: std::collections::HashMap<u64, What>,
+    next: u64,
+    addresses: std::collections::HashMap<std::net::SocketAddr, usize>,
+    list: vanepath_setup::platform::PlatformList,
+    oversized: u64,
+}
+
+impl Run {
+    fn push(&mut self, at: Duration, whom: usize, what: What) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next, whom)));
+        self.whats.insert(self.next, what);
+    }
+
+    fn delay(&self, from: usize, to: usize) -> Duration {
+        let (from, to) = (self.daemons[from].core.own(), self.daemons[to].core.own());
+        Duration::from_micros(if from.zone == to.zone {
+            300
+        } else if from.region == to.region {
+            1000
+        } else {
+            25_000
+        })
+    }
+
+    fn step(&mut self, now: Duration, whom: usize, event: Event) {
+        let started = Instant::now();
+        let effects = self.daemons[whom].core.step(now, event);
+        self.daemons[whom].sum.step += started.elapsed();
+        for effect in effects {
+            match effect {
+                Effect::Pull { address, pull } => {
+                    let Some(to) = self.addresses.get(&address).copied() else { continue };
+                    let bytes = self.encode(whom, || wire::encode(&wire::Request::Pull(pull)));
+                    self.daemons[whom].sum.pulls += 1;
+                    let at = now + self.delay(whom, to);
+                    self.push(at, to, What::Pull { from: whom, bytes });
+                }
+                Effect::Answer { ticket, news } => {
+                    let Some(to) = self.daemons[whom].waiting.remove(&ticket) else { continue };
+                    let bytes = self.encode(whom, || wire::encode(&wire::Reply::News(news)));
+                    self.daemons[whom].sum.answers += 1;
+                    let at = now + self.delay(whom, to);
+                    self.push(at, to, What::Answer { from: whom, bytes });
+                }
+                Effect::Changed | Effect::Noted(_) => {}
+            }
+        }
+    }
+
+    fn encode(&mut self, whom: usize, encode: impl FnOnce() -> Vec<u8>) -> Vec<u8> {
+        let started = Instant::now();
+        let bytes = encode();
+        let sum = &mut self.daemons[whom].sum;
+        sum.code += started.elapsed();
+        sum.bytes_out += bytes.len() as u64 + 4;
+        sum.largest = sum.largest.max(bytes.len());
+        self.oversized += u64::from(bytes.len() > wire::FRAME_MOST);
+        bytes
+    }
+
+    fn decode<T>(&mut self, whom: usize, bytes: &[u8], decode: impl Fn(&[u8]) -> Option<T>) -> T {
+        let started = Instant::now();
+        let value = decode(bytes).expect("what was encoded here");
+        let sum = &mut self.daemons[whom].sum;
+        sum.code += started.elapsed();
+        sum.bytes_in += bytes.len() as u64 + 4;
+        value
+    }
+
+    /// Goes on until then; false if the real time is up.
+    fn until(
+        &mut self,
+        end: Duration,
+        limit: Instant,
+        mut seen: impl FnMut(&Run, Duration) -> bool,
+    ) -> bool {
+        while let Some(Reverse((now, number, whom))) = self.queue.pop() {
+            if now > end {
+                self.queue.push(Reverse((now, number, whom)));
+                return true;
+            }
+            let what = self.whats.remove(&number).expect("each is there once");
+            match what {
+                What::Pulse => {
+                    self.step(now, whom, Event::Pulse);
+                    self.push(now + PULSE, whom, What::Pulse);
+                }
+                What::Detail(turn) => {
+                    let index = self.daemons[whom].index;
+                    let detail = super::detail(
+                        index,
+                        self.plan.daemons,
+                        &self.list,
+                        self.plan.services,
+                        turn,
+                    );
+                    self.step(now, whom, Event::Detail(detail));
+                    self.push(now + DETAIL_EVERY, whom, What::Detail(turn + 1));
+                }
+                What::Pull { from, bytes } => {
+                    let request = self.decode(whom, &bytes, wire::decode::<wire::Request>);
+                    let wire::Request::Pull(pull) = request else { continue };
+                    let daemon = &mut self.daemons[whom];
+                    daemon.tickets += 1;
+                    let ticket = daemon.tickets;
+                    daemon.waiting.insert(ticket, from);
+                    self.step(now, whom, Event::Asked { ticket, pull });
+                }
+                What::Answer { from, bytes } => {
+                    let reply = self.decode(whom, &bytes, wire::decode::<wire::Reply>);
+                    let wire::Reply::News(news) = reply else { continue };
+                    let address = self.daemons[from].core.own().sibling_address;
+                    // What a proxy has in force it reports.
+                    let before = self.daemons[whom].core.word.revision;
+                    self.step(now, whom, Event::Told { address, news: Some(Box::new(news)) });
+                    let revision = self.daemons[whom].core.word.revision;
+                    if revision != before {
+                        let report = wire::Report {
+                            revision,
+                            ..self.daemons[whom].core.own_report().clone()
+                        };
+                        self.step(now, whom, Event::Report(report));
+                    }
+                }
+            }
+            if !seen(self, now) {
+                return true;
+            }
+            if Instant::now() > limit || self.queue.len() > EVENTS_MOST {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn take_sums(&mut self) -> Vec<(wire::Role, Sum)> {
+        let take = |daemon: &mut Daemon| (daemon.core.own().role, std::mem::take(&mut daemon.sum));
+        self.daemons.iter_mut().map(take).collect()
+    }
+}
+
+/// A fleet of that size, settled; then a quiet while; then a new word told to one store.
+pub fn run(plan: &Plan) -> Vec<Row> {
+    let started = Instant::now();
+    let limit = started + plan.limit;
+    let cards = super::cards(plan.daemons);
+    let seeds: Vec<std::net::SocketAddr> =
+        cards.iter().take(3).map(|card| card.sibling_address).collect();
+    let mut random = crate::sim::Random::new(7);
+    let list = super::platform(plan.servers, plan.services);
+    let mut run = Run {
+        plan: plan.clone(),
+        daemons: Vec::new(),
+        queue: Default::default(),
+        whats: Default::default(),
+        next: 0,
+        addresses: cards
+            .iter()
+            .enumerate()
+            .map(|(index, card)| (card.sibling_address, index))
+            .collect(),
+        list,
+        oversized: 0,
+    };
+    let second = Duration::from_secs(1);
+    for (index, card) in cards.into_iter().enumerate() {
+        // Lives are wall clocks with a random part, as the shell makes them.
+        let life = (1_750_000_000_000 << 16) + (random.draw() & 0xffff);
+        let at = second + random.between(Duration::ZERO, second);
+        let is_proxy = card.role == wire::Role::Proxy;
+        let core = News::new(card, seeds.clone(), life, at);
+        run.daemons.push(Daemon {
+            core,
+            waiting: Default::default(),
+            tickets: 0,
+            sum: Sum::default(),
+            index,
+        });
+        let report = wire::Report { ready: true, settled: true, ..wire::Report::default() };
+        run.step(at, index, Event::Report(report));
+        run.push(at, index, What::Pulse);
+        if is_proxy && plan.details {
+            let first = at + random.between(Duration::ZERO, DETAIL_EVERY);
+            run.push(first, index, What::Detail(1));
+        }
+    }
+    let list = Arc::new(run.list.clone());
+    run.step(2 * second, 0, Event::Platform(list));
+
+    let mut rows = Vec::new();
+    let size =
+        vec![("daemons", plan.daemons), ("servers", plan.servers), ("services", plan.services)];
+    let begin = 2 * second + plan.settle;
+    let mut is_whole = run.until(begin, limit, |_, _| true);
+    let knows = |run: &Run, now: Duration| {
+        run.daemons.iter().map(|daemon| daemon.core.live(now).count()).min().unwrap_or(0)
+    };
+    let known = knows(&run, begin);
+    let joining = run.take_sums();
+    let end = begin + plan.measure;
+    let mut ended_at = begin;
+    is_whole = is_whole
+        && run.until(end, limit, |_, now| {
+            ended_at = now;
+            true
+        });
+    let span = ended_at.saturating_sub(begin).as_secs_f64();
+    let quiet = run.take_sums();
+    if span > 0.0 {
+        for role in [wire::Role::Proxy, wire::Role::Registry, wire::Role::Store] {
+            let of: Vec<&Sum> =
+                quiet.iter().filter(|one| one.0 == role).map(|one| &one.1).collect();
+            let mean = |figure: &dyn Fn(&Sum) -> f64| {
+                of.iter().map(|sum| figure(sum)).sum::<f64>() / of.len().max(1) as f64 / span
+            };
+            let most = |figure: &dyn Fn(&Sum) -> f64| {
+                of.iter().map(|sum| figure(sum)).fold(0.0, f64::max) / span
+            };
+            let bytes = |sum: &Sum| (sum.bytes_out + sum.bytes_in) as f64 / 1000.0;
+            let cost = |sum: &Sum| (sum.step + sum.code).as_secs_f64() * 100.0;
+            rows.push(Row {
+                what: format!("news, {role}"),
+                size: size.clone(),
+                figures: vec![
+                    ("kB/s out and in", mean(&bytes)),
+                    ("kB/s at the most", most(&bytes)),
+                    ("pulls/s", mean(&|sum| sum.pulls as f64)),
+                    ("answers/s", mean(&|sum| sum.answers as f64)),
+                    ("% of a core", mean(&cost)),
+                    ("% at the most", most(&cost)),
+                    ("% in steps", mean(&|sum| sum.step.as_secs_f64() * 100.0)),
+                    (
+                        "kB largest frame",
+                        of.iter().map(|sum| sum.largest).max().unwrap_or(0) as f64 / 1000.0,
+                    ),
+                ],
+            });
+        }
+    }
+    // A new word at one store: until it is everywhere, and what that costs.
+    let mut spread = f64::NAN;
+    let mut spread_bytes = f64::NAN;
+    let mut spread_cost = f64::NAN;
+    if is_whole {
+        let setup = super::setup_text(plan.routes, plan.services).into_bytes();
+        let word = wire::Word { revision: 9, setup_revision: 9, setup, ..wire::Word::default() };
+        let told = run.daemons.iter().position(|one| one.core.own().role == wire::Role::Store);
+        run.step(end, told.unwrap_or(0), Event::Word(Arc::new(word)));
+        let mut missing = plan.daemons - 1;
+        let mut has: Vec<bool> =
+            run.daemons.iter().map(|one| one.core.word.revision == 9).collect();
+        let mut until = end;
+        let all = run.until(end + 6 * second, limit, |run, now| {
+            // One daemon changes with one event; a walk over all is cheap enough now and then.
+            if now >= until + Duration::from_millis(2) {
+                until = now;
+                for (index, has) in has.iter_mut().enumerate() {
+                    if !*has && run.daemons[index].core.word.revision == 9 {
+                        *has = true;
+                        missing = missing.saturating_sub(1);
+                    }
+                }
+            }
+            missing > 0
+        });
+        if all && missing == 0 {
+            spread = until.saturating_sub(end).as_secs_f64();
+        }
+        // What else it sets off: each report of it is loud.
+        let rest = end + 3 * second;
+        if run.until(rest, limit, |_, _| true) {
+            let after = run.take_sums();
+            let count = after.len() as f64;
+            spread_bytes =
+                after.iter().map(|one| (one.1.bytes_in + one.1.bytes_out) as f64).sum::<f64>()
+                    / count
+                    / 1000.0;
+            spread_cost =
+                after.iter().map(|one| (one.1.step + one.1.code).as_secs_f64()).sum::<f64>()
+                    / count
+                    * 1000.0;
+        }
+    }
+    let joined: f64 = joining.iter().map(|one| (one.1.step + one.1.code).as_secs_f64()).sum();
+    let joined_bytes: f64 = joining.iter().map(|one| one.1.bytes_in as f64).sum();
+    rows.push(Row {
+        what: "news, all".to_string(),
+        size,
+        figures: vec![
+            ("live as the least knowing has it", known as f64),
+            ("s until a new setup is everywhere", spread),
+            ("kB each in the 3 s from it on", spread_bytes),
+            ("ms of a core each in those", spread_cost),
+            ("kB each to join", joined_bytes / plan.daemons as f64 / 1000.0),
+            ("ms of a core each to join", joined * 1000.0 / plan.daemons as f64),
+            ("oversized frames", run.oversized as f64),
+            ("s simulated quiet", span),
+            ("s of real time", started.elapsed().as_secs_f64()),
+        ],
+    });
+    rows
+}
