Frames, sources and details of the design size; slopes with the square of the fleet flattened

Cause: a reply to a registry outgrew a frame of 4 MiB and 1,024 sources were the most; what a proxy reckons each second, what a registry looks at for the plan and what news does for each pull grew with proxies times servers, sights times services and askers times sources. Change: frames of 32 MiB at the most, of which details take 4 MiB and the rest of them comes with the next replies; 4,096 sources; a source first heard of without its detail counts as one whose detail is not known; whether a parked pull is loud is looked at after loud changes only; paces only when the live proxies are others, and without sorting them; the demand of servers once for all services; names by hash map.

--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -66,19 +66,15 @@
 /// Whether this proxy is one of the few that watch a server for the whole fleet: by rendezvous
 /// hashing one of the server's own region and two of outside, who are there when the region isn't.
 fn is_watcher(view: &View, own: &str, server: &vanepath_setup::platform::Server) -> bool {
-    let mut ranked: Vec<(u64, &str, bool)> = view
-        .live
-        .iter()
-        .filter(|(card, _)| card.role == wire::Role::Proxy)
-        .map(|(card, _)| {
-            let rank = vanepath_setup::stable_hash(&["watch", &card.name, &server.id]);
-            (rank, card.name.as_str(), card.region == server.region)
-        })
-        .collect();
-    ranked.sort_unstable();
-    let near = ranked.iter().filter(|one| one.2).take(1);
-    let far = ranked.iter().filter(|one| !one.2).take(2);
-    near.chain(far).any(|one| one.1 == own)
+    let is_near = |card: &wire::Card| card.region == server.region;
+    let rank = |card: &wire::Card| vanepath_setup::stable_hash(&["watch", &card.name, &server.id]);
+    let all = || view.live.iter().map(|one| &one.0).filter(|card| card.role == wire::Role::Proxy);
+    let Some(me) = all().find(|card| card.name == own) else { return false };
+    let mine = (rank(me), own);
+    let before = all()
+        .filter(|card| is_near(card) == is_near(me) && (rank(card), card.name.as_str()) < mine);
+    // Two are enough to know, wherever they stand in the list.
+    before.take(2).count() < if is_near(me) { 1 } else { 2 }
 }
 
 /// What is reckoned for each server of the table from who is live: now and then, for it is much.
@@ -87,6 +83,8 @@
     pauses: Vec<Duration>,
     colds: Vec<ColdRate>,
     at: Duration,
+    /// Those that it was reckoned from.
+    proxies: Option<Vec<wire::Card>>,
 }
 
 const PACES_EVERY: Duration = Duration::from_millis(1000);
@@ -95,11 +93,20 @@
     /// The table or the setup is another one.
     pub fn renew(&mut self) {
         self.at = Duration::ZERO;
+        self.proxies = None;
     }
 
     pub fn pulse(&mut self, now: Duration, view: &View, own: &wire::Card, table: &Table) {
         if now >= self.at {
             self.at = now + PACES_EVERY;
+            let proxies = || {
+                let all = view.live.iter().map(|one| &one.0);
+                all.filter(|card| card.role == wire::Role::Proxy)
+            };
+            if self.proxies.as_ref().is_some_and(|before| before.iter().eq(proxies())) {
+                return;
+            }
+            self.proxies = Some(proxies().cloned().collect());
             self.pauses = probe_pauses(view, own, table);
             self.colds = cold_rates(view, &own.name, table);
         }
@@ -188,18 +195,19 @@
     server: &vanepath_setup::platform::Server,
     services: &[usize],
 ) -> ColdRate {
-    let mut ranked: Vec<(bool, bool, u64, &str)> = view
-        .live
-        .iter()
-        .filter(|(card, _)| card.role == wire::Role::Proxy)
-        .map(|(card, _)| {
-            let rank = vanepath_setup::stable_hash(&["cold", &card.name, &server.id]);
-            let is_far = card.region != server.region;
-            (is_far, card.zone != server.zone, rank, card.name.as_str())
-        })
-        .collect();
-    ranked.sort_unstable();
-    let rank = ranked.iter().position(|one| one.3 == own).unwrap_or(ranked.len());
+    let place = |card: &wire::Card| (card.region != server.region, card.zone != server.zone);
+    let draw = |card: &wire::Card| vanepath_setup::stable_hash(&["cold", &card.name, &server.id]);
+    let all = || view.live.iter().map(|one| &one.0).filter(|card| card.role == wire::Role::Proxy);
+    let proxies = all().count();
+    let rank = all().find(|card| card.name == own).map_or(proxies, |me| {
+        let mine = (place(me), draw(me), own);
+        // Nobody's draw is asked whose place decides.
+        let is_before = |card: &&wire::Card| match place(card).cmp(&mine.0) {
+            std::cmp::Ordering::Equal => (draw(card), card.name.as_str()) < (mine.1, own),
+            order => order.is_lt(),
+        };
+        all().filter(is_before).count()
+    });
     // Of several services the most modest one counts.
     let service = services
         .iter()
@@ -207,7 +215,7 @@
         .min_by(|left, right| left.cold_rate.total_cmp(&right.cold_rate));
     let per_second = service.map_or(1.0, |service| service.cold_rate);
     let period = service.map_or(Duration::from_secs(10), |service| service.cold_period);
-    ColdRate::of(per_second, period, rank, ranked.len())
+    ColdRate::of(per_second, period, rank, proxies)
 }
 
 /// Of each server of the table.
@@ -303,6 +311,9 @@
         let is_first = before.entries.is_empty();
         let mut table = Table { revision, setup: setup.clone(), ..Table::default() };
         table.by_service.resize(setup.services.len(), Vec::new());
+        let by_id: std::collections::HashMap<&str, &Entry> =
+            before.entries.iter().map(|entry| (entry.server.id.as_str(), entry)).collect();
+        let mut slots = std::collections::HashSet::new();
         for server in &list.servers {
             let view = vanepath_setup::selector::Viewpoint::default();
             let services: Vec<usize> = (0..setup.services.len())
@@ -310,9 +321,8 @@
                 .collect();
             // A server that moved to another address is another one: its connections, its warmth
             // and its liveness stay behind.
-            let known = before.entries.iter().find(|entry| {
-                entry.server.id == server.id && entry.server.address == server.address
-            });
+            let known = by_id.get(server.id.as_str());
+            let known = known.filter(|entry| entry.server.address == server.address);
             let slot = match known {
                 Some(entry) => entry.slot,
                 None => {
@@ -345,13 +355,14 @@
                 let what = if server.leaving { "is leaving" } else { "stays after all" };
                 notes.push(format!("server {} {what}", server.id));
             }
+            slots.insert(slot);
             for service in &services {
                 table.by_service[*service].push(table.entries.len());
             }
             table.entries.push(Entry { server: server.clone(), services, slot });
         }
         for old in &before.entries {
-            if !table.entries.iter().any(|entry| entry.slot == old.slot) {
+            if !slots.contains(&old.slot) {
                 self.shards[old.slot % SHARDS]
                     .lock()
                     .expect("no panic under this lock")
--- a/registry/src/duty.rs
+++ b/registry/src/duty.rs
@@ -35,8 +35,9 @@
     let before = &view.plan;
     let is_mine = before.holder == own;
     // The last word of a proxy that is dead is no news of servers.
-    let is_live =
-        |source: &&Source| view.live.iter().any(|(card, _)| card.name == source.card.name);
+    let live: std::collections::HashSet<&str> =
+        view.live.iter().map(|(card, _)| card.name.as_str()).collect();
+    let is_live = |source: &&Source| live.contains(source.card.name.as_str());
     let proxies: Vec<&Source> = sources
         .iter()
         .filter(|source| source.card.role == wire::Role::Proxy)
@@ -118,9 +119,10 @@
 /// and how many servers each zone has for it.
 fn moved(view: &View, proxies: &[&Source]) -> std::collections::BTreeMap<String, wire::Shares> {
     let mut moved = std::collections::BTreeMap::new();
+    let demand = demand(proxies);
     for (index, service) in view.setup.services.iter().enumerate() {
         let before = view.plan.moved.get(&service.name).cloned().unwrap_or_default();
-        let shares = crate::shares::next(&zones(view, proxies, index), &before);
+        let shares = crate::shares::next(&zones(view, proxies, &demand, index), &before);
         if !shares.is_empty() {
             moved.insert(service.name.clone(), shares);
         }
@@ -128,14 +130,12 @@
     moved
 }
 
-fn zones(
-    view: &View,
-    proxies: &[&Source],
-    service: usize,
-) -> std::collections::BTreeMap<String, crate::shares::Zone> {
-    // What a server does, as the proxies heard of it last, on the mean: what is more than all of it
-    // waits there, and is work that another one may do.
-    let mut demand: std::collections::HashMap<&str, (u32, u32)> = Default::default();
+/// What a server does, as the proxies heard of it last, the sum and of how many: what is more than all of it
+/// waits there, and is work that another one may do.
+type Demand<'s> = std::collections::HashMap<&'s str, (u32, u32)>;
+
+fn demand<'s>(proxies: &[&'s Source]) -> Demand<'s> {
+    let mut demand = Demand::new();
     for source in proxies {
         for sight in &source.detail.sights {
             let (sum, count) = demand.entry(&sight.server).or_default();
@@ -143,6 +143,15 @@
             *count += 1;
         }
     }
+    demand
+}
+
+fn zones(
+    view: &View,
+    proxies: &[&Source],
+    demand: &Demand<'_>,
+    service: usize,
+) -> std::collections::BTreeMap<String, crate::shares::Zone> {
     let mut zones: std::collections::BTreeMap<String, crate::shares::Zone> = Default::default();
     let mut taken = 0.0;
     for source in proxies {
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -87,13 +87,14 @@
         }
         let live: Vec<(wire::Card, wire::Report)> =
             core.live(now).map(|(card, report)| (card.clone(), report.clone())).collect();
-        let is_in = |name: &str, list: &[(wire::Card, wire::Report)]| {
-            list.iter().any(|(card, _)| card.name == name)
+        let names = |list: &'_ [(wire::Card, wire::Report)]| -> std::collections::HashSet<String> {
+            list.iter().map(|(card, _)| card.name.clone()).collect()
         };
-        for (card, _) in live.iter().filter(|(card, _)| !is_in(&card.name, &before.live)) {
+        let (were, are) = (names(&before.live), names(&live));
+        for (card, _) in live.iter().filter(|(card, _)| !were.contains(&card.name)) {
             notes.push(format!("{} {} in zone {} is live", card.role, card.name, card.zone));
         }
-        for (old, _) in before.live.iter().filter(|(old, _)| !is_in(&old.name, &live)) {
+        for (old, _) in before.live.iter().filter(|(old, _)| !are.contains(&old.name)) {
             notes.push(format!("{} {} in zone {} is not live", old.role, old.name, old.zone));
         }
         let view = View {
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -30,8 +30,9 @@
 pub const ALONE_AFTER: Duration = Duration::from_millis(2500);
 /// Those who are not heard of, and the seeds, are tried so often, one at a time.
 const SEED_EVERY: Duration = Duration::from_secs(1);
-/// Sources remembered at the most; a sibling that makes up names cannot fill the memory.
-pub const SOURCES_MOST: usize = 1024;
+/// Sources remembered at the most; a sibling that makes up names cannot fill the memory. Six times the
+/// design size (docs/CAPACITY.md).
+pub const SOURCES_MOST: usize = 4096;
 
 /// One source as this daemon knows it.
 #[derive(Clone, Debug)]
@@ -40,6 +41,8 @@
     pub mark: wire::Mark,
     pub report: wire::Report,
     pub detail: wire::Detail,
+    /// Of its name, for vectors.
+    short: u32,
     heard_at: Duration,
     /// At the last pulse.
     was_live: bool,
@@ -77,6 +80,14 @@
     wants_detail: bool,
     until: Duration,
     asker: String,
+    /// The count of loud changes at which nothing was loud for it.
+    looked: u64,
+}
+
+impl Parked {
+    fn has_new_detail(&self, mark: &wire::Mark, seen: &wire::Mark) -> bool {
+        self.wants_detail && (mark.life != seen.life || mark.detail > seen.detail)
+    }
 }
 
 pub enum Event {
@@ -124,8 +135,13 @@
     mark: wire::Mark,
     report: wire::Report,
     detail: wire::Detail,
+    short: u32,
     seeds: Vec<std::net::SocketAddr>,
     pub sources: Vec<Source>,
+    /// Where each name's source lies.
+    by_name: std::collections::HashMap<String, usize>,
+    /// Loud changes so far: what was not loud for somebody is not until there is another one.
+    loud: u64,
     pub word: Arc<wire::Word>,
     pub platform: Arc<vanepath_setup::platform::PlatformList>,
     pub plan: Arc<wire::Plan>,
@@ -153,13 +169,17 @@
         let seeds = seeds.into_iter().filter(|seed| *seed != own.sibling_address).collect();
         // Each begins its turn of the lost elsewhere: between them all are tried soon.
         let turn = vanepath_setup::stable_hash(&["turn", &own.name]) as usize;
+        let short = wire::short_name(&own.name);
         News {
             own,
             mark: wire::Mark { life, counter: 1, edition: 1, detail: 0 },
             report: wire::Report::default(),
             detail: wire::Detail::default(),
+            short,
             seeds,
             sources: Vec::new(),
+            by_name: std::collections::HashMap::new(),
+            loud: 1,
             word: Arc::default(),
             platform: Arc::default(),
             plan: Arc::default(),
@@ -241,6 +261,7 @@
                     self.report = report;
                     self.mark.edition += 1;
                     self.mark.counter += 1;
+                    self.loud += 1;
                     effects.push(Effect::Changed);
                 }
             }
@@ -262,6 +283,7 @@
         // Never backwards (design 5.4).
         if word.revision > self.word.revision {
             self.word = word;
+            self.loud += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -273,6 +295,7 @@
     ) {
         if list.revision > self.platform.revision {
             self.platform = list;
+            self.loud += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -281,6 +304,7 @@
         // Under a lower epoch nothing is taken (design 5.6).
         if (plan.epoch, plan.counter) > (self.plan.epoch, self.plan.counter) {
             self.plan = plan;
+            self.loud += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -308,7 +332,12 @@
             self.beat_at = now + BEAT;
             self.mark.counter += 1;
         }
+        let before = self.sources.len();
         self.sources.retain(|source| now.saturating_sub(source.heard_at) < FORGOTTEN_AFTER);
+        if self.sources.len() < before {
+            let names = self.sources.iter().map(|source| source.card.name.clone());
+            self.by_name = names.zip(0..).collect();
+        }
         let mut just_lost = Vec::new();
         for source in &mut self.sources {
             let is_live = source.is_live(now, self.own.role);
@@ -403,11 +432,7 @@
         // The first pull of a life does not wait: it is how the daemon learns of the rest.
         let wait_ms = if self.fresh_since.is_none() { 0 } else { WAIT.as_millis() as u32 };
         let pull = wire::Pull {
-            vector: self
-                .sources
-                .iter()
-                .map(|one| (wire::short_name(&one.card.name), one.mark))
-                .collect(),
+            vector: self.sources.iter().map(|one| (one.short, one.mark)).collect(),
             word: self.word.revision,
             platform: self.platform.revision,
             plan: (self.plan.epoch, self.plan.counter),
@@ -490,6 +515,7 @@
             if delta.mark.life > self.mark.life {
                 self.mark.life = delta.mark.life + 1;
                 self.mark.counter += 1;
+                self.loud += 1;
                 effects.push(Effect::Noted("outlived an earlier life of this name"));
             }
             return;
@@ -499,7 +525,7 @@
             return;
         }
         let heard_at = now.saturating_sub(age);
-        let found = self.sources.iter().position(|source| source.card.name == delta.name);
+        let found = self.by_name.get(&delta.name).copied();
         let Some(index) = found else {
             let (Some(card), Some(report)) = (delta.card, delta.report) else {
                 return;
@@ -508,9 +534,24 @@
                 effects.push(Effect::Noted("too many sources"));
                 return;
             }
+            // What was not told is not known.
+            let mut mark = delta.mark;
+            if delta.detail.is_none() {
+                mark.detail = 0;
+            }
             let detail = delta.detail.unwrap_or_default();
-            let mark = delta.mark;
-            self.sources.push(Source { card, mark, report, detail, heard_at, was_live: false });
+            let short = wire::short_name(&delta.name);
+            self.by_name.insert(delta.name, self.sources.len());
+            self.loud += 1;
+            self.sources.push(Source {
+                card,
+                mark,
+                report,
+                detail,
+                short,
+                heard_at,
+                was_live: false,
+            });
             effects.push(Effect::Changed);
             return;
         };
@@ -548,6 +589,9 @@
             source.report = report;
             effects.push(Effect::Changed);
         }
+        if (source.mark.life, source.mark.edition) != (delta.mark.life, delta.mark.edition) {
+            self.loud += 1;
+        }
         source.mark = delta.mark;
         match delta.detail {
             Some(detail) if new_life => source.detail = detail,
@@ -573,6 +617,7 @@
             wants_detail: pull.wants_detail,
             until: now + wait,
             asker,
+            looked: 0,
         });
     }
 
@@ -580,45 +625,78 @@
     fn answer_parked(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let mut index = 0;
         while index < self.parked.len() {
-            if now >= self.parked[index].until || self.is_loud(&self.parked[index]) {
+            let parked = &self.parked[index];
+            if now >= parked.until || (parked.looked != self.loud && self.is_loud(parked)) {
                 let parked = self.parked.swap_remove(index);
                 let news = self.news_for(now, &parked);
                 effects.push(Effect::Answer { ticket: parked.ticket, news });
             } else {
+                self.parked[index].looked = self.loud;
                 index += 1;
             }
         }
     }
 
     fn is_loud(&self, parked: &Parked) -> bool {
-        let louder =
-            |name: &str, mark: &wire::Mark| match parked.vector.get(&wire::short_name(name)) {
-                None => name != parked.asker,
-                Some(seen) => {
-                    mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
-                }
-            };
+        let louder = |name: &str, short: u32, mark: &wire::Mark| match parked.vector.get(&short) {
+            None => name != parked.asker,
+            Some(seen) => {
+                mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
+            }
+        };
         self.word.revision > parked.word
             || self.platform.revision > parked.platform
             || (self.plan.epoch, self.plan.counter) > parked.plan
-            || louder(&self.own.name, &self.mark)
-            || self.sources.iter().any(|source| louder(&source.card.name, &source.mark))
+            || louder(&self.own.name, self.short, &self.mark)
+            || self.sources.iter().any(|one| louder(&one.card.name, one.short, &one.mark))
+    }
+
+    /// The sources whose details a reply has room for; `None`: all. What is left out stays unknown to the
+    /// asker and comes with its next pulls, which begin elsewhere.
+    fn told_details(&self, parked: &Parked) -> Option<std::collections::HashSet<usize>> {
+        if !parked.wants_detail {
+            return None;
+        }
+        let mut weights: Vec<(usize, usize)> = Vec::new();
+        for (index, source) in self.sources.iter().enumerate() {
+            let seen = parked.vector.get(&source.short).copied().unwrap_or_default();
+            if parked.has_new_detail(&source.mark, &seen) {
+                weights.push((index, source.detail.weight()));
+            }
+        }
+        let sum: usize = weights.iter().map(|one| one.1).sum();
+        if sum <= wire::DETAIL_BYTES_MOST {
+            return None;
+        }
+        let start = parked.ticket as usize % weights.len();
+        weights.rotate_left(start);
+        let mut room = wire::DETAIL_BYTES_MOST;
+        let fits = weights.iter().take_while(|one| {
+            let fits = one.1 <= room;
+            room = room.saturating_sub(one.1);
+            fits
+        });
+        Some(fits.map(|one| one.0).collect())
     }
 
     fn news_for(&self, now: Duration, parked: &Parked) -> wire::News {
         let mut deltas = Vec::new();
-        let own = (&self.own, &self.mark, &self.report, &self.detail, now);
+        let own = (&self.own, self.short, &self.mark, &self.report, &self.detail, now);
         let others = self
             .sources
             .iter()
-            .map(|one| (&one.card, &one.mark, &one.report, &one.detail, one.heard_at));
-        for (card, mark, report, detail, heard_at) in std::iter::once(own).chain(others) {
+            .map(|one| (&one.card, one.short, &one.mark, &one.report, &one.detail, one.heard_at));
+        let told = self.told_details(parked);
+        let is_told = |index: usize| {
+            index == 0 || told.as_ref().is_none_or(|told| told.contains(&(index - 1)))
+        };
+        let all = std::iter::once(own).chain(others).enumerate();
+        for (index, (card, short, mark, report, detail, heard_at)) in all {
             let age = now.saturating_sub(heard_at);
-            let seen =
-                parked.vector.get(&wire::short_name(&card.name)).copied().unwrap_or_default();
+            let seen = parked.vector.get(&short).copied().unwrap_or_default();
             let new_life = mark.life != seen.life;
             let rank = |mark: &wire::Mark| (mark.life, mark.counter);
-            let new_detail = parked.wants_detail && (new_life || mark.detail > seen.detail);
+            let new_detail = parked.has_new_detail(mark, &seen) && is_told(index);
             if (rank(mark) <= rank(&seen) && !new_detail) || age >= FORGOTTEN_AFTER {
                 continue;
             }
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -1,7 +1,10 @@
 //! What siblings say to each other: CBOR in bounded frames (design 5.1).
 
-/// No frame is larger; one that claims to be closes the connection.
-pub const FRAME_MOST: usize = 4 << 20;
+/// No frame is larger; one that claims to be closes the connection. Room for a setup and a platform list
+/// as large as they may be, and for what a reply holds besides (docs/CAPACITY.md).
+pub const FRAME_MOST: usize = 32 << 20;
+/// Of details, which may come with a later reply as well, one reply holds about so many bytes.
+pub const DETAIL_BYTES_MOST: usize = 4 << 20;
 
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, strum::Display,
@@ -114,6 +117,15 @@
     pub taken: std::collections::BTreeMap<String, u32>,
 }
 
+impl Detail {
+    /// About as many bytes as it takes between siblings, rather more.
+    pub fn weight(&self) -> usize {
+        let sights = self.sights.iter().map(|sight| sight.server.len() + 24).sum::<usize>();
+        let taken = self.taken.keys().map(|name| name.len() + 8).sum::<usize>();
+        sights + taken + 5 * (self.in_hand.len() + self.waiting.len()) + 64
+    }
+}
+
 /// The operator's word: the setup and the emptied zones, as the store accepted them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Word {
