Details go to each registry once, and the duty's looks rest between

Cause: with 670 daemons a registry heard each detail from nearly all of the others of its kind: 36.5 MB/s and 31 % of a core; the duty's holder copied and read all of them ten times a second. Change: a registry tells at once only the details that it heard from their source; by way of a third come those that the asker missed for a round, and all where the asker just started or woke. A look of the duty rests 25 times as long as it took, at most 4 s. One test each for the bound of a reply and for thirds; the bounds at twice the design size are tested with generated setups, lists and news.

--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -241,6 +241,7 @@
     options.optopt("", "seconds", "simulated seconds of quiet news (default 2)", "N");
     options.optopt("", "limit-seconds", "real time for each size of the news (default 60)", "N");
     options.optopt("", "span-ms", "real time for each figure of a core (default 100)", "N");
+    options.optflag("", "joins", "all hollow daemons start at once and know the seeds alone");
     options.optflag("", "no-details", "proxies tell registries nothing of their servers");
     options.optflag("", "json", "JSON only");
     let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
@@ -298,8 +299,9 @@
                         servers: scale::in_proportion(scale::SERVERS, *daemons).max(34),
                         services: scale::in_proportion(scale::SERVICES, *daemons),
                         routes: scale::in_proportion(scale::ROUTES, *daemons).max(2),
+                        joins: matches.opt_present("joins"),
                         details: !matches.opt_present("no-details"),
-                        settle: Duration::from_secs(4),
+                        settle: Duration::from_secs(3),
                         measure: Duration::from_secs(seconds),
                         limit,
                     };
--- a/fleet/src/scale/hollow.rs
+++ b/fleet/src/scale/hollow.rs
@@ -16,6 +16,8 @@
     pub routes: usize,
     /// Proxies tell registries what they see.
     pub details: bool,
+    /// All start at once and know nobody but the seeds; else the fleet is there and one joins it at the end.
+    pub joins: bool,
     /// Simulated time before the measure begins, and of it.
     pub settle: Duration,
     pub measure: Duration,
@@ -27,6 +29,7 @@
 const DETAIL_EVERY: Duration = Duration::from_millis(2000);
 /// For the messages in the air and the daemons' states: no more than that is begun.
 const EVENTS_MOST: usize = 400_000;
+const LIFE: u64 = 1_750_000_000_000 << 16;
 
 enum What {
     Pulse,
@@ -209,6 +212,18 @@
     }
 }
 
+/// All that a daemon tells of itself but its detail.
+fn whole(core: &News) -> wire::Delta {
+    wire::Delta {
+        name: core.own().name.clone(),
+        mark: core.own_mark(),
+        age_ms: 0,
+        card: Some(core.own().clone()),
+        report: Some(core.own_report().clone()),
+        detail: None,
+    }
+}
+
 /// A fleet of that size, settled; then a quiet while; then a new word told to one store.
 pub fn run(plan: &Plan) -> Vec<Row> {
     let started = Instant::now();
@@ -233,27 +248,51 @@
         oversized: 0,
     };
     let second = Duration::from_secs(1);
+    let report = wire::Report { ready: true, settled: true, ..wire::Report::default() };
     for (index, card) in cards.into_iter().enumerate() {
         // Lives are wall clocks with a random part, as the shell makes them.
-        let life = (1_750_000_000_000 << 16) + (random.draw() & 0xffff);
+        let life = LIFE + (random.draw() & 0xffff);
         let at = second + random.between(Duration::ZERO, second);
         let is_proxy = card.role == wire::Role::Proxy;
-        let core = News::new(card, seeds.clone(), life, at);
         run.daemons.push(Daemon {
-            core,
+            core: News::new(card, seeds.clone(), life, if plan.joins { at } else { second }),
             waiting: Default::default(),
             tickets: 0,
             sum: Sum::default(),
             index,
         });
-        let report = wire::Report { ready: true, settled: true, ..wire::Report::default() };
-        run.step(at, index, Event::Report(report));
+        run.step(at, index, Event::Report(report.clone()));
         run.push(at, index, What::Pulse);
         if is_proxy && plan.details {
             let first = at + random.between(Duration::ZERO, DETAIL_EVERY);
             run.push(first, index, What::Detail(1));
         }
     }
+    if !plan.joins {
+        // As if each had been told of all: the fleet is there.
+        let told = wire::News {
+            deltas: run.daemons.iter().map(|daemon| whole(&daemon.core)).collect(),
+            platform: Some(run.list.clone()),
+            ..wire::News::default()
+        };
+        for daemon in &mut run.daemons {
+            let effects = daemon.core.step(second, Event::Pulse);
+            let asked = effects.iter().filter_map(|effect| match effect {
+                Effect::Pull { address, .. } => Some(*address),
+                _ => None,
+            });
+            for (index, address) in asked.enumerate() {
+                let news = (index == 0).then(|| Box::new(told.clone()));
+                daemon.core.step(second, Event::Told { address, news });
+            }
+            // What it asks upon that nobody hears; its lines begin anew.
+            let cut: Vec<std::net::SocketAddr> = run.addresses.keys().copied().collect();
+            for address in cut {
+                daemon.core.step(second, Event::Told { address, news: None });
+            }
+            daemon.sum = Sum::default();
+        }
+    }
     let list = Arc::new(run.list.clone());
     run.step(2 * second, 0, Event::Platform(list));
 
@@ -351,6 +390,29 @@
                     * 1000.0;
         }
     }
+    // One proxy starts anew, with nothing but the seeds.
+    let (mut restart_bytes, mut restart_known, mut restart_cost) = (f64::NAN, f64::NAN, f64::NAN);
+    if is_whole && !plan.joins && spread_bytes.is_finite() {
+        let at = end + 3 * second;
+        let last = plan.daemons - 1;
+        let card = run.daemons[last].core.own().clone();
+        run.daemons[last].core = News::new(card, seeds.clone(), LIFE + 0x1_0000, at);
+        run.daemons[last].waiting.clear();
+        run.step(at, last, Event::Report(report));
+        let mut known_at = None;
+        let whole = run.until(at + 2 * second, limit, |run, now| {
+            if known_at.is_none() && run.daemons[last].core.sources.len() + 1 == plan.daemons {
+                known_at = Some(now);
+            }
+            true
+        });
+        if whole {
+            let sum = run.daemons[last].sum;
+            restart_bytes = (sum.bytes_in + sum.bytes_out) as f64 / 1000.0;
+            restart_cost = (sum.step + sum.code).as_secs_f64() * 1000.0;
+            restart_known = known_at.map_or(f64::NAN, |known| (known - at).as_secs_f64());
+        }
+    }
     let joined: f64 = joining.iter().map(|one| (one.1.step + one.1.code).as_secs_f64()).sum();
     let joined_bytes: f64 = joining.iter().map(|one| one.1.bytes_in as f64).sum();
     rows.push(Row {
@@ -361,8 +423,11 @@
             ("s until a new setup is everywhere", spread),
             ("kB each in the 3 s from it on", spread_bytes),
             ("ms of a core each in those", spread_cost),
-            ("kB each to join", joined_bytes / plan.daemons as f64 / 1000.0),
-            ("ms of a core each to join", joined * 1000.0 / plan.daemons as f64),
+            ("kB each in the first seconds", joined_bytes / plan.daemons as f64 / 1000.0),
+            ("ms of a core each in those", joined * 1000.0 / plan.daemons as f64),
+            ("kB of one that starts anew, in 2 s", restart_bytes),
+            ("ms of its core", restart_cost),
+            ("s until it knows all", restart_known),
             ("oversized frames", run.oversized as f64),
             ("s simulated quiet", span),
             ("s of real time", started.elapsed().as_secs_f64()),
--- /dev/null
+++ b/fleet/tests/scale.rs
@@ -0,0 +1,94 @@
+//! What the design size (docs/CAPACITY.md) needs is within all bounds, and twice of it too.
+
+use std::time::Duration;
+use vanepath_fleet::scale;
+use vanepath_sibling::wire;
+
+#[test]
+fn a_setup_and_a_list_of_twice_the_design_size_are_taken() {
+    for times in [1, 2] {
+        let text = scale::setup_text(times * scale::ROUTES, times * scale::SERVICES);
+        let setup = vanepath_setup::model::parse(text.as_bytes()).unwrap();
+        assert_eq!(setup.rules.len(), times * scale::ROUTES);
+        assert_eq!(setup.services.len(), times * scale::SERVICES);
+        // Tenants are of later setups: a hundred bytes for each.
+        let room = vanepath_setup::model::BYTES_MOST;
+        assert!(text.len() + times * scale::TENANTS * 100 < room, "{} of {room}", text.len());
+        let list = scale::platform(times * scale::SERVERS, times * scale::SERVICES);
+        let text = scale::platform_text(&list);
+        let read = vanepath_setup::platform::parse(text.as_bytes()).unwrap();
+        assert!(read == list);
+        assert!(text.len() < vanepath_setup::platform::BYTES_MOST / 2, "{}", text.len());
+    }
+}
+
+/// The first reply that a registry gets, with everything in it, fits into a frame at twice the size.
+#[test]
+fn the_news_of_twice_the_design_size_are_within_a_frame() {
+    let (daemons, servers) = (2 * scale::DAEMONS, 2 * scale::SERVERS);
+    let mut asked = scale::cores::informed(daemons, servers, 2 * scale::SERVICES, true);
+    let mut setup = scale::setup_text(2 * scale::ROUTES, 2 * scale::SERVICES).into_bytes();
+    setup.resize(vanepath_setup::model::BYTES_MOST, b' ');
+    let word = wire::Word { revision: 9, setup_revision: 9, setup, ..wire::Word::default() };
+    let now = Duration::from_secs(101);
+    asked.step(now, vanepath_sibling::news::Event::Word(std::sync::Arc::new(word)));
+    assert_eq!(asked.sources.len(), daemons - 1);
+    let card = scale::cards(daemons).swap_remove(1);
+    let pull = wire::Pull {
+        vector: Vec::new(),
+        word: 0,
+        platform: 0,
+        plan: (0, 0),
+        own: wire::Delta {
+            name: card.name.clone(),
+            mark: wire::Mark { life: 6, counter: 1, edition: 1, detail: 0 },
+            age_ms: 0,
+            card: Some(card),
+            report: Some(wire::Report::default()),
+            detail: None,
+        },
+        wait_ms: 0,
+        wants_detail: true,
+    };
+    let effects = asked.step(now, vanepath_sibling::news::Event::Asked { ticket: 1, pull });
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        vanepath_sibling::news::Effect::Answer { news, .. } => Some(news),
+        _ => None,
+    });
+    let reply = wire::Reply::News(answer.unwrap());
+    let bytes = wire::encode(&reply);
+    assert!(bytes.len() < wire::FRAME_MOST / 2, "{}", bytes.len());
+    let read: wire::Reply = wire::decode(&bytes).unwrap();
+    let wire::Reply::News(news) = read else { panic!("another reply") };
+    assert_eq!(
+        news.deltas.len(),
+        daemons,
+        "its own entry too, by which it would know a later life"
+    );
+    assert_eq!(news.platform.unwrap().servers.len(), servers);
+}
+
+/// The measure itself: hollow daemons hear of each other, of a new setup and of one that starts anew.
+#[test]
+fn hollow_daemons_know_all_and_a_setup_gets_everywhere() {
+    for joins in [false, true] {
+        let plan = scale::hollow::Plan {
+            daemons: 30,
+            servers: 200,
+            services: 12,
+            routes: 50,
+            details: true,
+            joins,
+            settle: Duration::from_secs(4),
+            measure: Duration::from_secs(1),
+            limit: Duration::from_secs(60),
+        };
+        let rows = scale::hollow::run(&plan);
+        let all = rows.last().unwrap();
+        let figure = |name: &str| all.figures.iter().find(|one| one.0 == name).unwrap().1;
+        assert_eq!(figure("live as the least knowing has it"), 30.0);
+        assert!(figure("s until a new setup is everywhere") < 2.0, "{all}");
+        assert!(joins || figure("s until it knows all") < 2.0, "{all}");
+        assert_eq!(rows.len(), 4);
+    }
+}
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -40,6 +40,10 @@
 /// A step of the plan takes so long to show: a receipt's TTL, the news, and a second of demand.
 const STEP_SHOWS_AFTER: Duration = Duration::from_millis(4000);
 
+/// The larger the fleet the longer a look at all that proxies tell takes; between two looks it rests so many
+/// times as long, which bounds the duty's part of a core.
+const REST_TIMES: u32 = 25;
+
 /// Runs a registry until it is told to stop.
 pub async fn run(settings: vanepath_setup::settings::Settings) -> Result<(), miette::Report> {
     let listener = daemon::bind("listen", settings.listen).await?;
@@ -54,8 +58,12 @@
         is_ready: std::sync::atomic::AtomicBool::new(false),
     });
     tokio::spawn(crate::platform::run(daemon.clone(), tally.clone(), platform));
-    let keeper =
-        Keeper { registry: registry.clone(), step_at: Duration::ZERO, tenure: Default::default() };
+    let keeper = Keeper {
+        registry: registry.clone(),
+        step_at: Duration::ZERO,
+        look_at: Duration::ZERO,
+        tenure: Default::default(),
+    };
     let keeper = xtra::spawn_tokio(keeper, xtra::Mailbox::unbounded());
     tokio::spawn(async move {
         let mut pulse = tokio::time::interval(Duration::from_millis(100));
@@ -90,6 +98,8 @@
 struct Keeper {
     registry: Arc<Registry>,
     step_at: Duration,
+    /// What it sees is looked at again then.
+    look_at: Duration,
     tenure: crate::duty::Tenure,
 }
 
@@ -121,6 +131,10 @@
         {
             return;
         }
+        let began = daemon.clock.now();
+        if began < self.look_at {
+            return;
+        }
         let Ok(sources) = daemon.news.send(daemon::Sources).await else {
             return;
         };
@@ -130,6 +144,8 @@
             self.step_at = now + STEP_SHOWS_AFTER;
         }
         let plan = crate::duty::next(&view, &daemon.card.name, &sources, may_move);
+        let ended = daemon.clock.now();
+        self.look_at = ended + ((ended - began) * REST_TIMES).min(STEP_SHOWS_AFTER);
         if let Some(plan) = plan {
             if plan.epoch != view.plan.epoch {
                 log::info!("has the duty of shares from epoch {} on", plan.epoch);
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -41,6 +41,8 @@
     pub mark: wire::Mark,
     pub report: wire::Report,
     pub detail: wire::Detail,
+    /// It told its detail itself, and not by way of a third.
+    is_direct: bool,
     /// Of its name, for vectors.
     short: u32,
     heard_at: Duration,
@@ -80,13 +82,20 @@
     wants_detail: bool,
     until: Duration,
     asker: String,
+    /// It does not wait: just started or awake, it wants all that there is.
+    is_first: bool,
     /// The count of loud changes at which nothing was loud for it.
     looked: u64,
 }
 
 impl Parked {
-    fn has_new_detail(&self, mark: &wire::Mark, seen: &wire::Mark) -> bool {
-        self.wants_detail && (mark.life != seen.life || mark.detail > seen.detail)
+    /// Whether a detail goes with the answer. Registries pull from all others of their kind, so each hears
+    /// details from the one to which the source told them; by way of a third only what it missed for a
+    /// whole round of telling, since the direct way may be cut.
+    fn has_new_detail(&self, mark: &wire::Mark, seen: &wire::Mark, is_direct: bool) -> bool {
+        let behind = mark.detail.saturating_sub(seen.detail);
+        let is_for_all = is_direct || self.is_first;
+        self.wants_detail && (mark.life != seen.life || behind > 1 || (behind == 1 && is_for_all))
     }
 }
 
@@ -470,7 +479,7 @@
             self.lines.get(&address).is_some_and(|line| line.sent_at >= self.awake_since);
         if let Some(news) = news {
             for delta in news.deltas {
-                self.hear(now, delta, effects);
+                self.hear(now, delta, false, effects);
             }
             if let Some(word) = news.word {
                 self.hear_word(Arc::new(word), effects);
@@ -509,7 +518,14 @@
         }
     }
 
-    fn hear(&mut self, now: Duration, delta: wire::Delta, effects: &mut Vec<Effect>) {
+    /// `is_direct`: the source itself said so in its pull.
+    fn hear(
+        &mut self,
+        now: Duration,
+        delta: wire::Delta,
+        is_direct: bool,
+        effects: &mut Vec<Effect>,
+    ) {
         if delta.name == self.own.name {
             // Told of a life of ours that is not this one: outlive it (design 5.3).
             if delta.mark.life > self.mark.life {
@@ -547,6 +563,7 @@
                 card,
                 mark,
                 report,
+                is_direct: is_direct && mark.detail > 0,
                 detail,
                 short,
                 heard_at,
@@ -565,6 +582,7 @@
         {
             source.detail = detail.clone();
             source.mark.detail = delta.mark.detail;
+            source.is_direct = is_direct;
         }
         if rank(&delta.mark) < rank(&source.mark) {
             return;
@@ -594,10 +612,14 @@
         }
         source.mark = delta.mark;
         match delta.detail {
-            Some(detail) if new_life => source.detail = detail,
+            Some(detail) if new_life => {
+                source.detail = detail;
+                source.is_direct = is_direct;
+            }
             None if new_life => {
                 source.detail = wire::Detail::default();
                 source.mark.detail = 0;
+                source.is_direct = false;
             }
             _ => source.mark.detail = old_detail,
         }
@@ -605,7 +627,7 @@
 
     fn asked(&mut self, now: Duration, ticket: u64, pull: wire::Pull, effects: &mut Vec<Effect>) {
         let asker = pull.own.name.clone();
-        self.hear(now, pull.own, effects);
+        self.hear(now, pull.own, true, effects);
         let wait = Duration::from_millis(u64::from(pull.wait_ms)).min(WAIT * 4);
         self.parked.retain(|parked| parked.asker != asker || parked.ticket == ticket);
         self.parked.push(Parked {
@@ -617,6 +639,7 @@
             wants_detail: pull.wants_detail,
             until: now + wait,
             asker,
+            is_first: pull.wait_ms == 0,
             looked: 0,
         });
     }
@@ -660,7 +683,7 @@
         let mut weights: Vec<(usize, usize)> = Vec::new();
         for (index, source) in self.sources.iter().enumerate() {
             let seen = parked.vector.get(&source.short).copied().unwrap_or_default();
-            if parked.has_new_detail(&source.mark, &seen) {
+            if parked.has_new_detail(&source.mark, &seen, source.is_direct) {
                 weights.push((index, source.detail.weight()));
             }
         }
@@ -681,22 +704,22 @@
 
     fn news_for(&self, now: Duration, parked: &Parked) -> wire::News {
         let mut deltas = Vec::new();
-        let own = (&self.own, self.short, &self.mark, &self.report, &self.detail, now);
-        let others = self
-            .sources
-            .iter()
-            .map(|one| (&one.card, one.short, &one.mark, &one.report, &one.detail, one.heard_at));
+        let own = (&self.own, self.short, &self.mark, &self.report, (&self.detail, true), now);
+        let others = self.sources.iter().map(|one| {
+            let detail = (&one.detail, one.is_direct);
+            (&one.card, one.short, &one.mark, &one.report, detail, one.heard_at)
+        });
         let told = self.told_details(parked);
         let is_told = |index: usize| {
             index == 0 || told.as_ref().is_none_or(|told| told.contains(&(index - 1)))
         };
         let all = std::iter::once(own).chain(others).enumerate();
-        for (index, (card, short, mark, report, detail, heard_at)) in all {
+        for (index, (card, short, mark, report, (detail, is_direct), heard_at)) in all {
             let age = now.saturating_sub(heard_at);
             let seen = parked.vector.get(&short).copied().unwrap_or_default();
             let new_life = mark.life != seen.life;
             let rank = |mark: &wire::Mark| (mark.life, mark.counter);
-            let new_detail = parked.has_new_detail(mark, &seen) && is_told(index);
+            let new_detail = parked.has_new_detail(mark, &seen, is_direct) && is_told(index);
             if (rank(mark) <= rank(&seen) && !new_detail) || age >= FORGOTTEN_AFTER {
                 continue;
             }
--- /dev/null
+++ b/sibling/tests/details.rs
@@ -0,0 +1,159 @@
+//! Which details a registry's answer holds (design 5.3).
+
+use std::time::Duration;
+use vanepath_sibling::news::{Effect, Event, News};
+use vanepath_sibling::wire;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn card(name: &str, role: wire::Role, port: u16) -> wire::Card {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    wire::Card {
+        name: name.to_string(),
+        role,
+        region: "a".to_string(),
+        zone: "a1".to_string(),
+        address,
+        sibling_address: address,
+        seat: None,
+    }
+}
+
+fn detail(sights: usize, demand_milli: u32) -> wire::Detail {
+    let sight = |index: usize| wire::Sight {
+        server: format!("server-{index}"),
+        phase: 3,
+        age_ms: 1_000_000,
+        steady_ms: 1_000_000,
+        demand_milli,
+        refused: false,
+    };
+    wire::Detail { sights: (0..sights).map(sight).collect(), ..wire::Detail::default() }
+}
+
+fn delta(index: usize, number: u64, sights: usize) -> wire::Delta {
+    let name = format!("proxy-{index}");
+    wire::Delta {
+        mark: wire::Mark { life: 7, counter: number, edition: 1, detail: number },
+        age_ms: 0,
+        card: Some(card(&name, wire::Role::Proxy, 1000 + index as u16)),
+        report: Some(wire::Report::default()),
+        detail: Some(detail(sights, number as u32)),
+        name,
+    }
+}
+
+fn tell(news: &mut News, deltas: Vec<wire::Delta>) {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 3));
+    let told = wire::News { deltas, ..wire::News::default() };
+    news.step(NOW, Event::Told { address, news: Some(Box::new(told)) });
+}
+
+/// The registry `asked` answers `asker`'s pull when its time is up; the answer is told to the asker.
+fn pull(asker: &mut News, asked: &mut News, ticket: u64) -> wire::News {
+    pull_after(asker, asked, ticket, 700)
+}
+
+fn pull_after(asker: &mut News, asked: &mut News, ticket: u64, wait_ms: u32) -> wire::News {
+    let pull = wire::Pull {
+        vector: asker
+            .sources
+            .iter()
+            .map(|one| (wire::short_name(&one.card.name), one.mark))
+            .collect(),
+        word: 0,
+        platform: 0,
+        plan: (0, 0),
+        own: wire::Delta {
+            name: asker.own().name.clone(),
+            mark: asker.own_mark(),
+            age_ms: 0,
+            card: Some(asker.own().clone()),
+            report: Some(asker.own_report().clone()),
+            detail: None,
+        },
+        wait_ms,
+        wants_detail: true,
+    };
+    let mut effects = asked.step(NOW, Event::Asked { ticket, pull });
+    let until = NOW + Duration::from_millis(u64::from(wait_ms));
+    effects.extend(asked.step(until, Event::Pulse));
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        Effect::Answer { ticket: of, news } if of == ticket => Some(news),
+        _ => None,
+    });
+    let news = answer.expect("its time is up");
+    tell(asker, news.deltas.clone());
+    news
+}
+
+fn registry(name: &str, port: u16) -> News {
+    News::new(card(name, wire::Role::Registry, port), Vec::new(), 1, NOW)
+}
+
+/// More than a reply holds comes with several, each within its bounds, and nothing is left out for good.
+#[test]
+fn details_that_one_reply_cannot_hold_come_with_the_next() {
+    let (mut asked, mut asker) = (registry("r0", 1), registry("r1", 2));
+    tell(&mut asked, (0..656).map(|index| delta(index, 3, 900)).collect());
+    let weight = detail(900, 1).weight();
+    assert!(656 * weight > 4 * wire::DETAIL_BYTES_MOST, "{weight}");
+    let known =
+        |asker: &News| asker.sources.iter().filter(|one| one.detail.sights.len() == 900).count();
+    let mut rounds = 0;
+    while known(&asker) < 656 {
+        let before = known(&asker);
+        let bytes = wire::encode(&pull(&mut asker, &mut asked, rounds)).len();
+        assert!(bytes < wire::DETAIL_BYTES_MOST + (1 << 20), "{bytes}");
+        assert!(known(&asker) > before, "{before} after {rounds}");
+        assert_eq!(asker.sources.len(), 657, "all were heard of with the first reply");
+        rounds += 1;
+    }
+    assert!(rounds < 16, "{rounds}");
+    let rest = pull(&mut asker, &mut asked, 99);
+    let mut proxies = rest.deltas.iter().filter(|one| one.name.starts_with("proxy-"));
+    assert!(proxies.all(|one| one.detail.is_none()), "nothing twice");
+}
+
+/// Who heard a detail from its source tells it at once; a third only what the asker missed a round of.
+#[test]
+fn a_third_tells_details_only_after_a_round_was_missed() {
+    let (mut first, mut third) = (registry("r0", 1), registry("r1", 2));
+    let mut asker = registry("r2", 4);
+    let own = |first: &mut News, number: u64| {
+        let pull = wire::Pull {
+            vector: Vec::new(),
+            word: 0,
+            platform: 0,
+            plan: (0, 0),
+            own: delta(0, number, 3),
+            wait_ms: 700,
+            wants_detail: false,
+        };
+        first.step(NOW, Event::Asked { ticket: number, pull });
+    };
+    let seen = |news: &News| {
+        let one = news.sources.iter().find(|one| one.card.name == "proxy-0").unwrap();
+        (one.mark.detail, one.detail.sights[0].demand_milli)
+    };
+    own(&mut first, 1);
+    pull(&mut third, &mut first, 11);
+    pull(&mut asker, &mut third, 1);
+    assert_eq!([seen(&third), seen(&asker)], [(1, 1); 2], "of a new source everything is told");
+    own(&mut first, 2);
+    pull(&mut third, &mut first, 12);
+    assert_eq!(seen(&third), (2, 2));
+    pull(&mut asker, &mut third, 2);
+    assert_eq!(seen(&asker), (1, 1), "the first will tell");
+    own(&mut first, 3);
+    pull(&mut third, &mut first, 13);
+    pull(&mut asker, &mut third, 3);
+    assert_eq!(seen(&asker), (3, 3), "the first did not");
+    own(&mut first, 4);
+    pull(&mut asker, &mut first, 14);
+    assert_eq!(seen(&asker), (4, 4));
+    own(&mut first, 5);
+    pull(&mut third, &mut first, 15);
+    pull_after(&mut asker, &mut third, 16, 0);
+    assert_eq!(seen(&asker), (5, 5), "who just started or woke gets all there is");
+}
