--- a/setup/src/lib.rs
+++ b/setup/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod model;
 pub mod platform;
 pub mod read;
+pub mod routes;
 pub mod selector;
 pub mod settings;
 
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -34,8 +34,9 @@
 pub const ALONE_AFTER: Duration = Duration::from_millis(2500);
 /// Those who are not heard of, and the seeds, are tried so often, one at a time.
 const SEED_EVERY: Duration = Duration::from_secs(1);
-/// Sources remembered at the most; a sibling that makes up names cannot fill the memory.
-pub const SOURCES_MOST: usize = 1024;
+/// Sources remembered at the most; a sibling that makes up names cannot fill the memory. Six times the
+/// design size (docs/CAPACITY.md).
+pub const SOURCES_MOST: usize = 4096;
 
 /// One source as this daemon knows it.
 #[derive(Clone, Debug)]
@@ -44,6 +45,10 @@
     pub mark: wire::Mark,
     pub report: wire::Report,
     pub detail: wire::Detail,
+    /// It told its detail itself, and not by way of a third.
+    is_direct: bool,
+    /// Of its name, for vectors.
+    short: u32,
     heard_at: Duration,
     /// Nobody listened at its address then: it is dead until it is heard of anew (design 5.7).
     refused_at: Option<Duration>,
@@ -108,6 +113,21 @@
     light: bool,
     silent: u64,
     resend: bool,
+    /// It does not wait: just started or awake, it wants all that there is.
+    is_first: bool,
+    /// The count of loud changes at which nothing was loud for it.
+    looked: u64,
+}
+
+impl Parked {
+    /// Whether a detail goes with the answer. Registries pull from all others of their kind, so each hears
+    /// details from the one to which the source told them; by way of a third only what it missed for a
+    /// whole round of telling, since the direct way may be cut.
+    fn has_new_detail(&self, mark: &wire::Mark, seen: &wire::Mark, is_direct: bool) -> bool {
+        let behind = mark.detail.saturating_sub(seen.detail);
+        let is_for_all = is_direct || self.is_first;
+        self.wants_detail && (mark.life != seen.life || behind > 1 || (behind == 1 && is_for_all))
+    }
 }
 
 pub enum Event {
@@ -161,8 +181,13 @@
     mark: wire::Mark,
     report: wire::Report,
     detail: wire::Detail,
+    short: u32,
     seeds: Vec<std::net::SocketAddr>,
     pub sources: Vec<Source>,
+    /// Where each name's source lies.
+    by_name: std::collections::HashMap<String, usize>,
+    /// Loud changes so far: what was not loud for somebody is not until there is another one.
+    loud: u64,
     pub word: Arc<wire::Word>,
     pub platform: Arc<vanepath_setup::platform::PlatformList>,
     pub plan: Arc<wire::Plan>,
@@ -174,8 +199,7 @@
     silent: Vec<u32>,
     names: std::collections::HashSet<u32>,
     /// Raised with everything that askers are told of at once, and as it was when they last were.
-    loudness: u64,
-    told_loudness: u64,
+    told_loud: u64,
     /// When a registry last said who is live.
     judged_at: Option<Duration>,
     /// Whose connections ended lately: asked themselves with the next pulse.
@@ -202,13 +226,17 @@
         let seeds = seeds.into_iter().filter(|seed| *seed != own.sibling_address).collect();
         // Each begins its turn of the lost elsewhere: between them all are tried soon.
         let turn = vanepath_setup::stable_hash(&["turn", &own.name]) as usize;
+        let short = wire::short_name(&own.name);
         News {
             own,
             mark: wire::Mark { life, counter: 1, edition: 1, detail: 0 },
             report: wire::Report::default(),
             detail: wire::Detail::default(),
+            short,
             seeds,
             sources: Vec::new(),
+            by_name: std::collections::HashMap::new(),
+            loud: 1,
             word: Arc::default(),
             platform: Arc::default(),
             plan: Arc::default(),
@@ -217,8 +245,7 @@
             askers: std::collections::HashMap::new(),
             silent: Vec::new(),
             names: Default::default(),
-            loudness: 0,
-            told_loudness: 0,
+            told_loud: 0,
             judged_at: None,
             doubted: Vec::new(),
             beat_at: now,
@@ -299,7 +326,7 @@
                     self.report = report;
                     self.mark.edition += 1;
                     self.mark.counter += 1;
-                    self.loudness += 1;
+                    self.loud += 1;
                     effects.push(Effect::Changed);
                 }
             }
@@ -318,8 +345,8 @@
             }
         }
         // Nothing loud and no time passed: nobody is waiting for this.
-        if is_pulse || self.loudness != self.told_loudness {
-            self.told_loudness = self.loudness;
+        if is_pulse || self.loud != self.told_loud {
+            self.told_loud = self.loud;
             self.answer_parked(now, &mut effects);
         }
         effects
@@ -352,7 +379,7 @@
         // Never backwards (design 5.4).
         if word.revision > self.word.revision {
             self.word = word;
-            self.loudness += 1;
+            self.loud += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -364,7 +391,7 @@
     ) {
         if list.revision > self.platform.revision {
             self.platform = list;
-            self.loudness += 1;
+            self.loud += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -373,7 +400,7 @@
         // Under a lower epoch nothing is taken (design 5.6).
         if (plan.epoch, plan.counter) > (self.plan.epoch, self.plan.counter) {
             self.plan = plan;
-            self.loudness += 1;
+            self.loud += 1;
             effects.push(Effect::Changed);
         }
     }
@@ -401,7 +428,12 @@
             self.beat_at = now + BEAT;
             self.mark.counter += 1;
         }
+        let before = self.sources.len();
         self.sources.retain(|source| now.saturating_sub(source.heard_at) < FORGOTTEN_AFTER);
+        if self.sources.len() < before {
+            let names = self.sources.iter().map(|source| source.card.name.clone());
+            self.by_name = names.zip(0..).collect();
+        }
         let mut just_lost = std::mem::take(&mut self.doubted);
         let (role, judged_at) = (self.own.role, self.judged_at);
         for source in &mut self.sources {
@@ -432,14 +464,13 @@
             return;
         }
         let silent = self.sources.iter().filter(|one| !one.is_live(now, self.own.role, None));
-        let mut silent: Vec<u32> =
-            silent.map(|source| wire::short_name(&source.card.name)).collect();
+        let mut silent: Vec<u32> = silent.map(|source| source.short).collect();
         silent.sort_unstable();
         if silent != self.silent {
             self.silent = silent;
-            self.loudness += 1;
+            self.loud += 1;
         }
-        let names = self.sources.iter().map(|source| wire::short_name(&source.card.name));
+        let names = self.sources.iter().map(|source| source.short);
         self.names = names.chain([wire::short_name(&self.own.name)]).collect();
         self.askers.retain(|name, _| self.sources.iter().any(|one| one.card.name == *name));
     }
@@ -457,7 +488,10 @@
         if ranked.is_empty() {
             return None;
         }
-        let mut wanted = Vec::new();
+        // Those that do not hear from most others may be cut off with what nobody else knows.
+        let apart = ranked.iter().filter(|index| !is_whole(**index));
+        let mut wanted: Vec<std::net::SocketAddr> =
+            apart.map(|index| live[*index].card.sibling_address).collect();
         if self.own.role == wire::Role::Registry {
             wanted.extend(ranked.iter().map(|index| live[*index].card.sibling_address));
             let store = crate::kin::nearest_store(&known(&self.own), others);
@@ -571,10 +605,8 @@
         // The first pull of a life does not wait: it is how the daemon learns of the rest.
         let wait_ms = if self.fresh_since.is_none() { 0 } else { WAIT.as_millis() as u32 };
         let pull = wire::Pull {
-            vector: (!has_vector).then(|| {
-                let sources = self.sources.iter();
-                sources.map(|one| (wire::short_name(&one.card.name), one.mark)).collect()
-            }),
+            vector: (!has_vector)
+                .then(|| self.sources.iter().map(|one| (one.short, one.mark)).collect()),
             word: self.word.revision,
             platform: self.platform.revision,
             plan: (self.plan.epoch, self.plan.counter),
@@ -615,7 +647,7 @@
             self.lines.get(&address).is_some_and(|line| line.sent_at >= self.awake_since);
         if let Some(news) = news {
             for delta in news.deltas {
-                self.hear(now, delta, effects);
+                self.hear(now, delta, false, effects);
             }
             if let Some(silent) = news.silent {
                 self.judge(now, address, silent);
@@ -673,23 +705,33 @@
             .map(|one| &one.1)
             .collect();
         for source in &mut self.sources {
-            let name = wire::short_name(&source.card.name);
+            let name = source.short;
             let says_dead = |silent: &&Vec<u32>| silent.binary_search(&name).is_ok();
             source.is_silent = !spoken.is_empty() && spoken.iter().all(says_dead);
             let is_refuted =
                 source.refused_at.is_some_and(|at| now.saturating_sub(at) < DEAD_AFTER);
-            if !source.is_silent && !is_refuted && source.card.role != wire::Role::Registry {
+            let is_teller = source.card.sibling_address == address;
+            if is_teller || (!source.is_silent && !is_refuted) {
                 source.heard_at = now;
+                source.is_silent &= !is_teller;
             }
         }
     }
 
-    fn hear(&mut self, now: Duration, delta: wire::Delta, effects: &mut Vec<Effect>) {
+    /// `is_direct`: the source itself said so in its pull.
+    fn hear(
+        &mut self,
+        now: Duration,
+        delta: wire::Delta,
+        is_direct: bool,
+        effects: &mut Vec<Effect>,
+    ) {
         if delta.name == self.own.name {
             // Told of a life of ours that is not this one: outlive it (design 5.3).
             if delta.mark.life > self.mark.life {
                 self.mark.life = delta.mark.life + 1;
                 self.mark.counter += 1;
+                self.loud += 1;
                 effects.push(Effect::Noted("outlived an earlier life of this name"));
             }
             return;
@@ -699,7 +741,7 @@
             return;
         }
         let heard_at = now.saturating_sub(age);
-        let found = self.sources.iter().position(|source| source.card.name == delta.name);
+        let found = self.by_name.get(&delta.name).copied();
         let Some(index) = found else {
             let (Some(card), Some(report)) = (delta.card, delta.report) else {
                 return;
@@ -708,15 +750,23 @@
                 effects.push(Effect::Noted("too many sources"));
                 return;
             }
+            // What was not told is not known.
+            let mut mark = delta.mark;
+            if delta.detail.is_none() {
+                mark.detail = 0;
+            }
             let detail = delta.detail.unwrap_or_default();
-            let mark = delta.mark;
-            self.loudness += 1;
-            self.names.insert(wire::short_name(&card.name));
+            let short = wire::short_name(&delta.name);
+            self.by_name.insert(delta.name, self.sources.len());
+            self.loud += 1;
+            self.names.insert(short);
             self.sources.push(Source {
                 card,
                 mark,
                 report,
+                is_direct: is_direct && mark.detail > 0,
                 detail,
+                short,
                 heard_at,
                 refused_at: None,
                 is_silent: false,
@@ -735,6 +785,7 @@
         {
             source.detail = detail.clone();
             source.mark.detail = delta.mark.detail;
+            source.is_direct = is_direct;
         }
         if rank(&delta.mark) < rank(&source.mark) {
             return;
@@ -746,7 +797,7 @@
         if rank(&delta.mark) > rank(&source.mark) {
             source.heard_at = source.heard_at.max(heard_at);
         }
-        self.loudness += u64::from(new_life || delta.mark.edition > source.mark.edition);
+        self.loud += u64::from(new_life || delta.mark.edition > source.mark.edition);
         let old_detail = source.mark.detail;
         if let Some(card) = delta.card
             && card != source.card
@@ -760,12 +811,19 @@
             source.report = report;
             effects.push(Effect::Changed);
         }
+        if (source.mark.life, source.mark.edition) != (delta.mark.life, delta.mark.edition) {
+            self.loud += 1;
+        }
         source.mark = delta.mark;
         match delta.detail {
-            Some(detail) if new_life => source.detail = detail,
+            Some(detail) if new_life => {
+                source.detail = detail;
+                source.is_direct = is_direct;
+            }
             None if new_life => {
                 source.detail = wire::Detail::default();
                 source.mark.detail = 0;
+                source.is_direct = false;
             }
             _ => source.mark.detail = old_detail,
         }
@@ -774,7 +832,7 @@
     fn asked(&mut self, now: Duration, ticket: u64, pull: wire::Pull, effects: &mut Vec<Effect>) {
         let asker = pull.own.name.clone();
         let life = pull.own.mark.life;
-        self.hear(now, pull.own, effects);
+        self.hear(now, pull.own, true, effects);
         let wait = Duration::from_millis(u64::from(pull.wait_ms)).min(WAIT * 4);
         self.parked.retain(|parked| parked.asker != asker || parked.ticket == ticket);
         let known = self.askers.remove(&asker);
@@ -796,6 +854,8 @@
             light: pull.light,
             silent: pull.silent,
             resend,
+            is_first: pull.wait_ms == 0,
+            looked: 0,
         };
         if resend || now >= parked.until || self.is_loud(&parked) {
             self.answer(now, parked, effects);
@@ -819,30 +879,59 @@
     fn answer_parked(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let mut index = 0;
         while index < self.parked.len() {
-            if now >= self.parked[index].until || self.is_loud(&self.parked[index]) {
+            let parked = &self.parked[index];
+            if now >= parked.until || (parked.looked != self.loud && self.is_loud(parked)) {
                 let parked = self.parked.swap_remove(index);
                 self.answer(now, parked, effects);
             } else {
+                self.parked[index].looked = self.loud;
                 index += 1;
             }
         }
     }
 
     fn is_loud(&self, parked: &Parked) -> bool {
-        let louder =
-            |name: &str, mark: &wire::Mark| match parked.vector.get(&wire::short_name(name)) {
-                None => name != parked.asker,
-                Some(seen) => {
-                    mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
-                }
-            };
+        let louder = |name: &str, short: u32, mark: &wire::Mark| match parked.vector.get(&short) {
+            None => name != parked.asker,
+            Some(seen) => {
+                mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
+            }
+        };
         let is_silent_new = parked.light && parked.silent != digest_of(&self.silent_for(parked));
         is_silent_new
             || self.word.revision > parked.word
             || self.platform.revision > parked.platform
             || (self.plan.epoch, self.plan.counter) > parked.plan
-            || louder(&self.own.name, &self.mark)
-            || self.sources.iter().any(|source| louder(&source.card.name, &source.mark))
+            || louder(&self.own.name, self.short, &self.mark)
+            || self.sources.iter().any(|one| louder(&one.card.name, one.short, &one.mark))
+    }
+
+    /// The sources whose details a reply has room for; `None`: all. What is left out stays unknown to the
+    /// asker and comes with its next pulls, which begin elsewhere.
+    fn told_details(&self, parked: &Parked) -> Option<std::collections::HashSet<usize>> {
+        if !parked.wants_detail {
+            return None;
+        }
+        let mut weights: Vec<(usize, usize)> = Vec::new();
+        for (index, source) in self.sources.iter().enumerate() {
+            let seen = parked.vector.get(&source.short).copied().unwrap_or_default();
+            if parked.has_new_detail(&source.mark, &seen, source.is_direct) {
+                weights.push((index, source.detail.weight()));
+            }
+        }
+        let sum: usize = weights.iter().map(|one| one.1).sum();
+        if sum <= wire::DETAIL_BYTES_MOST {
+            return None;
+        }
+        let start = parked.ticket as usize % weights.len();
+        weights.rotate_left(start);
+        let mut room = wire::DETAIL_BYTES_MOST;
+        let fits = weights.iter().take_while(|one| {
+            let fits = one.1 <= room;
+            room = room.saturating_sub(one.1);
+            fits
+        });
+        Some(fits.map(|one| one.0).collect())
     }
 
     /// Who is not live, for one asker: also whom it knows and nobody has told this registry of, once
@@ -862,18 +951,22 @@
             return wire::News { resend: true, ..wire::News::default() };
         }
         let mut deltas = Vec::new();
-        let own = (&self.own, &self.mark, &self.report, &self.detail, now);
-        let others = self
-            .sources
-            .iter()
-            .map(|one| (&one.card, &one.mark, &one.report, &one.detail, one.heard_at));
-        for (card, mark, report, detail, heard_at) in std::iter::once(own).chain(others) {
+        let own = (&self.own, self.short, &self.mark, &self.report, (&self.detail, true), now);
+        let others = self.sources.iter().map(|one| {
+            let detail = (&one.detail, one.is_direct);
+            (&one.card, one.short, &one.mark, &one.report, detail, one.heard_at)
+        });
+        let told = self.told_details(parked);
+        let is_told = |index: usize| {
+            index == 0 || told.as_ref().is_none_or(|told| told.contains(&(index - 1)))
+        };
+        let all = std::iter::once(own).chain(others).enumerate();
+        for (index, (card, short, mark, report, (detail, is_direct), heard_at)) in all {
             let age = now.saturating_sub(heard_at);
-            let seen =
-                parked.vector.get(&wire::short_name(&card.name)).copied().unwrap_or_default();
+            let seen = parked.vector.get(&short).copied().unwrap_or_default();
             let new_life = mark.life != seen.life;
             let rank = |mark: &wire::Mark| (mark.life, mark.counter);
-            let new_detail = parked.wants_detail && (new_life || mark.detail > seen.detail);
+            let new_detail = parked.has_new_detail(mark, &seen, is_direct) && is_told(index);
             if (rank(mark) <= rank(&seen) && !new_detail) || age >= FORGOTTEN_AFTER {
                 continue;
             }
