--- a/fleet/src/scale/cores.rs
+++ b/fleet/src/scale/cores.rs
@@ -178,6 +178,7 @@
             turn += 1;
             let want = vanepath_proxy::servers::Want {
                 rule: turn % routes,
+                service: whole.setup.rules[turn % routes].service,
                 emptied: &emptied,
                 zone: &own.zone,
                 region: &own.region,
@@ -237,6 +238,7 @@
             turn += 1;
             let want = vanepath_proxy::servers::Want {
                 rule: 0,
+                service: whole.setup.rules[0].service,
                 emptied: &emptied,
                 zone: "a1",
                 region: "a",
--- a/fleet/src/scale/mod.rs
+++ b/fleet/src/scale/mod.rs
@@ -105,6 +105,8 @@
             labels: [("app".to_string(), format!("service-{}", index / ZONES.len() % services))]
                 .into(),
             leaving: false,
+            cold: false,
+            slots: 0,
         }
     };
     PlatformList { revision: 1, servers: (0..servers).map(one).collect() }
@@ -152,7 +154,6 @@
                 zone: zone.to_string(),
                 address: address(7000),
                 sibling_address: address(7001),
-                seat: None,
             }
         })
         .collect()
