--- a/proxy/src/budget.rs
+++ b/proxy/src/budget.rs
@@ -104,41 +104,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::time::Duration;
-
-    /// Whatever the load does, no ten seconds hold more further goes than a fifth of the
-    /// requests and the floor.
-    #[test]
-    fn further_goes_stay_a_part_of_any_ten_seconds() {
-        let mut budget = super::Budget::default();
-        let mut seed = 7_u64;
-        let mut history: Vec<(u64, u64, u64)> = Vec::new();
-        for step in 0..2000_u64 {
-            let now_ms = step * 50;
-            seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-            let surge = if (step / 400) % 2 == 0 { 12 } else { 1 };
-            let requests = (seed >> 33) % surge;
-            let now = Duration::from_millis(now_ms);
-            let mut goes = 0;
-            for _ in 0..requests {
-                budget.took(now);
-                // Every request wants three more goes.
-                goes += (0..3).filter(|_| budget.take_go(now, 8)).count() as u64;
-            }
-            history.push((now_ms, requests, goes));
-        }
-        let mut worst: f64 = 0.0;
-        let mut total = 0;
-        for (start_ms, ..) in &history {
-            let window =
-                history.iter().filter(|one| one.0 >= *start_ms && one.0 < start_ms + 10_000);
-            let requests: u64 = window.clone().map(|one| one.1).sum();
-            let goes: u64 = window.map(|one| one.2).sum();
-            worst = worst.max(goes as f64 - 0.2 * requests as f64);
-            total = total.max(goes);
-        }
-        assert!(worst <= 24.0, "{worst} over a fifth of the traffic");
-        assert!(total > 20, "the budget is there to be used");
-    }
-}
+mod tests;
--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -86,3 +86,6 @@
     }
     None
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/proxy/src/liveness/tests.rs
@@ -0,0 +1,172 @@
+use super::{Failure, Liveness, Phase};
+use std::time::Duration;
+
+fn second(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+#[test]
+fn gone_comes_back_cold_and_a_freeze_does_not() {
+    let mut server = Liveness::new(second(0.0));
+    server.good(second(0.0));
+    assert_eq!(server.phase, Phase::Live);
+    server.bad(second(1.0), Failure::Silent);
+    assert_eq!(server.phase, Phase::Live, "one slow reply is no proof");
+    server.bad(second(1.5), Failure::Silent);
+    assert_eq!(server.phase, Phase::Suspect);
+    server.good(second(2.0));
+    assert_eq!(server.phase, Phase::Suspect, "one good reply is no proof");
+    server.good(second(2.5));
+    assert_eq!(server.phase, Phase::Live);
+    server.bad(second(3.0), Failure::Refused);
+    assert_eq!(server.phase, Phase::Suspect);
+    server.good(second(3.5));
+    server.good(second(4.0));
+    assert_eq!(server.phase, Phase::Cold);
+    // Turns away again while cold.
+    server.bad(second(4.5), Failure::Silent);
+    server.bad(second(5.0), Failure::Silent);
+    server.good(second(5.5));
+    server.good(second(6.0));
+    assert_eq!(server.phase, Phase::Cold);
+}
+
+/// One miss in three makes a server limp and one in ten does not; rested it is tried, and good
+/// receipts make it whole.
+#[test]
+fn who_loses_its_work_limps_though_its_probes_are_good() {
+    let mut limping = [0, 0];
+    for (index, every) in [3, 10].into_iter().enumerate() {
+        let mut server = Liveness::new(second(0.0));
+        for turn in 1..=200 {
+            let now = second(f64::from(turn) * 0.01);
+            server.good(now);
+            server.worked(now, turn % every != 0);
+            limping[index] += u32::from(server.is_limping(now, false));
+        }
+    }
+    assert!(limping[0] > 150 && limping[1] == 0, "{limping:?}");
+    let mut server = Liveness::new(second(0.0));
+    for _ in 0..3 {
+        server.worked(second(1.0), false);
+    }
+    assert!(server.is_limping(second(3.9), true));
+    assert!(!server.is_limping(second(4.0), true) && server.is_limping(second(4.0), false));
+    for _ in 0..8 {
+        server.worked(second(5.0), true);
+    }
+    assert!(server.is_limping(second(5.0), false), "not at the first good ones");
+    for _ in 0..4 {
+        server.worked(second(5.0), true);
+    }
+    assert!(!server.is_limping(second(5.0), false));
+    for _ in 0..3 {
+        server.worked(second(6.0), false);
+    }
+    server.pulse(second(39.0), super::ColdRate::default());
+    assert!(!server.is_limping(second(39.0), false), "nobody tried it: taken for well");
+}
+
+/// So many proxies together never exceed the modest rate while it is cold, in any second and
+/// wherever each one's turn falls, and hardly any of it is lost to whole numbers.
+#[test]
+fn cold_rate_holds_for_the_fleet() {
+    let mut shown = String::new();
+    for (per_second, proxies) in [(10.0, 8), (10.0, 12), (5.0, 8), (2.5, 8), (0.5, 8), (40.0, 3)] {
+        let period = second(8.0);
+        let mut all: Vec<Liveness> = (0..proxies).map(|_| Liveness::new(second(0.0))).collect();
+        for (rank, proxy) in all.iter_mut().enumerate() {
+            let cold = super::ColdRate::of(per_second, period, rank, proxies);
+            // Each saw it come back at another moment.
+            let seen_at = second(0.37 * rank as f64);
+            proxy.pulse(seen_at, cold);
+            proxy.chill(seen_at, seen_at);
+        }
+        let mut taken: Vec<f64> = Vec::new();
+        for tick in 0..3200 {
+            let now = second(f64::from(tick) * 0.005);
+            for (rank, proxy) in all.iter_mut().enumerate() {
+                proxy.pulse(now, super::ColdRate::of(per_second, period, rank, proxies));
+                if proxy.may_take(now) {
+                    proxy.take(now);
+                    taken.push(now.as_secs_f64());
+                }
+            }
+        }
+        let within =
+            |low: f64, high: f64| taken.iter().filter(|at| **at >= low && **at < high).count();
+        let most =
+            (0..140).map(|turn| within(f64::from(turn) / 20.0, f64::from(turn) / 20.0 + 1.0));
+        let most = most.max().unwrap_or(0);
+        assert!(most as f64 <= per_second.max(1.0), "{per_second}: {most} in a second");
+        shown += &format!(
+            "{per_second} a second among {proxies}: {} in the 4 s when all have begun, then {}\n",
+            within(4.0, 8.0),
+            within(8.0, 12.0)
+        );
+    }
+    expect_test::expect![[r#"
+        10 a second among 8: 39 in the 4 s when all have begun, then 106
+        10 a second among 12: 37 in the 4 s when all have begun, then 102
+        5 a second among 8: 19 in the 4 s when all have begun, then 51
+        2.5 a second among 8: 8 in the 4 s when all have begun, then 20
+        0.5 a second among 8: 2 in the 4 s when all have begun, then 6
+        40 a second among 3: 145 in the 4 s when all have begun, then 399
+    "#]]
+    .assert_eq(&shown);
+}
+
+/// Judged by its traffic a server is well again with the first good answer; judged by probes it takes
+/// two.
+#[test]
+fn by_traffic_one_good_answer_ends_a_doubt() {
+    for by_traffic in [false, true] {
+        let mut server = Liveness::new(second(0.0));
+        server.by_traffic = by_traffic;
+        server.trust(second(0.0));
+        assert_eq!(server.phase, Phase::Live);
+        assert!(!server.is_in_doubt());
+        server.bad(second(1.0), Failure::Broken);
+        assert!(server.is_in_doubt(), "a probe is due");
+        assert_eq!(server.phase, Phase::Live);
+        server.bad(second(1.1), Failure::Broken);
+        assert_eq!(server.phase, Phase::Suspect);
+        server.good(second(1.5));
+        let phase = if by_traffic { Phase::Live } else { Phase::Suspect };
+        assert_eq!(server.phase, phase);
+        server.good(second(1.6));
+        assert_eq!(server.phase, Phase::Live);
+        assert!(!server.is_in_doubt());
+    }
+}
+
+/// One that was away comes back cold all the same, also with the first good answer.
+#[test]
+fn by_traffic_too_who_was_away_comes_back_cold() {
+    let mut server = Liveness::new(second(0.0));
+    server.by_traffic = true;
+    server.trust(second(0.0));
+    server.bad(second(1.0), Failure::Refused);
+    assert_eq!(server.phase, Phase::Suspect);
+    server.good(second(1.2));
+    assert_eq!(server.phase, Phase::Cold);
+    // The platform says that it is warm: its word counts, and what was before is forgotten.
+    server.trust(second(1.3));
+    assert_eq!(server.phase, Phase::Live);
+    assert!(!server.is_in_doubt() && !server.was_refused());
+    server.bad(second(1.4), Failure::Broken);
+    assert_eq!(server.phase, Phase::Live, "one failure is no proof, as if it were the first");
+}
+
+/// Silence alone is a doubt and no more, and the next good answer ends it.
+#[test]
+fn a_doubt_asks_for_a_probe_and_takes_no_work_away() {
+    let mut server = Liveness::new(second(0.0));
+    server.by_traffic = true;
+    server.trust(second(0.0));
+    server.doubt();
+    assert!(server.is_in_doubt() && server.may_take(second(0.1)));
+    assert_eq!(server.probe_at(second(10.0)), second(0.0));
+    server.good(second(0.2));
+    assert!(!server.is_in_doubt());
+}
--- a/registry/src/platform.rs
+++ b/registry/src/platform.rs
@@ -226,22 +226,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::State;
-
-    #[test]
-    fn only_a_good_list_takes_the_last_ones_place() {
-        let list = |revision: u64, is_empty: bool| {
-            let server = r#"{"id": "s", "address": "127.0.0.1:9", "region": "a", "zone": "a1",
-                             "state": "ready"}"#;
-            let servers = if is_empty { "" } else { server };
-            let text = format!(r#"{{"revision": {revision}, "servers": [{servers}]}}"#);
-            vanepath_setup::platform::parse(text.as_bytes()).unwrap()
-        };
-        let last = list(5, false);
-        assert_eq!(super::judge(&last, &list(6, false)), State::Good);
-        assert_eq!(super::judge(&last, &list(4, false)), State::Older);
-        assert_eq!(super::judge(&last, &list(6, true)), State::Empty);
-        assert_eq!(super::judge(&list(0, true), &list(1, true)), State::Good);
-    }
-}
+mod tests;
--- a/setup/src/dialect.rs
+++ b/setup/src/dialect.rs
@@ -140,3 +140,6 @@
         self.0
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/setup/src/model/tests.rs
@@ -0,0 +1,204 @@
+const GOOD: &str = r#"{
+  "places": [{"zone": "a1", "region": "a", "labels": {"cost": "low"}},
+             {"zone": "b1", "region": "b"}],
+  "classes": [
+    {"name": "lookup", "urgency": 1, "kind": "repeatable", "room": 200},
+    {"name": "filing", "urgency": 0, "kind": "once"},
+    {"name": "bulk", "urgency": 5, "kind": "repeatable",
+     "borrows": [{"from": "lookup", "most": 20}]}],
+  "services": [
+    {"name": "orders", "selector": "app = orders", "livenessPath": "/live",
+     "cold": {"ratePerSecond": 5, "periodMs": 8000}},
+    {"name": "papers", "selector": "app = papers", "livenessPath": "/live"}],
+  "rules": [
+    {"name": "file", "match": {"methods": ["POST"], "pathPrefix": "/orders"},
+     "class": "filing", "service": "orders", "regions": ["a"]},
+    {"name": "bulk", "match": {"pathPrefix": "/papers/"}, "class": "bulk",
+     "service": "papers", "spill": ["orders"]},
+    {"name": "rest", "class": "lookup", "service": "orders",
+     "prefer": [[{"places": "zone = @zone", "share": 70},
+                 {"places": "cost = low", "share": 30}]]}]
+}"#;
+
+fn faults(text: &str) -> String {
+    match super::parse(text.as_bytes()) {
+        Ok(_) => "taken".to_string(),
+        Err(faults) => faults.iter().map(|fault| fault.to_string()).collect::<Vec<_>>().join("\n"),
+    }
+}
+
+#[test]
+fn good_setup_is_taken_and_routes() {
+    let setup = super::parse(GOOD.as_bytes()).unwrap();
+    assert_eq!(setup.rule_for("POST", "h", "/orders/7"), Some(0));
+    assert_eq!(setup.rule_for("POST", "h", "/ordersx"), Some(2));
+    assert_eq!(setup.rule_for("GET", "h", "/papers"), Some(1));
+    assert_eq!(setup.rule_for("GET", "h", "/papers/1?x=2"), Some(1));
+    assert_eq!(setup.rule_for("GET", "h", "/orders"), Some(2));
+}
+
+/// The one that operators are shown is taken.
+#[test]
+fn the_example_of_the_docs_is_taken() {
+    let text = include_str!("../../../docs/setup.example.json");
+    assert_eq!(faults(text), "taken");
+}
+
+/// Each kind of fault, one at a time, put into the good setup.
+#[test]
+fn each_fault_is_named_by_its_path() {
+    let mut shown = String::new();
+    for (from, to) in [
+        (r#""urgency": 1"#, r#""urgency": 1, "colour": 2"#),
+        (r#""urgency": 1"#, r#""urgency": 1, "\u0075rgency": 2"#),
+        (r#""urgency": 1"#, r#""urgency": 1.5"#),
+        (r#""urgency": 1"#, r#""urgency": 1e999"#),
+        (r#""urgency": 1"#, r#""urgency": NaN"#),
+        (r#""urgency": 1"#, r#""urgency": "1""#),
+        (r#""urgency": 0"#, r#""urgency": -1"#),
+        (r#""kind": "once""#, r#""kind": "twice""#),
+        (r#""share": 70"#, r#""share": 60"#),
+        (r#""share": 70"#, r#""share": 1e-400"#),
+        (r#""from": "lookup""#, r#""from": "bulk""#),
+        (r#""from": "lookup""#, r#""from": "nobody""#),
+        (r#""selector": "app = orders""#, r#""selector": "app = (""#),
+        (r#""selector": "app = orders""#, r#""selector": "zone = @zone""#),
+        (r#""places": "cost = low""#, r#""places": "cost = high""#),
+        (r#""service": "papers""#, r#""service": "paper""#),
+        (r#""spill": ["orders"]"#, r#""spill": ["papers"]"#),
+        (r#""regions": ["a"]"#, r#""regions": ["c"]"#),
+        (r#""regions": ["a"]"#, r#""regions": []"#),
+        (r#""methods": ["POST"]"#, r#""methods": []"#),
+        (r#"{"pathPrefix": "/papers/"}"#, r#"{"methods": ["POST"], "pathPrefix": "/orders/x"}"#),
+        (r#""name": "papers""#, r#""name": "orders""#),
+        (r#""name": "bulk", "match""#, r#""name": "file", "match""#),
+        (r#""livenessPath": "/live"}],"#, r#""livenessPath": "live"}],"#),
+        (r#""zone": "b1""#, r#""zone": "a1""#),
+        (r#""periodMs": 8000"#, r#""periodMs": true"#),
+    ] {
+        assert!(GOOD.contains(from), "{from}");
+        shown +=
+            &format!("{to}\n    {}\n", faults(&GOOD.replace(from, to)).replace('\n', "\n    "));
+    }
+    for text in ["", "[]", "{}", "{\"classes\": {}}", "{\"a\":1}}"] {
+        shown += &format!("{text}\n    {}\n", faults(text).replace('\n', "\n    "));
+    }
+    shown += &faults(&" ".repeat(super::BYTES_MOST + 1));
+    assert!(super::parse("[".repeat(100_000).as_bytes()).is_err());
+    expect_test::expect![[r#"
+        "urgency": 1, "colour": 2
+            $.classes[0].colour: unknown key
+        "urgency": 1, "\u0075rgency": 2
+            $.classes[0].urgency: duplicate key
+        "urgency": 1.5
+            $.classes[0].urgency: must be a whole number
+        "urgency": 1e999
+            $.classes[0].urgency: must be from 0 to 100
+        "urgency": NaN
+            $: not JSON: Unexpected character: N at (5:35)
+        "urgency": "1"
+            $.classes[0].urgency: must be a number
+        "urgency": -1
+            $.classes[1].urgency: must be from 0 to 100
+        "kind": "twice"
+            $.classes[1].kind: must be repeatable or once
+        "share": 60
+            $.rules[2].prefer[0]: the shares add up to 90, not 100
+        "share": 1e-400
+            $.rules[2].prefer[0]: the shares add up to 30, not 100
+        "from": "bulk"
+            $.classes[2].borrows: the borrowing comes back to this class
+        "from": "nobody"
+            $.classes[2].borrows[0].from: there is no 'nobody'
+        "selector": "app = ("
+            $.services[0].selector: selector: expected a value where '(' stands
+        "selector": "zone = @zone"
+            $.services[0].selector: @zone and @region have no meaning here
+        "places": "cost = high"
+            $.rules[2].prefer[0][1].places: matches no place
+        "service": "paper"
+            $.rules[1].service: there is no 'paper'
+        "spill": ["papers"]
+            $.rules[1].spill[0]: named twice
+        "regions": ["c"]
+            $.rules[0].regions[0]: no place lies in region 'c'
+        "regions": []
+            $.rules[0].regions: an empty bound lets nothing be served
+        "methods": []
+            $.rules[0].match.methods: can never match: no method
+        {"methods": ["POST"], "pathPrefix": "/orders/x"}
+            $.rules[1].match: can never match: rule 'file' above takes all of it
+        "name": "orders"
+            $.services[1].name: 'orders' is named twice
+            $.rules[1].service: there is no 'papers'
+        "name": "file", "match"
+            $.rules[1].name: 'file' is named twice
+        "livenessPath": "live"}],
+            $.services[1].livenessPath: must start with '/' and be plain URL characters
+        "zone": "a1"
+            $.places[1].zone: 'a1' is named twice
+        "periodMs": true
+            $.services[0].cold.periodMs: must be a number
+
+            $: not JSON: Unexpected end of JSON
+        []
+            $: must be an object
+        {}
+            $.classes: must have at least one entry
+            $.services: must have at least one entry
+            $.rules: must have at least one entry
+        {"classes": {}}
+            $.services: must have at least one entry
+            $.rules: must have at least one entry
+            $.classes: must be an array
+        {"a":1}}
+            $: not JSON: Unexpected character: } at (1:8)
+        $: larger than 262144 bytes"#]]
+    .assert_eq(&shown);
+}
+
+fn split(weights: &[f64]) -> super::Rule {
+    let text = r#"{"classes": [{"name": "c", "urgency": 1, "kind": "once"}],
+        "services": [{"name": "s", "selector": "all", "livenessPath": "/"}],
+        "rules": [{"name": "r", "class": "c", "service": "s"}]}"#;
+    let mut rule = super::parse(text.as_bytes()).unwrap().rules.remove(0);
+    rule.service = 7;
+    rule.split = weights.iter().copied().enumerate().collect();
+    rule
+}
+
+/// Services are drawn by their weights, whatever their sum; one without weight never is.
+#[test]
+fn services_are_drawn_by_weight() {
+    let mut shown = String::new();
+    for weights in [&[90.0, 10.0][..], &[0.5, 0.25, 0.25], &[0.0, 3.0, 0.0, 1.0], &[1e-9, 1e9]] {
+        let rule = split(weights);
+        let mut counts = vec![0; weights.len()];
+        let mut random = 1_u64;
+        for _ in 0..10_000 {
+            random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            counts[rule.drawn(random)] += 1;
+        }
+        shown += &format!("{weights:?}: {counts:?}\n");
+    }
+    expect_test::expect![[r#"
+        [90.0, 10.0]: [9018, 982]
+        [0.5, 0.25, 0.25]: [4981, 2505, 2514]
+        [0.0, 3.0, 0.0, 1.0]: [0, 7486, 0, 2514]
+        [1e-9, 1000000000.0]: [0, 10000]
+    "#]]
+    .assert_eq(&shown);
+}
+
+/// At the ends of the draw too.
+#[test]
+fn no_draw_falls_outside() {
+    assert_eq!(split(&[]).drawn(5), 7, "without a split the rule's own service");
+    for weights in [&[0.0, 2.0, 0.0][..], &[0.0, 1e-300, 0.0], &[0.0, 0.1, 0.0]] {
+        for random in [0, 1, u64::MAX / 2, u64::MAX] {
+            assert_eq!(split(weights).drawn(random), 1, "{weights:?} at {random}");
+        }
+    }
+    assert_eq!(split(&[0.0, 0.0]).drawn(9), 7, "nobody has any weight");
+    assert_eq!([split(&[1.0, 1.0]).drawn(0), split(&[1.0, 1.0]).drawn(u64::MAX)], [0, 1]);
+}
