--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -35,7 +35,7 @@
     assert_eq!(asked.sources.len(), daemons - 1);
     let card = scale::cards(daemons).swap_remove(1);
     let pull = wire::Pull {
-        vector: Vec::new(),
+        vector: Some(Vec::new()),
         word: 0,
         platform: 0,
         plan: (0, 0),
@@ -49,6 +49,8 @@
         },
         wait_ms: 0,
         wants_detail: true,
+        light: false,
+        silent: 0,
     };
     let effects = asked.step(now, vanepath_sibling::news::Event::Asked { ticket: 1, pull });
     let answer = effects.into_iter().find_map(|effect| match effect {
