A route's prefix may stand for itself alone, as on the platform

Cause: /load was served by the route /load/, and /look/deep by /look/deep/ in place of /look/, since the product's prefixes take the path without the last slash too. Found by a process test on the platform's stand-ins, which failed first. Change: a rule may say that its prefix is literal; the platform's routes do.

--- a/setup/src/model.rs
+++ b/setup/src/model.rs
@@ -98,6 +98,8 @@
     /// The proxy that a client itself reached may carry it wherever it stands: `regions` binds
     /// servers only.
     pub carried_anywhere: bool,
+    /// The prefix stands for itself alone: `/stock/` does not take `/stock`.
+    pub literal_prefix: bool,
     /// Services by weight, `service` among them; empty: `service` alone.
     pub split: Vec<(usize, f64)>,
     /// Servers that one request may be sent to.
@@ -136,6 +138,7 @@
         (self.methods.is_empty() || self.methods.iter().any(|one| one == method))
             && self.host.as_deref().is_none_or(|own| own.eq_ignore_ascii_case(host))
             && under_prefix(path, &self.path_prefix)
+            && (!self.literal_prefix || path.starts_with(&self.path_prefix))
     }
 
     /// Whether every request that `other` matches matches this rule too.
@@ -144,7 +147,10 @@
             || (!other.methods.is_empty()
                 && other.methods.iter().all(|method| self.methods.contains(method)));
         let hosts = self.host.is_none() || self.host == other.host;
-        methods && hosts && under_prefix(&other.path_prefix, &self.path_prefix)
+        methods
+            && hosts
+            && under_prefix(&other.path_prefix, &self.path_prefix)
+            && (!self.literal_prefix || other.path_prefix.starts_with(&self.path_prefix))
     }
 }
 
@@ -500,6 +506,7 @@
         "prefer",
         "regions",
         "carriedAnywhere",
+        "literalPrefix",
         "attempts",
         "deadlineMs",
     ];
@@ -519,6 +526,9 @@
     let anywhere_path = at("carriedAnywhere");
     let carried_anywhere =
         reader.boolean(&anywhere_path, object.get("carriedAnywhere")).unwrap_or(false);
+    let literal_path = at("literalPrefix");
+    let literal_prefix =
+        reader.boolean(&literal_path, object.get("literalPrefix")).unwrap_or(false);
     let attempts = reader.whole(&at("attempts"), object.get("attempts"), 1, 64);
     let deadline_ms = reader.whole(&at("deadlineMs"), object.get("deadlineMs"), 100, 600_000);
 
@@ -636,6 +646,7 @@
         prefer,
         regions,
         carried_anywhere,
+        literal_prefix,
         split,
         attempts_most: attempts.map_or(ATTEMPTS_MOST, |attempts| attempts as u32),
         deadline: deadline_ms.map(std::time::Duration::from_millis),
