--- a/fleet/src/harness.rs
+++ b/fleet/src/harness.rs
@@ -98,7 +98,8 @@
             is_relayed,
         };
         fleet.start_servers().await;
-        let core: Vec<(&'static str, &'static str)> = fleet.shape.zones[..3].to_vec();
+        let core: Vec<(&'static str, &'static str)> =
+            fleet.shape.zones[..fleet.shape.stores].to_vec();
         for (seat, (zone, region)) in core.iter().enumerate() {
             fleet.add_store(seat, zone, region, "", 11 + seat as u8);
             fleet.add("registry", &format!("registry-{seat}"), zone, region, 1 + seat as u8, &[]);
@@ -165,7 +166,7 @@
         let data = self.folder.join(format!("{name}-data"));
         let data = data.to_string_lossy().to_string();
         let mut more = vec![
-            ("seat", jzon::JsonValue::from(seat)),
+            ("stores", jzon::JsonValue::from(self.shape.stores)),
             ("dataFolder", jzon::JsonValue::from(data)),
         ];
         more.extend(self.live_seeds());
--- a/fleet/src/shape.rs
+++ b/fleet/src/shape.rs
@@ -6,6 +6,8 @@
     /// Zone and region; core machines stand in the first zone of each region.
     pub zones: Vec<(&'static str, &'static str)>,
     pub proxies: usize,
+    /// Core machines, with a registry and a store each.
+    pub stores: usize,
     /// Label `app`, and how many servers of it.
     pub servers: Vec<(&'static str, usize)>,
     pub setup: String,
@@ -66,6 +68,7 @@
         name: "raiocerto",
         zones: ZONES.to_vec(),
         proxies: 8,
+        stores: 3,
         servers: vec![("ordering", 20), ("documents", 10), ("spare", 5)],
         setup,
         rate: 200.0,
@@ -110,6 +113,7 @@
         name: "guild",
         zones: ZONES.to_vec(),
         proxies: 12,
+        stores: 3,
         servers: vec![("rolls", 35), ("extracts", 10)],
         setup,
         rate: 450.0,
--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -58,15 +58,25 @@
             .iter()
             .map(|((revision, digest), value)| {
                 let (parent_revision, parent) = (value.parent_revision, value.parent);
-                (*revision, register::Kept { digest: *digest, parent_revision, parent })
+                let bytes = value.encode().len();
+                (*revision, register::Kept { digest: *digest, parent_revision, parent, bytes })
             })
             .collect();
-        register::Found { state, value, kept }
+        let mut before = Vec::new();
+        if let Some(value) = &value {
+            let mut at = (value.parent_revision, value.parent);
+            for _ in 0..value.together {
+                let Some(one) = self.versions.get(&at) else { break };
+                at = (one.parent_revision, one.parent);
+                before.insert(0, one.clone());
+            }
+        }
+        register::Found { state, value, before, kept }
     }
 }
 
 pub struct Store {
-    pub seat: u8,
+    pub identity: register::Identity,
     pub core: Register,
     pub disk: Disk,
     inbox: VecDeque<register::Event>,
@@ -148,6 +158,8 @@
     pub platform: Arc<vanepath_setup::platform::PlatformList>,
     /// When each revision of the platform list came.
     pub platform_at: Vec<(Duration, u64)>,
+    /// So many hold the word.
+    pub stores: usize,
     pub world: super::data::World,
     pub reach: super::reach::Reach,
     pub trace: Vec<String>,
@@ -182,6 +194,7 @@
             platform_lies: false,
             platform: Arc::default(),
             platform_at: Vec::new(),
+            stores: 3,
             world: Default::default(),
             reach: Default::default(),
             trace: Vec::new(),
@@ -225,14 +238,15 @@
         }
     }
 
-    /// A daemon on a machine of its own; `seat` for a store.
+    /// A daemon on a machine of its own; `founders` for a store: of how many empty ones it begins a
+    /// word.
     pub fn add_daemon(
         &mut self,
         role: wire::Role,
         name: &str,
         zone: &str,
         region: &str,
-        seat: Option<u8>,
+        founders: usize,
     ) -> usize {
         let host = self.net.add_host(name, zone, region);
         let address = Net::address_of(host);
@@ -243,21 +257,20 @@
             zone: zone.to_string(),
             address,
             sibling_address: address,
-            seat: None,
         };
         let duty = match role {
             wire::Role::Store => {
                 let mut disk = Disk::default();
                 let found = disk.found(self.net.random.draw());
-                let seat = seat.expect("a store has a seat");
+                let identity = register::Identity { name: name.to_string(), founders };
                 Duty::Store(Box::new(Store {
-                    seat,
-                    core: Register::new(seat, found, Duration::ZERO),
+                    core: Register::new(identity.clone(), found, Duration::ZERO),
+                    identity,
                     disk,
                     inbox: VecDeque::new(),
                     pending: VecDeque::new(),
                     busy: false,
-                    claims: Vec::new(),
+                    claims: Default::default(),
                     keeper: Default::default(),
                 }))
             }
@@ -301,8 +314,7 @@
         match &mut daemon.duty {
             Duty::Store(store) => {
                 let found = store.disk.found(random);
-                daemon.card.seat = Some((store.seat, found.state.incarnation));
-                store.core = Register::new(store.seat, found, now);
+                store.core = Register::new(store.identity.clone(), found, now);
                 store.inbox.clear();
                 store.pending.clear();
                 store.busy = false;
@@ -623,8 +635,8 @@
 
     fn pulse_store(&mut self, index: usize) {
         let view = self.daemons[index].view.clone();
-        let claims = vanepath_store::shell::claims(&view);
-        let live = claims.iter().map(|(claim, _)| *claim).collect();
+        let claims = vanepath_store::shell::Claims::of(&view);
+        let live = claims.live.clone();
         let now = self.net.local(self.daemons[index].host);
         if let Duty::Store(store) = &mut self.daemons[index].duty {
             store.claims = claims;
@@ -648,6 +660,7 @@
             ready: summary.votes,
             revision,
             blank: summary.blank,
+            disk: Some(summary.disk()),
             ..wire::Report::default()
         };
         self.daemons[index].is_well = summary.votes;
@@ -714,14 +727,14 @@
                     let life = self.net.hosts[host].life;
                     self.net.at(self.net.now + took, Event::DiskDone { host, life });
                 }
-                register::Effect::Call { call, seat, incarnation, ask } => {
+                register::Effect::Call { call, incarnation, ask } => {
                     if self.passes(index, Point::BeforeCall) {
                         return;
                     }
                     let Duty::Store(store) = &mut self.daemons[index].duty else { return };
                     let purpose = Purpose::Store { call };
                     let limit = Duration::from_millis(800);
-                    match vanepath_store::shell::address_of(&store.claims, seat, incarnation) {
+                    match store.claims.address_of(incarnation, &ask) {
                         Some(address) => {
                             let target = Net::host_at(address);
                             // Now and then the same message comes twice, the second time late.
@@ -737,6 +750,13 @@
                         }
                     }
                 }
+                register::Effect::Reset => {
+                    let random = self.net.random.draw();
+                    store.disk.state = None;
+                    store.disk.versions.clear();
+                    let found = store.disk.found(random);
+                    store.inbox.push_front(register::Event::Reset(found));
+                }
                 register::Effect::Answer { ticket, tell } => {
                     if self.passes(index, Point::BeforeAnswer) {
                         return;
@@ -799,7 +819,8 @@
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         let may_hold = registry.tenure.may_hold(now, view.is_fresh);
         let revision = view.word.revision;
-        let report = wire::Report { ready, leaving, revision, blank: false, settled: may_hold };
+        let report =
+            wire::Report { ready, leaving, revision, settled: may_hold, ..wire::Report::default() };
         self.step_news(index, news::Event::Report(report));
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         if !may_hold || view.holder(wire::Role::Registry).is_none_or(|card| card.name != name) {
@@ -875,13 +896,18 @@
     }
 
     fn start_errand(&mut self, index: usize, operation: usize, call: CallId) {
-        if let What::Change { change: Change::Setup { bytes, .. }, .. } =
-            &self.operations[operation].what
-            && !self.has(Break::TakesInvalid)
-            && let Err(faults) = vanepath_setup::model::parse(bytes)
+        if let What::Change { change: Change::Setup { bytes, version, .. }, .. } =
+            &mut self.operations[operation].what
         {
-            let why = faults.iter().map(|fault| fault.path.as_str()).collect::<Vec<_>>().join(", ");
-            return self.net.reply(call, Body::Operated(Outcome::NothingDone { why }));
+            match vanepath_setup::model::parse(bytes) {
+                Ok(setup) => *version = setup.version,
+                Err(faults) if self.breaks != Some(Break::TakesInvalid) => {
+                    let why: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+                    let why = why.join(", ");
+                    return self.net.reply(call, Body::Operated(Outcome::NothingDone { why }));
+                }
+                Err(_) => {}
+            }
         }
         let question = match &self.operations[operation].what {
             What::Change { key, change } => {
--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -143,6 +143,7 @@
     Guild,
 }
 
+#[derive(Clone)]
 pub struct Plan {
     pub deployment: Deployment,
     pub faults: Vec<Fault>,
@@ -150,6 +151,11 @@
     pub rate: f64,
     pub operator_every: Duration,
     pub traces: bool,
+    /// Core machines, with a store and a registry each; with five of them the faults of disks and of
+    /// core machines come to two at one time.
+    pub stores: usize,
+    /// Stores beside them, with empty disks: whatever seat is lost goes to one of these.
+    pub spares: usize,
     /// The faults run at one time, a little after each other, and not one after the other.
     pub overlap: bool,
     /// What is broken on purpose.
@@ -166,6 +172,8 @@
             rate: 0.5,
             operator_every: Duration::from_millis(900),
             traces: false,
+            stores: 3,
+            spares: 0,
             overlap: false,
             breaks: None,
             visit: None,
@@ -239,6 +247,7 @@
     sim.traces = plan.traces;
     sim.breaks = plan.breaks;
     sim.visit = plan.visit;
+    sim.stores = plan.stores;
     sim.world.setup_text = shape.setup.clone();
     if plan.faults.contains(&Fault::Downloads) {
         let text = &mut sim.world.setup_text;
@@ -247,13 +256,17 @@
         *text =
             text.replacen("\"kind\": \"repeatable\"", "\"kind\": \"repeatable\", \"room\": 32", 1);
     }
-    for (seat, (zone, region)) in shape.zones[..3].iter().enumerate() {
-        sim.add_daemon(Role::Store, &format!("store-{seat}"), zone, region, Some(seat as u8));
-        sim.add_daemon(Role::Registry, &format!("registry-{seat}"), zone, region, None);
+    for (seat, (zone, region)) in shape.zones[..plan.stores].iter().enumerate() {
+        sim.add_daemon(Role::Store, &format!("store-{seat}"), zone, region, plan.stores);
+        sim.add_daemon(Role::Registry, &format!("registry-{seat}"), zone, region, 0);
+    }
+    for spare in 0..plan.spares {
+        let (zone, region) = shape.zones[(plan.stores + spare) % shape.zones.len()];
+        sim.add_daemon(Role::Store, &format!("spare-{spare}"), zone, region, 0);
     }
     for index in 0..shape.proxies {
         let (zone, region) = shape.zones[index % shape.zones.len()];
-        sim.add_daemon(Role::Proxy, &format!("proxy-{index:02}"), zone, region, None);
+        sim.add_daemon(Role::Proxy, &format!("proxy-{index:02}"), zone, region, 0);
     }
     let seeds: Vec<std::net::SocketAddr> = sim
         .daemons
@@ -262,6 +275,7 @@
         .map(|daemon| daemon.card.sibling_address)
         .collect();
     sim.world.directories = seeds.clone();
+    let seeds: Vec<std::net::SocketAddr> = seeds.into_iter().take(3).collect();
     for daemon in &mut sim.daemons {
         daemon.seeds = seeds.clone();
     }
@@ -425,7 +439,7 @@
     let tag = sim.operations.len();
     let bytes = tagged(&sim.world.setup_text.clone(), tag);
     let key = format!("key-{tag}");
-    let change = Change::Setup { bytes, if_revision };
+    let change = Change::Setup { bytes, if_revision, version: None };
     let registry = any_registry(sim);
     sim.operate(Operate::Change { key, change }, registry)
 }
@@ -489,7 +503,7 @@
                 let way = sim.operations.len();
                 let bytes = spoilt(&sim.world.setup_text.clone(), way);
                 let key = format!("invalid-{way}");
-                let change = Change::Setup { bytes, if_revision: None };
+                let change = Change::Setup { bytes, if_revision: None, version: None };
                 sim.operate(Operate::Change { key, change }, registry);
             }
         }
@@ -598,8 +612,11 @@
         at(sim, end, Act::Uncut { left: first, right: second, one_way });
     };
     // The machine of a seat: its registry and its store.
-    let seat = sim.net.random.below(3);
+    let seat = sim.net.random.below(registries.len());
     let machine = [registries[seat], stores[seat]];
+    // Of five disks, or core machines, two may be lost at one time.
+    let both = if registries.len() < 5 { vec![0] } else { vec![0, 1 + sim.net.random.below(4)] };
+    let beside = |one: usize| both.iter().map(move |step| (one + step) % 5).collect::<Vec<usize>>();
     match fault {
         Fault::None => return start + long,
         Fault::KillProxy | Fault::KillRegistry | Fault::KillStore => {
@@ -696,26 +713,31 @@
             at(sim, end, Act::Slow(ms(0)));
         }
         Fault::LoseDisk => {
-            let who = pick(sim, &stores);
-            at(sim, start, Act::Crash { daemon: who, power: true });
-            at(sim, start, Act::Wipe(who));
-            at(sim, end, Act::Start(who));
+            let one = sim.net.random.below(registries.len());
+            for who in beside(one).into_iter().map(|seat| stores[seat]) {
+                at(sim, start, Act::Crash { daemon: who, power: true });
+                at(sim, start, Act::Wipe(who));
+                at(sim, end, Act::Start(who));
+            }
         }
         Fault::ReplaceCore => {
-            at(sim, start, Act::Replace { registry: machine[0], store: machine[1] });
+            for seat in beside(seat) {
+                at(sim, start, Act::Replace { registry: registries[seat], store: stores[seat] });
+            }
             return start + ms(8000);
         }
         Fault::SwapAllCore | Fault::SwapAllCoreThenKillAll => {
-            for seat in 0..3 {
+            for seat in 0..registries.len() {
                 let when = start + ms(5000) * seat as u32;
                 at(sim, when, Act::Replace { registry: registries[seat], store: stores[seat] });
             }
+            let over = start + ms(5000) * registries.len() as u32 + ms(3000);
             if fault == Fault::SwapAllCoreThenKillAll {
-                at(sim, start + ms(20_000), Act::CrashAll);
-                at(sim, start + ms(23_000), Act::StartAll);
-                return start + ms(23_000);
+                at(sim, over + ms(2000), Act::CrashAll);
+                at(sim, over + ms(5000), Act::StartAll);
+                return over + ms(5000);
             }
-            return start + ms(18_000);
+            return over;
         }
         Fault::DiskFull => {
             let who = pick(sim, &stores);
@@ -1027,16 +1049,17 @@
                 sim.wipe(old);
                 sim.world.retired.insert(old);
                 let card = sim.daemons[old].card.clone();
-                let seat = match &sim.daemons[old].duty {
-                    Duty::Store(store) => Some(store.seat),
-                    _ => None,
+                let founders = match &sim.daemons[old].duty {
+                    Duty::Store(store) => store.identity.founders,
+                    _ => 0,
                 };
                 let name = format!("{}x", card.name);
-                let new = sim.add_daemon(card.role, &name, &card.zone, &card.region, seat);
+                let new = sim.add_daemon(card.role, &name, &card.zone, &card.region, founders);
                 // Whoever installs a machine names some that run; the others keep the first day's.
                 sim.daemons[new].seeds = of_role(sim, Role::Registry)
                     .into_iter()
                     .map(|index| sim.daemons[index].card.sibling_address)
+                    .take(3)
                     .collect();
                 sim.start_daemon(new);
             }
--- a/fleet/src/sim/reach.rs
+++ b/fleet/src/sim/reach.rs
@@ -168,8 +168,9 @@
             Duty::Store(store) => store.core.summary().accepted >= reach.receipted,
             _ => false,
         };
-        if holders.iter().filter(is_kept).count() >= 2 {
-            // What two of them accepted they can settle between them.
+        let majority = self.stores / 2 + 1;
+        if holders.iter().filter(is_kept).count() >= majority {
+            // What a majority of them accepted they can settle between them.
             words = words.max(reach.receipted);
         }
         for index in part {
@@ -183,9 +184,11 @@
             let near: Vec<usize> =
                 holders.iter().copied().filter(|store| self.is_path(registry, *store)).collect();
             // One that nobody but the registry reaches may be asked first, in vain.
-            let has_other =
-                |one: &usize| near.iter().any(|other| one != other && self.is_path(*one, *other));
-            let is_majority = !near.is_empty() && near.iter().all(has_other);
+            let has_others = |one: &usize| {
+                let others = near.iter().filter(|other| *other != one);
+                others.filter(|other| self.is_path(*one, **other)).count() + 1 >= majority
+            };
+            let is_majority = !near.is_empty() && near.iter().all(has_others);
             if !is_majority || self.daemons[registry].leaving {
                 reach.majority_since[registry] = None;
             } else {
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -12,7 +12,7 @@
 pub async fn run(settings: vanepath_setup::settings::Settings) -> Result<(), miette::Report> {
     let listener = daemon::bind("listen", settings.listen).await?;
     let grace = settings.grace;
-    let daemon = daemon::Daemon::start(settings, None, None).await?;
+    let daemon = daemon::Daemon::start(settings, None).await?;
     let proxy = Arc::new(Proxy::new(daemon.clone()));
     let keeper = xtra::spawn_tokio(
         Keeper {
--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -242,11 +242,14 @@
         }
         Err(_) => return fault(StatusCode::BAD_REQUEST, "the body broke off"),
     };
-    if let Err(faults) = vanepath_setup::model::parse(&bytes) {
-        registry.tally.one(Counter::SetupsRefusedInvalid);
-        return refused(StatusCode::UNPROCESSABLE_ENTITY, &faults);
-    }
-    let change = Change::Setup { bytes: bytes.to_vec(), if_revision };
+    let version = match vanepath_setup::model::parse(&bytes) {
+        Ok(setup) => setup.version,
+        Err(faults) => {
+            registry.tally.one(Counter::SetupsRefusedInvalid);
+            return refused(StatusCode::UNPROCESSABLE_ENTITY, &faults);
+        }
+    };
+    let change = Change::Setup { bytes: bytes.to_vec(), if_revision, version };
     let outcome = write(registry, &key, change).await;
     if let Outcome::Accepted { revision, repeat: false, .. } = outcome {
         registry.tally.one(Counter::SetupsAccepted);
@@ -382,7 +385,7 @@
                 "ready": report.ready,
                 "leaving": report.leaving,
                 "revision": report.revision,
-                "seat": card.seat.map(|(seat, _)| seat),
+                "seat": report.disk.and_then(|disk| disk.seat),
             }
         })
         .collect();
--- a/registry/src/directory.rs
+++ b/registry/src/directory.rs
@@ -372,7 +372,6 @@
                 zone: zone.to_string(),
                 address,
                 sibling_address: address,
-                seat: None,
             };
             live.push((card, wire::Report { ready: true, ..wire::Report::default() }));
         }
--- a/registry/src/duty.rs
+++ b/registry/src/duty.rs
@@ -202,7 +202,6 @@
             zone: zone.to_string(),
             address,
             sibling_address: address,
-            seat: None,
         }
     }
 
--- a/registry/src/errand.rs
+++ b/registry/src/errand.rs
@@ -91,16 +91,17 @@
     }
 }
 
-/// Live stores that vote, in the agreed order: the first of them proposes.
+/// Live stores that vote, in the order of the table of seats: the first of them proposes.
 pub fn stores(view: &vanepath_sibling::daemon::View) -> Vec<wire::Card> {
-    let mut cards: Vec<wire::Card> = view
+    let is_there = |report: &wire::Report| report.ready && !report.leaving;
+    let mut stores: Vec<(Option<u8>, &wire::Card)> = view
         .live
         .iter()
-        .filter(|(card, report)| card.role == wire::Role::Store && report.ready && !report.leaving)
-        .map(|(card, _)| card.clone())
+        .filter(|(card, report)| card.role == wire::Role::Store && is_there(report))
+        .map(|(card, report)| (report.disk.and_then(|disk| disk.seat), card))
         .collect();
-    cards.sort_by_key(|card| card.seat);
-    cards
+    stores.sort_by_key(|(seat, _)| *seat);
+    stores.into_iter().map(|(_, card)| card.clone()).collect()
 }
 
 #[cfg(test)]
@@ -110,16 +111,15 @@
     use vanepath_sibling::wire;
     use vanepath_store::talk::{Ask, Change, Outcome, Tell};
 
-    fn store(seat: u8) -> wire::Card {
-        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 7000 + u16::from(seat)));
+    fn store(number: u8) -> wire::Card {
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 7000 + u16::from(number)));
         wire::Card {
-            name: format!("store-{seat}"),
+            name: format!("store-{number}"),
             role: wire::Role::Store,
             region: "a".to_string(),
             zone: "a1".to_string(),
             address,
             sibling_address: address,
-            seat: Some((seat, 1)),
         }
     }
 
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -44,7 +44,7 @@
 pub async fn run(settings: vanepath_setup::settings::Settings) -> Result<(), miette::Report> {
     let listener = daemon::bind("listen", settings.listen).await?;
     let grace = settings.grace;
-    let daemon = daemon::Daemon::start(settings, None, None).await?;
+    let daemon = daemon::Daemon::start(settings, None).await?;
     let tally: Arc<Tally> = Arc::default();
     let platform = Arc::new(std::sync::Mutex::new(crate::platform::State::NotYetRead));
     let registry = Arc::new(Registry {
@@ -112,8 +112,8 @@
             ready,
             leaving: daemon.is_stopping(),
             revision: view.word.revision,
-            blank: false,
             settled: may_hold,
+            ..wire::Report::default()
         };
         daemon.report(report).await;
         if !may_hold
--- a/setup/src/model.rs
+++ b/setup/src/model.rs
@@ -118,6 +118,8 @@
 
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Setup {
+    /// Named by its author: one that is not above the held one changes nothing (design 6.9).
+    pub version: Option<u64>,
     pub classes: Vec<Class>,
     pub services: Vec<Service>,
     pub places: Vec<Place>,
@@ -140,8 +142,9 @@
     let mut setup = Setup::default();
     if let Some(document) = reader.document(bytes)
         && let Some(object) =
-            reader.object("$", &document, &["classes", "services", "places", "rules"])
+            reader.object("$", &document, &["version", "classes", "services", "places", "rules"])
     {
+        setup.version = reader.whole("$.version", object.get("version"), 1, 1 << 53);
         for key in ["classes", "services", "rules"] {
             if object.get(key).is_none_or(|value| value.as_array().is_some_and(Vec::is_empty)) {
                 reader.fault(&format!("$.{key}"), "must have at least one entry");
--- a/setup/src/settings.rs
+++ b/setup/src/settings.rs
@@ -23,7 +23,10 @@
     pub sibling_advertise: std::net::SocketAddr,
     pub seeds: Vec<std::net::SocketAddr>,
     pub data_folder: Option<std::path::PathBuf>,
-    pub seat: Option<usize>,
+    /// So many stores hold the word from the first start on.
+    pub stores: usize,
+    /// This disk, if empty, takes part in the beginning of a word.
+    pub first_start: bool,
     /// Where the platform list is read: `http://IP:PORT/PATH`.
     pub platform: Option<String>,
     pub grace: std::time::Duration,
@@ -38,7 +41,7 @@
 }
 
 /// Key, flag and meaning; one table for the file, the flags and `--help`.
-const KEYS: [(&str, &str, &str); 13] = [
+const KEYS: [(&str, &str, &str); 14] = [
     ("fleet", "fleet", "name of the whole fleet; daemons of other fleets are turned away"),
     ("name", "name", "this daemon's own name, unique in the fleet"),
     ("region", "region", "the region it stands in"),
@@ -49,14 +52,15 @@
     ("siblingAdvertise", "sibling-advertise", "IP:PORT siblings reach it at"),
     ("seeds", "seed", "sibling addresses of up to three other daemons (flag repeats)"),
     ("dataFolder", "data-folder", "store only: the one folder for its files"),
-    ("seat", "seat", "store only: its seat, 0, 1 or 2"),
+    ("stores", "stores", "store only: how many hold the word from the first start on (default 3)"),
+    ("firstStart", "first-start", "store only: false: never begins a word (default true)"),
     ("platform", "platform", "registry only: http://IP:PORT/PATH of the platform list"),
     ("graceMs", "grace-ms", "how long a stop may take before what is left is cut"),
 ];
 
 fn allowed(role: Role, key: &str) -> bool {
     match key {
-        "dataFolder" | "seat" => role == Role::Store,
+        "dataFolder" | "stores" | "firstStart" => role == Role::Store,
         "platform" => role == Role::Registry,
         _ => true,
     }
@@ -73,7 +77,7 @@
         options.optopt("", "check-setup", "check a setup as the interface would and end", "FILE");
     }
     if role == Role::Store {
-        let meaning = "two of three disks are lost: go on from this copy alone, then end; \
+        let meaning = "a majority of disks is lost: go on from this copy alone, then end; \
                        see docs/operators.md first";
         options.optflag("", "rescue", meaning);
     }
@@ -131,7 +135,7 @@
         }
         let value = match *key {
             "seeds" => jzon::JsonValue::Array(given.into_iter().map(Into::into).collect()),
-            "seat" | "graceMs" => {
+            "stores" | "firstStart" | "graceMs" => {
                 jzon::parse(&given[0]).unwrap_or_else(|_| jzon::JsonValue::String(given[0].clone()))
             }
             _ => jzon::JsonValue::String(given[0].clone()),
@@ -204,13 +208,13 @@
     }
     let data_folder =
         reader.text("$.dataFolder", values.get("dataFolder"), 4096).map(std::path::PathBuf::from);
-    let seat = reader.whole("$.seat", values.get("seat"), 0, 2).map(|seat| seat as usize);
-    if role == Role::Store {
-        for key in ["dataFolder", "seat"] {
-            if values.get(key).is_none() {
-                reader.fault(&format!("$.{key}"), "missing");
-            }
-        }
+    let stores = reader.whole("$.stores", values.get("stores"), 1, 15).unwrap_or(3);
+    if stores.is_multiple_of(2) {
+        reader.fault("$.stores", "must be odd");
+    }
+    let first_start = reader.boolean("$.firstStart", values.get("firstStart")).unwrap_or(true);
+    if role == Role::Store && values.get("dataFolder").is_none() {
+        reader.fault("$.dataFolder", "missing");
     }
     let platform = reader.text("$.platform", values.get("platform"), 1024).map(str::to_string);
     if let Some(platform) = &platform
@@ -234,7 +238,8 @@
         sibling_advertise: sibling_advertise?,
         seeds,
         data_folder,
-        seat,
+        stores: stores as usize,
+        first_start,
         platform,
         grace: std::time::Duration::from_millis(grace_ms),
         rescue: false,
@@ -292,7 +297,7 @@
             "--seed=127.0.0.1:9001",
         ];
         assert_eq!(shown(super::Role::Proxy, &good), "runs");
-        assert!(shown(super::Role::Store, &good).contains("$.seat: missing"));
+        assert!(shown(super::Role::Store, &good).contains("$.dataFolder: missing"));
         let mut all = String::new();
         for (index, bad) in [
             (0, "--name=P 1"),
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -260,7 +260,6 @@
 impl Daemon {
     pub async fn start(
         settings: vanepath_setup::settings::Settings,
-        seat: Option<(u8, u64)>,
         store_handler: Option<StoreHandler>,
     ) -> Result<Arc<Daemon>, miette::Report> {
         let clock = Clock::start();
@@ -271,7 +270,6 @@
             zone: settings.zone.clone(),
             address: settings.advertise,
             sibling_address: settings.sibling_advertise,
-            seat,
         };
         let link_tally: Arc<link::Tally> = Arc::default();
         let greeting = wire::Greeting {
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -663,7 +663,6 @@
             zone: "a1".to_string(),
             address,
             sibling_address: address,
-            seat: None,
         }
     }
 
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -48,8 +48,6 @@
     pub zone: String,
     pub address: std::net::SocketAddr,
     pub sibling_address: std::net::SocketAddr,
-    /// A store's seat and the incarnation of its disk.
-    pub seat: Option<(u8, u64)>,
 }
 
 impl vanepath_setup::selector::Labelled for Card {
@@ -64,7 +62,10 @@
 
 /// What a daemon tells all others; small, and told again whenever it changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(from = "(bool, bool, u64, bool, bool)", into = "(bool, bool, u64, bool, bool)")]
+#[serde(
+    from = "(bool, bool, u64, bool, bool, Option<Disk>)",
+    into = "(bool, bool, u64, bool, bool, Option<Disk>)"
+)]
 pub struct Report {
     pub ready: bool,
     pub leaving: bool,
@@ -74,9 +75,27 @@
     pub blank: bool,
     /// Registry only: it has heard enough to have the duty of shares.
     pub settled: bool,
+    pub disk: Option<Disk>,
 }
 
-bare!(Report { ready: bool, leaving: bool, revision: u64, blank: bool, settled: bool });
+bare!(Report {
+    ready: bool,
+    leaving: bool,
+    revision: u64,
+    blank: bool,
+    settled: bool,
+    disk: Option<Disk>,
+});
+
+/// What a store tells of its disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Disk {
+    pub incarnation: u64,
+    /// Empty, it may take part in the beginning of a word.
+    pub founds: bool,
+    /// Its seat by the table that it holds.
+    pub seat: Option<u8>,
+}
 
 /// What one proxy sees of one server; without field names on the wire, for there are many.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -120,6 +139,8 @@
     pub revision: u64,
     /// The revision at which the setup's bytes were last changed; 0: there is none yet.
     pub setup_revision: u64,
+    /// The highest version that a setup was taken under; 0: none.
+    pub setup_version: u64,
     #[serde(with = "serde_bytes")]
     pub setup: Vec<u8>,
     pub emptied: std::collections::BTreeSet<String>,
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -33,9 +33,16 @@
     format!("version-{revision:020}-{short}.cbor")
 }
 
+/// Files whose names last before they are needed: a version is written into one of them, so that it
+/// is found after a loss of power even where its own name did not last and the state that names it
+/// did. One at a time is there.
+const SPARES: [&str; 2] = ["spare-0.cbor", "spare-1.cbor"];
+
 pub struct Disk {
     folder: std::path::PathBuf,
     lock: std::fs::File,
+    /// Which spare is there and empty.
+    spare: std::sync::Mutex<Option<usize>>,
 }
 
 impl Disk {
@@ -55,7 +62,7 @@
             let shown = folder.display();
             miette::bail!("$.dataFolder: {shown} is in use by another process");
         }
-        Ok(Disk { folder: folder.to_path_buf(), lock })
+        Ok(Disk { folder: folder.to_path_buf(), lock, spare: Default::default() })
     }
 
     /// What is there. A state file that is missing or damaged makes the disk an empty one with a
@@ -65,6 +72,7 @@
         let fault = |error: std::io::Error| {
             miette::miette!("$.dataFolder: cannot read {}: {error}", self.folder.display())
         };
+        self.ready_spare().map_err(fault)?;
         let mut kept = Vec::new();
         let mut damaged = 0;
         for entry in std::fs::read_dir(&self.folder).map_err(fault)? {
@@ -76,7 +84,9 @@
                 match self.read_version(&path) {
                     Some((value, digest)) if name == version_name(value.revision, &digest) => {
                         let (parent_revision, parent) = (value.parent_revision, value.parent);
-                        kept.push((value.revision, Kept { digest, parent_revision, parent }));
+                        let bytes = value.encode().len();
+                        let one = Kept { digest, parent_revision, parent, bytes };
+                        kept.push((value.revision, one));
                     }
                     _ => {
                         damaged += 1;
@@ -111,7 +121,50 @@
         if damaged > 0 {
             log::warn!("{damaged} damaged files; their versions are fetched again");
         }
-        Ok(Found { state, value: value.map(std::sync::Arc::new), kept })
+        let value = value.map(std::sync::Arc::new);
+        let mut before = Vec::new();
+        if let Some(value) = &value {
+            let mut at = (value.parent_revision, value.parent);
+            for _ in 0..value.together {
+                let Some(one) = self.version(at.0, &at.1) else { break };
+                at = (one.parent_revision, one.parent);
+                before.insert(0, std::sync::Arc::new(one));
+            }
+        }
+        Ok(Found { state, value, before, kept })
+    }
+
+    /// Whole versions that lie in a spare get their names; then one spare is there, by a name that
+    /// lasts.
+    fn ready_spare(&self) -> std::io::Result<()> {
+        for name in SPARES {
+            let path = self.folder.join(name);
+            if let Some((value, digest)) = self.read_version(&path) {
+                std::fs::rename(&path, self.folder.join(version_name(value.revision, &digest)))?;
+            } else if path.exists() {
+                std::fs::remove_file(&path)?;
+            }
+        }
+        // Before the name is used again for another one.
+        self.sync_folder()?;
+        std::fs::File::create(self.folder.join(SPARES[0]))?;
+        self.sync_folder()?;
+        *self.spare.lock().expect("no panic under this lock") = Some(0);
+        Ok(())
+    }
+
+    /// Makes this an empty disk under a new incarnation: its state first, then the old versions go.
+    pub fn reset(&self, random: u64) -> std::io::Result<Found> {
+        let state = State { incarnation: random, promised: Default::default(), accepted: None };
+        self.save(&[Write::State(state.clone())])?;
+        for entry in std::fs::read_dir(&self.folder)? {
+            let path = entry?.path();
+            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+            if name.starts_with("version-") {
+                std::fs::remove_file(&path)?;
+            }
+        }
+        Ok(Found { state, value: None, before: Vec::new(), kept: Vec::new() })
     }
 
     /// The hints, if their file is whole.
@@ -138,17 +191,39 @@
         (found == *digest && value.revision == revision).then_some(value)
     }
 
-    /// All or an error; after an error nobody knows what of it lasts.
-    pub fn save(&self, writes: &[Write]) -> std::io::Result<()> {
+    /// All or an error; after an error nobody knows what of it lasts. Says how often it synced. The
+    /// state is renamed last, and one sync of the folder is enough for all names: the one version that
+    /// fits the spare lies there until its own name lasts (design 6.1).
+    pub fn save(&self, writes: &[Write]) -> std::io::Result<u64> {
+        let mut syncs = 0;
+        let mut spare = self.spare.lock().expect("no panic under this lock");
+        let has_state = writes.iter().any(|write| matches!(write, Write::State(_)));
+        let versions = writes.iter().filter(|write| matches!(write, Write::Version { .. })).count();
+        // Several at one time go by their own names, which must last before the state does.
+        let mut used = spare.filter(|_| has_state && versions == 1);
         for write in writes {
             match write {
                 Write::Version { revision, digest, bytes } => {
-                    self.put(&version_name(*revision, digest), bytes)?;
+                    let path = self.folder.join(version_name(*revision, digest));
+                    if let Some(number) = used {
+                        let spare_path = self.folder.join(SPARES[number]);
+                        Self::write(&spare_path, bytes)?;
+                        std::fs::rename(spare_path, path)?;
+                        // The other name, for this one may still be that of the version.
+                        std::fs::File::create(self.folder.join(SPARES[1 - number]))?;
+                        *spare = Some(1 - number);
+                    } else {
+                        self.put(&version_name(*revision, digest), bytes)?;
+                    }
+                    syncs += 1;
                 }
                 Write::State(state) => {
-                    // The state names a version: that one's name must last before it.
-                    self.sync_folder()?;
+                    if versions > 0 && used.take().is_none() {
+                        self.sync_folder()?;
+                        syncs += 1;
+                    }
                     self.put(STATE, &vanepath_sibling::wire::encode(state))?;
+                    syncs += 1;
                 }
                 Write::Remove { revision, digest } => {
                     match std::fs::remove_file(self.folder.join(version_name(*revision, digest))) {
@@ -160,17 +235,22 @@
                 }
             }
         }
-        self.sync_folder()
+        self.sync_folder()?;
+        Ok(syncs + 1)
     }
 
     fn put(&self, name: &str, body: &[u8]) -> std::io::Result<()> {
         let aside = self.folder.join(format!("{name}.aside"));
-        let mut file = std::fs::File::create(&aside)?;
-        file.write_all(&frame(body))?;
-        file.sync_all()?;
+        Self::write(&aside, body)?;
         std::fs::rename(&aside, self.folder.join(name))
     }
 
+    fn write(path: &std::path::Path, body: &[u8]) -> std::io::Result<()> {
+        let mut file = std::fs::File::create(path)?;
+        file.write_all(&frame(body))?;
+        file.sync_all()
+    }
+
     fn sync_folder(&self) -> std::io::Result<()> {
         std::fs::File::open(&self.folder)?.sync_all()
     }
--- a/store/src/hints.rs
+++ b/store/src/hints.rs
@@ -82,7 +82,6 @@
                 zone: "a1".to_string(),
                 address,
                 sibling_address: address,
-                seat: None,
             }
         };
         let plan =
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -1,4 +1,4 @@
-//! The store: the operator's word on three disks, without a leader and without a log (design 6).
+//! The store: the operator's word on a few disks, without a leader and without a log (design 6).
 
 pub mod disk;
 pub mod hints;
--- a/store/src/shell.rs
+++ b/store/src/shell.rs
@@ -11,6 +11,7 @@
     pub enum Counter {
         StoreAsks,
         StoreSaves,
+        StoreSyncs,
         StoreSavesFailed,
         StoreCalls,
         StoreCallsFailed,
@@ -64,7 +65,10 @@
                 let disk = self.disk.clone();
                 let saved = tokio::task::spawn_blocking(move || disk.save(&writes)).await;
                 let problem = match saved {
-                    Ok(Ok(())) => return true,
+                    Ok(Ok(syncs)) => {
+                        self.tally.add(Counter::StoreSyncs, syncs);
+                        return true;
+                    }
                     Ok(Err(error)) => error.to_string(),
                     Err(error) => error.to_string(),
                 };
@@ -73,9 +77,23 @@
                 events.push_back(Event::DiskFailed);
                 return false;
             }
-            Effect::Call { call, seat, incarnation, ask } => {
+            Effect::Reset => {
+                let disk = self.disk.clone();
+                let reset = tokio::task::spawn_blocking(move || disk.reset(daemon::random())).await;
+                match reset {
+                    Ok(Ok(found)) => events.push_back(Event::Reset(found)),
+                    Ok(Err(error)) => {
+                        self.tally.one(Counter::StoreSavesFailed);
+                        log::error!("cannot save to the data folder: {error}");
+                        events.push_back(Event::DiskFailed);
+                        return false;
+                    }
+                    Err(_) => events.push_back(Event::DiskFailed),
+                }
+            }
+            Effect::Call { call, incarnation, ask } => {
                 self.tally.one(Counter::StoreCalls);
-                let address = address_of(&self.claims.load(), seat, incarnation);
+                let address = self.claims.load().address_of(incarnation, &ask);
                 let own = own.clone();
                 let links = self.daemon.links.clone();
                 let tally = self.tally.clone();
@@ -154,13 +172,13 @@
 /// Runs a store until it is told to stop.
 pub async fn run(settings: vanepath_setup::settings::Settings) -> Result<(), miette::Report> {
     let folder = settings.data_folder.clone().expect("checked with the settings");
-    let seat = settings.seat.expect("checked with the settings") as u8;
+    let founders = if settings.first_start { settings.stores } else { 0 };
+    let identity = crate::register::Identity { name: settings.name.clone(), founders };
     let disk = Arc::new(crate::disk::Disk::open(&folder)?);
     let found = disk.load(daemon::random())?;
     if settings.rescue {
-        return rescue(&disk, &found, seat);
+        return rescue(&disk, &found, &settings.name);
     }
-    let incarnation = found.state.incarnation;
     let listener = daemon::bind("listen", settings.listen).await?;
 
     // The handler is there before the actor is: the daemon's links start first.
@@ -187,13 +205,13 @@
     let hints = disk.hints();
     let mut started = settings.clone();
     started.seeds.extend(&hints.siblings);
-    let daemon = daemon::Daemon::start(started, Some((seat, incarnation)), Some(handler)).await?;
+    let daemon = daemon::Daemon::start(started, Some(handler)).await?;
     let plan = Arc::new(hints.plan.clone());
     let _ = daemon.news.send(daemon::Tell(news::Event::Plan(plan))).await;
     let tally: Arc<Tally> = Arc::default();
-    let core = Register::new(seat, found, daemon.clock.now());
+    let core = Register::new(identity, found, daemon.clock.now());
     let summary = Arc::new(arc_swap::ArcSwap::from_pointee(core.summary()));
-    let claims = Arc::new(arc_swap::ArcSwap::from_pointee(Claims::new()));
+    let claims = Arc::new(arc_swap::ArcSwap::from_pointee(Claims::default()));
     let actor = StoreActor {
         core,
         disk: disk.clone(),
@@ -228,8 +246,8 @@
                     Err(error) => log::warn!("cannot save hints to the data folder: {error}"),
                 });
             }
-            let found = self::claims(&view);
-            let live = found.iter().map(|(claim, _)| *claim).collect();
+            let found = Claims::of(&view);
+            let live = found.live.clone();
             claims.store(Arc::new(found));
             let revision = view.word.revision;
             for event in [Event::Live(live), Event::Heard { revision }, Event::Pulse] {
@@ -243,6 +261,7 @@
                 leaving: pulse_daemon.is_stopping(),
                 revision: view.word.revision,
                 blank: summary.blank,
+                disk: Some(summary.disk()),
                 ..wire::Report::default()
             };
             pulse_daemon.report(report).await;
@@ -263,30 +282,38 @@
     Ok(())
 }
 
-/// Live stores by the seat that they claim, and where they are.
-pub type Claims = Vec<(crate::register::Claim, std::net::SocketAddr)>;
-
-pub fn claims(view: &daemon::View) -> Claims {
-    let claim = |card: &wire::Card, report: &wire::Report| {
-        let (seat, incarnation) = card.seat.filter(|(seat, _)| *seat < 3)?;
-        let claim = crate::register::Claim { seat, incarnation, blank: report.blank };
-        Some((claim, card.sibling_address))
-    };
-    view.live.iter().filter_map(|(card, report)| claim(card, report)).collect()
+/// Live stores by what they claim, and where each disk is.
+#[derive(Clone, Debug, Default)]
+pub struct Claims {
+    pub live: Vec<crate::register::Claim>,
+    addresses: std::collections::BTreeMap<u64, std::net::SocketAddr>,
+    /// Where those were that are not heard of any more.
+    lost: std::collections::BTreeMap<u64, std::net::SocketAddr>,
 }
 
-/// Where to ask: the disk that is meant, or else one that holds something.
-pub fn address_of(
-    claims: &Claims,
-    seat: u8,
-    incarnation: Option<u64>,
-) -> Option<std::net::SocketAddr> {
-    claims
-        .iter()
-        .filter(|(claim, _)| claim.seat == seat)
-        .filter(|(claim, _)| incarnation.is_none_or(|wanted| wanted == claim.incarnation))
-        .min_by_key(|(claim, _)| claim.blank)
-        .map(|(_, address)| *address)
+impl Claims {
+    pub fn of(view: &daemon::View) -> Claims {
+        let mut claims = Claims::default();
+        for (card, report) in &view.live {
+            let Some(disk) = report.disk else { continue };
+            claims.addresses.insert(disk.incarnation, card.sibling_address);
+            claims.live.push(crate::register::Claim {
+                name: card.name.clone(),
+                incarnation: disk.incarnation,
+                blank: report.blank,
+                founds: report.blank && disk.founds,
+            });
+        }
+        let lost = view.lost.iter().filter_map(|(card, report)| Some((card, report.disk?)));
+        claims.lost = lost.map(|(card, disk)| (disk.incarnation, card.sibling_address)).collect();
+        claims
+    }
+
+    /// Where to ask; one that is not heard of is asked for nothing but whether it is there.
+    pub fn address_of(&self, incarnation: u64, ask: &Ask) -> Option<std::net::SocketAddr> {
+        let lost = self.lost.get(&incarnation).filter(|_| matches!(ask, Ask::Alive));
+        self.addresses.get(&incarnation).or(lost).copied()
+    }
 }
 
 fn answer_http(
@@ -308,7 +335,10 @@
         .seats
         .iter()
         .map(|holder| match holder {
-            Some(holder) => format!("{:016x}", holder.incarnation).into(),
+            Some(holder) => jzon::object! {
+                "name": holder.name.as_str(),
+                "incarnation": format!("{:016x}", holder.incarnation),
+            },
             None => jzon::JsonValue::Null,
         })
         .collect();
@@ -330,14 +360,14 @@
 fn rescue(
     disk: &crate::disk::Disk,
     found: &crate::register::Found,
-    seat: u8,
+    name: &str,
 ) -> Result<(), miette::Report> {
     let Some(value) = found.value.as_ref().filter(|_| found.state.accepted.is_some()) else {
         miette::bail!(
             "this disk does not hold the operator's word: there is nothing to go on from"
         );
     };
-    let (state, next) = crate::register::rescued(&found.state, value, seat);
+    let (state, next) = crate::register::rescued(&found.state, value, name);
     let bytes = next.encode();
     let digest = crate::talk::digest_of(&bytes);
     let revision = next.revision;
--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -17,19 +17,39 @@
 )]
 pub struct Ballot {
     pub number: u64,
-    pub seat: u8,
+    /// Of the proposer's disk.
     pub incarnation: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+/// The ballot of the genesis value, whoever makes it: no proposer ever has it (design 6.4).
+pub const GENESIS: Ballot = Ballot { number: 1, incarnation: 0 };
+
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Holder {
+    /// The store's.
+    pub name: String,
     /// The incarnation of the disk that holds the seat.
     pub incarnation: u64,
-    /// Came after genesis: may vote only once it has caught up from all other holders.
+    /// Came after genesis: votes only once it has caught up from the others.
     pub admitted: bool,
 }
 
-pub type Seats = [Option<Holder>; 3];
+/// The seats in the order in which stores propose; `None`: vacant since a rescue.
+pub type Seats = Vec<Option<Holder>>;
+
+pub fn seat_of(seats: &Seats, incarnation: u64) -> Option<usize> {
+    seats.iter().position(|seat| seat.as_ref().is_some_and(|one| one.incarnation == incarnation))
+}
+
+/// The incarnations that hold seats.
+pub fn holders(seats: &Seats) -> impl Iterator<Item = u64> {
+    seats.iter().flatten().map(|holder| holder.incarnation)
+}
+
+/// So many holders are a majority.
+pub fn quorum(seats: &Seats) -> usize {
+    holders(seats).count() / 2 + 1
+}
 
 /// One version of the operator's word.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -38,10 +58,14 @@
     pub parent_revision: u64,
     pub parent: Digest,
     pub setup_revision: u64,
+    /// The highest version that a setup was taken under; 0: none.
+    pub setup_version: u64,
     #[serde(with = "serde_bytes")]
     pub setup: Vec<u8>,
     pub emptied: std::collections::BTreeSet<String>,
     pub seats: Seats,
+    /// So many versions before this one were proposed together with it, in one round.
+    pub together: u32,
     /// The submissions behind the last writes, so that a repeat is known as one.
     pub keys: std::collections::VecDeque<Submission>,
 }
@@ -57,8 +81,10 @@
 
 /// A repeat is known among so many of the last writes.
 pub const KEYS_MOST: usize = 256;
-/// So many revisions stay readable.
+/// So many revisions stay readable, as long as they fit.
 pub const HISTORY: usize = 1024;
+/// So many bytes of versions a disk holds before old ones go.
+pub const HISTORY_BYTES_MOST: usize = 32 << 20;
 
 impl Value {
     pub fn encode(&self) -> Vec<u8> {
@@ -69,6 +95,7 @@
         vanepath_sibling::wire::Word {
             revision: self.revision,
             setup_revision: self.setup_revision,
+            setup_version: self.setup_version,
             setup: self.setup.clone(),
             emptied: self.emptied.clone(),
         }
@@ -100,6 +127,8 @@
         bytes: Vec<u8>,
         /// Only if the setup in force is still of this revision.
         if_revision: Option<u64>,
+        /// Only if it is above the version held; else this is a repeat.
+        version: Option<u64>,
     },
     Empty {
         zone: String,
@@ -121,32 +150,42 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct From {
-    pub seat: u8,
-    pub incarnation: u64,
+/// What a copy shows of the table of seats, and to who holds a seat in it all that it accepted.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Membership {
+    pub promised: Ballot,
+    pub accepted: Meta,
+    pub seats: Seats,
+    pub value: Option<Value>,
+    pub before: Vec<Value>,
 }
 
+/// `from` is the incarnation of the asker's, or the teller's, disk.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub enum Ask {
     Prepare {
-        from: From,
+        from: u64,
         ballot: Ballot,
         has: Option<Digest>,
     },
+    /// `before`: the versions that were proposed together with it, the oldest first.
     Accept {
-        from: From,
+        from: u64,
         ballot: Ballot,
         value: Value,
+        before: Vec<Value>,
     },
     Query,
+    /// Whether the holder of a seat is still there, before its seat is given to another.
+    Alive,
     /// A version and what comes before it.
     Fetch {
         revision: u64,
         digest: Digest,
     },
-    Admit {
-        from: From,
+    Membership {
+        from: u64,
+        wants_value: bool,
     },
     Change {
         key: String,
@@ -173,13 +212,36 @@
 
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Tell {
-    Promise { from: From, accepted: Meta, value: Option<Value> },
-    Accepted { from: From },
-    Refused { why: Refusal, promised: Ballot },
-    State { from: From, blank: bool, votes: bool, promised: Ballot, accepted: Option<Meta> },
+    Promise {
+        from: u64,
+        accepted: Meta,
+        value: Option<Value>,
+        before: Vec<Value>,
+    },
+    Accepted {
+        from: u64,
+    },
+    Refused {
+        why: Refusal,
+        promised: Ballot,
+    },
+    /// `founders`: of how many empty stores it would begin a word; 0: it takes no part in that.
+    State {
+        from: u64,
+        blank: bool,
+        founders: usize,
+        votes: bool,
+        accepted: Option<Meta>,
+    },
+    Alive {
+        from: u64,
+        is_sound: bool,
+    },
     Fetched(Vec<Value>),
-    Admitted { promised: Ballot, accepted: Meta, value: Value },
-    NotAdmitted,
+    Membership {
+        from: u64,
+        shown: Box<Membership>,
+    },
     Outcome(Outcome),
 }
 
--- /dev/null
+++ b/store/tests/disk.rs
@@ -0,0 +1,176 @@
+//! The data folder step by step: what a loss of power leaves, and how often it is synced.
+#![allow(non_snake_case)]
+
+use std::path::{Path, PathBuf};
+use vanepath_store::disk::Disk;
+use vanepath_store::register::{Found, State, Write};
+use vanepath_store::talk::{Ballot, Meta, Value, digest_of};
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("vanepath-disk-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+fn value(revision: u64, parent: Option<&Value>, together: u32) -> Value {
+    Value {
+        revision,
+        parent_revision: revision.saturating_sub(1),
+        parent: parent.map(|value| digest_of(&value.encode())).unwrap_or_default(),
+        setup_revision: revision,
+        setup_version: 0,
+        setup: format!("setup {revision}").into_bytes(),
+        emptied: Default::default(),
+        seats: Vec::new(),
+        together,
+        keys: Default::default(),
+    }
+}
+
+fn version(value: &Value) -> Write {
+    let bytes = value.encode();
+    Write::Version { revision: value.revision, digest: digest_of(&bytes), bytes }
+}
+
+fn state(incarnation: u64, value: &Value) -> State {
+    let ballot = Ballot { number: value.revision + 1, incarnation };
+    let digest = digest_of(&value.encode());
+    let accepted = Some(Meta { ballot, revision: value.revision, digest });
+    State { incarnation, promised: ballot, accepted }
+}
+
+fn files(folder: &Path) -> Vec<(PathBuf, Vec<u8>)> {
+    let mut all: Vec<(PathBuf, Vec<u8>)> = std::fs::read_dir(folder)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .map(|path| (path.clone(), std::fs::read(path).unwrap()))
+        .collect();
+    all.sort();
+    all
+}
+
+fn load(folder: &Path) -> Found {
+    Disk::open(folder).unwrap().load(77).unwrap()
+}
+
+fn named(folder: &Path, start: &str) -> PathBuf {
+    let mut all = files(folder).into_iter().map(|(path, _)| path);
+    all.find(|path| path.file_name().unwrap().to_str().unwrap().starts_with(start)).unwrap()
+}
+
+/// A promise takes two syncs, an accepted version three, a few together one more for each and one for
+/// their names.
+#[test]
+fn a_save_syncs_no_more_than_it_has_to() {
+    let folder = folder("syncs");
+    let disk = Disk::open(&folder).unwrap();
+    let found = disk.load(7).unwrap();
+    assert_eq!(disk.save(&[Write::State(found.state)]).unwrap(), 2);
+    let mut last = value(0, None, 0);
+    for revision in 1..6 {
+        assert_eq!(disk.save(&[version(&last), Write::State(state(7, &last))]).unwrap(), 3);
+        last = value(revision, Some(&last), 0);
+    }
+    let next = value(last.revision + 1, Some(&last), 1);
+    let writes = [version(&last), version(&next), Write::State(state(7, &next))];
+    assert_eq!(disk.save(&writes).unwrap(), 5);
+    drop(disk);
+    let found = load(&folder);
+    assert_eq!(found.value.as_deref(), Some(&next));
+    assert_eq!(found.before.iter().map(|one| one.revision).collect::<Vec<u64>>(), [last.revision]);
+    assert_eq!(found.kept.len(), 7);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// Power is lost in the middle of a save, and of the renames and new names of it any may have lasted:
+/// what the state names is always there.
+#[test]
+fn whichever_names_lasted_the_state_finds_its_version() {
+    let folder = folder("power");
+    // Twice, for each of the two spares.
+    for turn in 0..2_u64 {
+        let disk = Disk::open(&folder).unwrap();
+        disk.load(7).unwrap();
+        let old = value(10 * turn, None, 0);
+        disk.save(&[version(&old), Write::State(state(7, &old))]).unwrap();
+        if turn == 1 {
+            let again = value(5, None, 0);
+            disk.save(&[version(&again), Write::State(state(7, &again))]).unwrap();
+            disk.save(&[Write::State(state(7, &old))]).unwrap();
+        }
+        let before = files(&folder);
+        let new = value(10 * turn + 1, Some(&old), 0);
+        disk.save(&[version(&new), Write::State(state(7, &new))]).unwrap();
+        drop(disk);
+        let after = files(&folder);
+        // The spare that was there holds the version's bytes as far as its own name was not lost.
+        let spare = before.iter().find(|(path, _)| path.to_str().unwrap().contains("spare-"));
+        let spare = spare.unwrap().0.clone();
+        let version_path = named(&folder, &format!("version-{:020}", new.revision));
+        let bytes = std::fs::read(&version_path).unwrap();
+        let other = named(&folder, "spare-");
+        assert_ne!(other, spare, "the old name is not used again before it may be");
+        for lasted in 0..8 {
+            let (is_state, is_version, is_spare) = (lasted & 1 > 0, lasted & 2 > 0, lasted & 4 > 0);
+            for (path, _) in files(&folder) {
+                std::fs::remove_file(path).unwrap();
+            }
+            for (path, bytes) in if is_state { &after } else { &before } {
+                let is_new = *path == version_path || *path == other || *path == spare;
+                if !is_new {
+                    std::fs::write(path, bytes).unwrap();
+                }
+            }
+            std::fs::write(if is_version { &version_path } else { &spare }, &bytes).unwrap();
+            if is_spare {
+                std::fs::write(&other, b"").unwrap();
+            }
+            let found = load(&folder);
+            let wanted = if is_state { &new } else { &old };
+            assert_eq!(found.value.as_deref(), Some(wanted), "{lasted}");
+            assert_eq!(found.state, state(7, wanted));
+            // And the next save works on what is there.
+            let disk = Disk::open(&folder).unwrap();
+            disk.load(7).unwrap();
+            let next = value(10 * turn + 2, Some(wanted), 0);
+            disk.save(&[version(&next), Write::State(state(7, &next))]).unwrap();
+            drop(disk);
+            assert_eq!(load(&folder).value.as_deref(), Some(&next));
+        }
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// A spare that was being written when power went is torn: it counts for nothing.
+#[test]
+fn a_torn_spare_is_nothing() {
+    let folder = folder("torn");
+    let disk = Disk::open(&folder).unwrap();
+    disk.load(7).unwrap();
+    let old = value(1, None, 0);
+    disk.save(&[version(&old), Write::State(state(7, &old))]).unwrap();
+    drop(disk);
+    let whole = std::fs::read(named(&folder, "version-")).unwrap();
+    std::fs::write(named(&folder, "spare-"), &whole[..whole.len() / 2]).unwrap();
+    let found = load(&folder);
+    assert_eq!((found.value.as_deref(), found.kept.len()), (Some(&old), 1));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// A disk that lost its seat: nothing of the old versions is there, and the new incarnation lasts.
+#[test]
+fn a_reset_disk_is_empty_under_its_new_incarnation() {
+    let folder = folder("reset");
+    let disk = Disk::open(&folder).unwrap();
+    disk.load(7).unwrap();
+    let old = value(1, None, 0);
+    disk.save(&[version(&old), Write::State(state(7, &old))]).unwrap();
+    let found = disk.reset(8).unwrap();
+    assert_eq!((found.state.incarnation, found.state.accepted), (8, None));
+    drop(disk);
+    let found = load(&folder);
+    assert_eq!((found.state.incarnation, found.state.accepted), (8, None));
+    assert!(found.kept.is_empty() && found.value.is_none());
+    assert!(!files(&folder).iter().any(|(path, _)| path.to_str().unwrap().contains("version-")));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -1,12 +1,14 @@
-//! The register step by step: three cores, their disks, and messages that a test may lose.
+//! The register step by step: cores, their disks, and messages that a test may lose.
 #![allow(non_snake_case)]
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_sibling::wire;
-use vanepath_store::register::{Claim, Effect, Event, Found, Kept, Register, State, Write};
-use vanepath_store::talk::{Ask, Ballot, Change, Digest, From, Outcome, Refusal, Tell, Value};
+use vanepath_store::register::{
+    Claim, Effect, Event, Found, Identity, Kept, Register, State, Write,
+};
+use vanepath_store::talk::{Ask, Ballot, Change, Digest, Outcome, Refusal, Tell, Value};
 
 #[derive(Default)]
 struct Disk {
@@ -14,8 +16,8 @@
     versions: BTreeMap<(u64, Digest), Value>,
 }
 
-struct Seat {
-    seat: u8,
+struct Store {
+    identity: Identity,
     core: Register,
     disk: Disk,
     is_up: bool,
@@ -32,7 +34,7 @@
 type Loses<M> = Box<dyn Fn(usize, usize, &M) -> bool>;
 
 struct Fleet {
-    stores: Vec<Seat>,
+    stores: Vec<Store>,
     now: Duration,
     tickets: Vec<Asker>,
     events: VecDeque<(usize, Event)>,
@@ -42,6 +44,9 @@
     loses: Loses<Ask>,
     /// Loses what one store tells another.
     mutes: Loses<Tell>,
+    /// Keeps what one store tells another until a test lets it go.
+    delays: Loses<Tell>,
+    late: Vec<(usize, Event)>,
 }
 
 fn found(disk: &mut Disk, random: u64) -> Found {
@@ -51,13 +56,29 @@
     let value = at.and_then(|at| disk.versions.get(&at).cloned()).map(Arc::new);
     let kept = disk.versions.iter().map(|((revision, digest), value)| {
         let (parent_revision, parent) = (value.parent_revision, value.parent);
-        (*revision, Kept { digest: *digest, parent_revision, parent })
+        let bytes = value.encode().len();
+        (*revision, Kept { digest: *digest, parent_revision, parent, bytes })
     });
-    Found { state, value, kept: kept.collect() }
+    let kept = kept.collect();
+    let mut before = Vec::new();
+    if let Some(value) = &value {
+        let mut at = (value.parent_revision, value.parent);
+        for _ in 0..value.together {
+            let one = disk.versions.get(&at).expect("what was accepted together is there");
+            at = (one.parent_revision, one.parent);
+            before.insert(0, Arc::new(one.clone()));
+        }
+    }
+    Found { state, value, before, kept }
 }
 
 impl Fleet {
     fn new() -> Fleet {
+        Fleet::of(3)
+    }
+
+    /// So many stores with empty disks that begin a word together.
+    fn of(stores: usize) -> Fleet {
         let mut fleet = Fleet {
             stores: Vec::new(),
             now: Duration::from_secs(1),
@@ -67,23 +88,47 @@
             said: Vec::new(),
             loses: Box::new(|_, _, _| false),
             mutes: Box::new(|_, _, _| false),
+            delays: Box::new(|_, _, _| false),
+            late: Vec::new(),
         };
-        for seat in 0..3 {
-            fleet.add(seat, 100 + u64::from(seat));
+        for number in 0..stores {
+            fleet.add(&format!("s{number}"), stores, 100 + number as u64);
         }
         fleet
     }
 
-    fn add(&mut self, seat: u8, random: u64) {
+    fn add(&mut self, name: &str, founders: usize, random: u64) {
         let mut disk = Disk::default();
-        let core = Register::new(seat, found(&mut disk, random), self.now);
-        self.stores.push(Seat { seat, core, disk, is_up: true });
+        let identity = Identity { name: name.to_string(), founders };
+        let core = Register::new(identity.clone(), found(&mut disk, random), self.now);
+        self.stores.push(Store { identity, core, disk, is_up: true });
+    }
+
+    /// Its disk is lost, and its process goes on with an empty one.
+    fn wipe(&mut self, index: usize, random: u64) {
+        let now = self.now;
+        let store = &mut self.stores[index];
+        store.disk = Disk::default();
+        let found = found(&mut store.disk, random);
+        store.core = Register::new(store.identity.clone(), found, now);
+        store.is_up = true;
+    }
+
+    fn votes(&self) -> usize {
+        let up = self.stores.iter().filter(|store| store.is_up);
+        up.filter(|store| store.core.summary().votes).count()
+    }
+
+    fn value(&self, index: usize) -> &Value {
+        let disk = &self.stores[index].disk;
+        let meta = disk.state.as_ref().unwrap().accepted.expect("it holds something");
+        &disk.versions[&(meta.revision, meta.digest)]
     }
 
     fn restart(&mut self, index: usize) {
         let now = self.now;
         let store = &mut self.stores[index];
-        store.core = Register::new(store.seat, found(&mut store.disk, 7), now);
+        store.core = Register::new(store.identity.clone(), found(&mut store.disk, 7), now);
         store.is_up = true;
     }
 
@@ -97,7 +142,8 @@
     /// A change that nobody else sends, asked of one store; what the operator was told.
     fn put(&mut self, index: usize, key: &str) -> Option<Outcome> {
         let before = self.told.len();
-        let change = Change::Setup { bytes: key.as_bytes().to_vec(), if_revision: None };
+        let bytes = key.as_bytes().to_vec();
+        let change = Change::Setup { bytes, if_revision: None, version: None };
         self.ask(index, Ask::Change { key: key.to_string(), change });
         self.passes(Duration::from_secs(2));
         self.told.get(before).cloned()
@@ -115,7 +161,8 @@
                 .map(|store| {
                     let summary = store.core.summary();
                     let (incarnation, blank) = (summary.incarnation, summary.blank);
-                    Claim { seat: store.seat, incarnation, blank }
+                    let name = store.identity.name.clone();
+                    Claim { name, incarnation, blank, founds: blank && summary.founds }
                 })
                 .collect();
             for index in 0..self.stores.len() {
@@ -163,11 +210,11 @@
                     }
                 }
             }
-            Effect::Call { call, seat, incarnation, ask } => {
-                let target = self.stores.iter().position(|store| {
-                    let own = store.core.summary().incarnation;
-                    store.seat == seat && incarnation.is_none_or(|wanted| wanted == own)
-                });
+            Effect::Call { call, incarnation, ask } => {
+                let target = self
+                    .stores
+                    .iter()
+                    .position(|store| store.core.summary().incarnation == incarnation);
                 let target = target.filter(|target| !(self.loses)(index, *target, &ask));
                 self.tickets.push(Asker::Store(index, call));
                 let ticket = self.tickets.len() as u64 - 1;
@@ -180,8 +227,13 @@
             }
             Effect::Answer { ticket, tell } => match self.tickets[ticket as usize] {
                 Asker::Store(asker, call) => {
+                    let is_late = (self.delays)(index, asker, &tell);
                     let tell = (!(self.mutes)(index, asker, &tell)).then_some(tell);
-                    self.events.push_back((asker, Event::Told { call, tell }));
+                    let told = (asker, Event::Told { call, tell });
+                    match is_late {
+                        true => self.late.push(told),
+                        false => self.events.push_back(told),
+                    }
                 }
                 Asker::Operator => {
                     if let Tell::Outcome(outcome) = &tell {
@@ -196,6 +248,13 @@
                 let (tell, _) = vanepath_store::register::from_files(&versions, as_outcome, load);
                 self.perform(index, Effect::Answer { ticket, tell });
             }
+            Effect::Reset => {
+                let random = 9000 + self.tickets.len() as u64;
+                let disk = &mut self.stores[index].disk;
+                *disk = Disk::default();
+                let found = found(disk, random);
+                self.events.push_front((index, Event::Reset(found)));
+            }
             Effect::Chosen(_) => {}
             Effect::Noted(text) => assert!(!text.contains("never happen"), "{text}"),
         }
@@ -274,12 +333,13 @@
         fleet.put(0, key);
     }
     // While its holder replies nobody takes the seat.
-    fleet.add(0, 500);
+    fleet.add("s0x", 3, 500);
     fleet.passes(Duration::from_secs(5));
     assert!(fleet.stores[3].core.is_blank());
     fleet.stores[0].is_up = false;
     // One of the two others does not tell the new disk that it is admitted.
-    fleet.mutes = Box::new(|teller, _, tell| teller == 2 && matches!(tell, Tell::Admitted { .. }));
+    fleet.mutes =
+        Box::new(|teller, _, tell| teller == 2 && matches!(tell, Tell::Membership { .. }));
     fleet.passes(Duration::from_secs(5));
     assert!(!fleet.stores[3].core.summary().votes, "one of two has not shown it yet");
     fleet.mutes = Box::new(|_, _, _| false);
@@ -291,6 +351,7 @@
     fleet.restart(0);
     fleet.passes(Duration::from_secs(5));
     assert!(!fleet.stores[0].core.summary().votes, "its seat went to another disk");
+    assert!(fleet.stores[0].disk.versions.is_empty(), "it is a spare with an empty disk");
     fleet.stores[1].is_up = false;
     assert!(matches!(fleet.put(2, "d"), Some(Outcome::Accepted { .. })), "with the new disk");
 }
@@ -304,27 +365,638 @@
     fleet.put(0, "a");
     let latest = fleet.stores[1].disk.versions.values().max_by_key(|value| value.revision);
     let value = Value { revision: 2, setup: b"x".to_vec(), ..latest.unwrap().clone() };
-    let holder = |seat: u8, incarnation: u64| From { seat, incarnation };
-    let ballot = |number: u64| Ballot { number, seat: 0, incarnation: 100 };
+    let ballot = |number: u64| Ballot { number, incarnation: 100 };
     let say = |fleet: &mut Fleet, ask: Ask| {
         let before = fleet.said.len();
         fleet.ask(1, ask);
         fleet.said[before].clone()
     };
-    let from = holder(0, 100);
+    let from = 100;
     let promised = say(&mut fleet, Ask::Prepare { from, ballot: ballot(50), has: None });
     assert!(matches!(promised, Tell::Promise { .. }));
     for _ in 0..2 {
-        let low = Ask::Accept { from, ballot: ballot(40), value: value.clone() };
+        let (value, before) = (value.clone(), Vec::new());
+        let low = Ask::Accept { from, ballot: ballot(40), value, before };
         let refused = say(&mut fleet, low);
         assert!(matches!(refused, Tell::Refused { why: Refusal::Outbid, .. }), "{refused:?}");
         let refused = say(&mut fleet, Ask::Prepare { from, ballot: ballot(49), has: None });
         assert!(matches!(refused, Tell::Refused { why: Refusal::Outbid, .. }), "{refused:?}");
         fleet.restart(1);
     }
-    let stranger = Ask::Accept { from: holder(0, 999), ballot: ballot(60), value: value.clone() };
+    let accept = |from: u64, number: u64| {
+        let (value, before) = (value.clone(), Vec::new());
+        Ask::Accept { from, ballot: ballot(number), value, before }
+    };
+    let stranger = accept(999, 60);
     let refused = say(&mut fleet, stranger);
     assert!(matches!(refused, Tell::Refused { why: Refusal::Unseated, .. }), "{refused:?}");
-    let taken = say(&mut fleet, Ask::Accept { from, ballot: ballot(50), value });
+    let taken = say(&mut fleet, accept(from, 50));
     assert!(matches!(taken, Tell::Accepted { .. }), "{taken:?}");
 }
+
+/// Whether nobody of these holds anything.
+fn all_blank(fleet: &Fleet) -> bool {
+    fleet.stores.iter().all(|store| store.core.is_blank())
+}
+
+/// One, three, five and seven empty stores begin a word, and all of them hold the same; one fewer than
+/// the settings say do not, nor does one more, nor one whose settings say something else.
+#[test]
+fn a_word_begins_with_exactly_as_many_stores_as_the_settings_say() {
+    for stores in [1, 3, 5, 7] {
+        let mut fleet = Fleet::of(stores);
+        fleet.passes(Duration::from_millis(600));
+        assert_eq!(fleet.votes(), stores, "all of {stores} vote soon");
+        let seats = fleet.value(0).seats.clone();
+        let names: Vec<&str> = seats.iter().flatten().map(|one| one.name.as_str()).collect();
+        assert!(names.is_sorted() && names.len() == stores, "{names:?}");
+        assert!((0..stores).all(|index| fleet.value(index).seats == seats));
+        assert_eq!(revision(fleet.put(0, "a")), 1);
+    }
+    let mut one_missing = Fleet::of(5);
+    one_missing.stores[4].is_up = false;
+    let mut one_more = Fleet::of(3);
+    one_more.add("s3", 3, 500);
+    let mut another_number = Fleet::of(3);
+    another_number.stores[1].identity.founders = 5;
+    another_number.restart(1);
+    let mut not_the_first_start = Fleet::of(3);
+    not_the_first_start.stores[1].identity.founders = 0;
+    not_the_first_start.restart(1);
+    let mut one_silent = Fleet::of(3);
+    one_silent.loses = Box::new(|_, target, ask| target == 2 && matches!(ask, Ask::Query));
+    for mut fleet in [one_missing, one_more, another_number, not_the_first_start, one_silent] {
+        fleet.passes(Duration::from_secs(10));
+        assert!(all_blank(&fleet));
+    }
+}
+
+/// An empty store that may not begin a word is a spare from the start on.
+#[test]
+fn a_store_that_was_told_not_to_begin_waits_as_a_spare() {
+    let mut fleet = Fleet::of(3);
+    fleet.add("s3", 0, 500);
+    fleet.passes(Duration::from_secs(5));
+    assert_eq!(fleet.votes(), 3);
+    assert!(fleet.stores[3].core.is_blank());
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    assert!(fleet.stores[3].core.is_blank(), "three hold the word already");
+}
+
+/// A beginning that did not reach all stores counts for nothing: no change is taken on it. It goes on
+/// once the last one is there, with another maker too; and a copy that holds one takes no other.
+#[test]
+fn a_beginning_counts_only_once_all_hold_it() {
+    let mut fleet = Fleet::of(5);
+    fleet.loses = Box::new(|_, target, ask| target == 4 && matches!(ask, Ask::Accept { .. }));
+    fleet.passes(Duration::from_secs(5));
+    assert!(fleet.stores[4].core.is_blank());
+    assert_eq!(fleet.votes(), 0);
+    assert!(!matches!(fleet.put(1, "a"), Some(Outcome::Accepted { .. })));
+    let other = Value { seats: fleet.value(1).seats[..3].to_vec(), ..fleet.value(1).clone() };
+    let before = fleet.said.len();
+    let ballot = vanepath_store::talk::GENESIS;
+    fleet.ask(1, Ask::Accept { from: 100, ballot, value: other, before: Vec::new() });
+    let refused = &fleet.said[before];
+    assert!(matches!(refused, Tell::Refused { why: Refusal::NoVote, .. }), "{refused:?}");
+    // The maker is away: the others cannot know whether it went on.
+    fleet.stores[0].is_up = false;
+    fleet.loses = Box::new(|_, _, _| false);
+    fleet.passes(Duration::from_secs(5));
+    assert_eq!(fleet.votes(), 0);
+    fleet.restart(0);
+    fleet.passes(Duration::from_secs(5));
+    assert_eq!(fleet.votes(), 5);
+    assert_eq!(revision(fleet.put(1, "a")), 1);
+}
+
+/// Once it counts, the loss of a disk right after it does no harm.
+#[test]
+fn a_disk_lost_right_after_the_beginning_is_replaced() {
+    for lost in 0..3 {
+        let mut fleet = Fleet::of(3);
+        while fleet.votes() < 3 {
+            fleet.passes(Duration::from_millis(50));
+        }
+        for index in 0..3 {
+            fleet.restart(index);
+        }
+        fleet.wipe(lost, 500);
+        fleet.passes(Duration::from_secs(8));
+        assert_eq!(fleet.votes(), 3, "{lost} lost");
+    }
+}
+
+/// Two of five disks are lost at one time, wiped or with their machines: both seats are given, to the
+/// same store where it is back and else to another, and all that was accepted is there. Then two others.
+#[test]
+fn two_of_five_disks_are_lost_at_one_time() {
+    for is_wiped in [true, false] {
+        let mut fleet = Fleet::of(5);
+        fleet.passes(Duration::from_secs(2));
+        let mut lost = vec![[0, 3], [1, 2], [4, 0]];
+        let mut last = 0;
+        for turn in 0..3_u64 {
+            let seats: [usize; 2] = lost.remove(0);
+            for (number, seat) in seats.into_iter().enumerate() {
+                let incarnation = 1000 + 10 * turn + number as u64;
+                if is_wiped {
+                    fleet.wipe(seat, incarnation);
+                } else {
+                    // Whoever holds the seat now, by whatever name.
+                    let holder = fleet
+                        .stores
+                        .iter()
+                        .position(|store| store.is_up && store.core.summary().seat == Some(seat));
+                    fleet.stores[holder.expect("somebody holds it")].is_up = false;
+                    fleet.add(&format!("new-{incarnation}"), 5, incarnation);
+                }
+            }
+            let up: Vec<usize> =
+                (0..fleet.stores.len()).filter(|index| fleet.stores[*index].is_up).collect();
+            let voter = up.iter().find(|index| fleet.stores[**index].core.summary().votes);
+            let during = fleet.put(*voter.unwrap(), &format!("during-{turn}"));
+            last += 1;
+            assert!(revision(during) >= last, "three of five go on");
+            fleet.passes(Duration::from_secs(8));
+            assert_eq!(fleet.votes(), 5, "turn {turn}, wiped {is_wiped}");
+            if is_wiped {
+                let holders = fleet.value(0).seats.clone();
+                let names: Vec<String> =
+                    holders.into_iter().flatten().map(|one| one.name).collect();
+                assert_eq!(names, ["s0", "s1", "s2", "s3", "s4"], "each has its own seat again");
+            }
+            let versions = |index: &usize| fleet.stores[*index].disk.versions.len();
+            let first = versions(&up[0]);
+            assert!(up.iter().all(|index| versions(index) == first), "the history too");
+        }
+    }
+}
+
+/// A seat is given only with a majority of all seats beside it; and the new disk votes only once a
+/// majority of the others has shown that.
+#[test]
+fn a_change_of_five_seats_takes_three_of_the_four_others() {
+    let mut fleet = Fleet::of(5);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    fleet.stores[4].is_up = false;
+    fleet.add("s5", 5, 500);
+    // Two of the four others take the change; the third does not hear of it.
+    fleet.loses = Box::new(|_, target, ask| {
+        matches!(ask, Ask::Accept { value, .. } if value.revision > 1) && [2, 3].contains(&target)
+    });
+    fleet.passes(Duration::from_secs(8));
+    assert!(fleet.stores[5].core.is_blank(), "two of five are no majority");
+    fleet.loses = Box::new(|_, _, _| false);
+    fleet.mutes = Box::new(|teller, _, tell| teller > 1 && matches!(tell, Tell::Membership { .. }));
+    fleet.passes(Duration::from_secs(8));
+    assert!(fleet.stores[5].core.is_blank(), "two of four have shown it");
+    fleet.mutes = Box::new(|_, _, _| false);
+    fleet.passes(Duration::from_secs(3));
+    assert!(fleet.stores[5].core.summary().votes);
+}
+
+/// Two copies that show a table with the new disk in it, under ballots of which another came between,
+/// prove nothing: what is shown must be one ballot's.
+#[test]
+fn a_table_shown_under_several_ballots_admits_nobody() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    fleet.add("s3", 3, 500);
+    let parent = fleet.stores[0].disk.state.clone().unwrap().accepted.unwrap();
+    let mut value = fleet.value(0).clone();
+    value.revision += 1;
+    (value.parent_revision, value.parent) = (parent.revision, parent.digest);
+    value.seats[2].as_mut().unwrap().incarnation = 500;
+    value.seats[2].as_mut().unwrap().admitted = true;
+    fleet.stores[2].is_up = false;
+    // What two proposers that died got to one copy each.
+    for (index, number) in [(0, 50), (1, 60)] {
+        let ballot = Ballot { number, incarnation: 101 - index as u64 };
+        let (value, before) = (value.clone(), Vec::new());
+        fleet.ask(index, Ask::Accept { from: 101 - index as u64, ballot, value, before });
+    }
+    // Nobody settles it meanwhile.
+    fleet.loses =
+        Box::new(|_, _, ask| matches!(ask, Ask::Accept { .. } | Ask::Prepare { .. } | Ask::Query));
+    fleet.passes(Duration::from_secs(3));
+    assert!(fleet.stores[3].core.is_blank());
+    fleet.loses = Box::new(|_, _, _| false);
+    fleet.passes(Duration::from_secs(8));
+    assert!(fleet.stores[3].core.summary().votes, "settled, it is admitted");
+}
+
+/// Of several lost seats the one that is lost the longest is given first, also where it was lost long
+/// before any empty disk came.
+#[test]
+fn the_seat_that_is_lost_the_longest_is_given_first() {
+    for (first, second) in [(3, 1), (1, 3)] {
+        let mut fleet = Fleet::of(5);
+        fleet.passes(Duration::from_secs(2));
+        fleet.stores[first].is_up = false;
+        fleet.passes(Duration::from_secs(1));
+        fleet.stores[second].is_up = false;
+        fleet.passes(Duration::from_secs(4));
+        fleet.add("s5", 5, 500);
+        fleet.passes(Duration::from_secs(5));
+        let summary = fleet.stores[5].core.summary();
+        assert_eq!((summary.votes, summary.seat), (true, Some(first)));
+    }
+}
+
+/// Two that were wiped get their own seats, whichever was lost first and whoever else waits.
+#[test]
+fn a_wiped_store_gets_its_own_seat() {
+    let mut fleet = Fleet::of(5);
+    fleet.passes(Duration::from_secs(2));
+    fleet.stores[3].is_up = false;
+    fleet.passes(Duration::from_secs(1));
+    fleet.stores[0].is_up = false;
+    fleet.passes(Duration::from_secs(1));
+    fleet.add("a-spare", 0, 700);
+    fleet.wipe(0, 500);
+    fleet.wipe(3, 600);
+    fleet.passes(Duration::from_secs(6));
+    let seats = [0, 3, 5].map(|index| fleet.stores[index].core.summary().seat);
+    assert_eq!(seats, [Some(0), Some(3), None]);
+    assert_eq!(fleet.votes(), 5);
+}
+
+/// Who was down while its seat went to another disk repairs itself: an empty disk under another
+/// incarnation, which waits and gets the next seat that is lost; nothing of the old incarnation votes.
+#[test]
+fn a_store_that_lost_its_seat_comes_back_as_an_empty_one() {
+    let mut fleet = Fleet::of(5);
+    fleet.passes(Duration::from_secs(2));
+    fleet.put(0, "a");
+    fleet.stores[1].is_up = false;
+    fleet.add("s5", 5, 500);
+    fleet.passes(Duration::from_secs(6));
+    assert_eq!(fleet.stores[5].core.summary().seat, Some(1));
+    // Back, as a process or after a cut: it was never told anything.
+    fleet.restart(1);
+    let heard = fleet.accepted()[0];
+    fleet.events.push_back((1, Event::Heard { revision: heard }));
+    fleet.passes(Duration::from_secs(4));
+    let summary = fleet.stores[1].core.summary();
+    assert_ne!(summary.incarnation, 101);
+    assert!(summary.blank && fleet.stores[1].disk.versions.is_empty(), "all of the old is gone");
+    let state = fleet.stores[1].disk.state.clone().unwrap();
+    assert_eq!((state.incarnation, state.accepted), (summary.incarnation, None));
+    fleet.passes(Duration::from_secs(4));
+    assert!(fleet.stores[1].core.is_blank(), "five have seats: it waits");
+    fleet.stores[2].is_up = false;
+    fleet.passes(Duration::from_secs(6));
+    let summary = fleet.stores[1].core.summary();
+    assert_eq!((summary.votes, summary.seat), (true, Some(2)));
+    assert!(matches!(fleet.put(0, "b"), Some(Outcome::Accepted { .. })));
+}
+
+/// One copy that says so is no proof that a seat is gone: its disk is kept.
+#[test]
+fn a_seat_is_not_given_up_for_what_one_copy_says() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    fleet.put(0, "a");
+    fleet.add("s3", 0, 500);
+    // The change of the seat reaches its proposer's own disk only.
+    fleet.stores[0].is_up = false;
+    fleet.loses = Box::new(|_, target, ask| {
+        matches!(ask, Ask::Accept { value, .. } if value.revision > 1) && target == 2
+    });
+    fleet.passes(Duration::from_secs(4));
+    assert_eq!(fleet.accepted()[1..3], [2, 1], "one of two has it");
+    fleet.stores[2].is_up = false;
+    fleet.restart(0);
+    fleet.events.push_back((0, Event::Heard { revision: 2 }));
+    fleet.passes(Duration::from_secs(4));
+    assert_eq!(fleet.stores[0].core.summary().incarnation, 100);
+    assert_eq!(fleet.accepted()[0], 1, "its disk is as it was");
+}
+
+/// Not even the second store proposes or gives a seat while the first lives; the order is the table's.
+#[test]
+fn the_first_live_store_in_the_table_gives_seats() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    fleet.put(0, "a");
+    fleet.stores[0].is_up = false;
+    fleet.add("a-name-before-all", 3, 500);
+    fleet.passes(Duration::from_secs(6));
+    assert_eq!(fleet.stores[3].core.summary().seat, Some(0), "the first seat, by its place");
+    // Loses whatever the others would give away.
+    fleet.loses = Box::new(|asker, _, ask| {
+        matches!(ask, Ask::Accept { .. } | Ask::Prepare { .. }) && asker != 3
+    });
+    fleet.wipe(2, 600);
+    fleet.passes(Duration::from_secs(6));
+    assert_eq!(fleet.votes(), 3, "the store in the first seat gave it");
+}
+
+fn versioned(fleet: &mut Fleet, key: &str, bytes: &str, version: Option<u64>) -> Outcome {
+    let before = fleet.told.len();
+    let bytes = bytes.as_bytes().to_vec();
+    let change = Change::Setup { bytes, if_revision: None, version };
+    fleet.ask(0, Ask::Change { key: key.to_string(), change });
+    fleet.passes(Duration::from_secs(1));
+    fleet.told[before].clone()
+}
+
+/// A version that is not above the held one is a repeat, whatever its bytes; one above replaces it; and
+/// emptied zones outlive both.
+#[test]
+fn a_setup_of_an_old_version_changes_nothing() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let change = Change::Empty { zone: "a1".to_string() };
+    fleet.ask(0, Ask::Change { key: "zone".to_string(), change });
+    let accepted = |outcome: Outcome| match outcome {
+        Outcome::Accepted { revision, repeat, .. } => (revision, repeat),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(accepted(versioned(&mut fleet, "k5", "five", Some(5))), (2, false));
+    for (key, bytes, version) in [("l", "five", 5), ("m", "other", 5), ("n", "four", 4)] {
+        assert_eq!(accepted(versioned(&mut fleet, key, bytes, Some(version))), (2, true));
+    }
+    assert_eq!(accepted(versioned(&mut fleet, "k9", "nine", Some(9))), (3, false));
+    let value = fleet.value(1);
+    assert_eq!((&value.setup[..], value.setup_version), (&b"nine"[..], 9));
+    assert_eq!(value.word().setup_version, 9);
+    assert!(value.emptied.contains("a1"));
+    // Without a version as ever; an old version is not brought back by it.
+    assert_eq!(accepted(versioned(&mut fleet, "k", "by hand", None)), (4, false));
+    assert_eq!(accepted(versioned(&mut fleet, "k8", "eight", Some(8))), (4, true));
+    assert_eq!(accepted(versioned(&mut fleet, "k10", "ten", Some(10))), (5, false));
+    // Several that wait at one time are judged one after the other.
+    for version in [12, 11, 13] {
+        fleet.tickets.push(Asker::Operator);
+        let ticket = fleet.tickets.len() as u64 - 1;
+        let bytes = format!("{version}").into_bytes();
+        let change = Change::Setup { bytes, if_revision: None, version: Some(version) };
+        let ask = Ask::Change { key: format!("s{version}"), change };
+        fleet.events.push_back((0, Event::Asked { ticket, ask }));
+    }
+    let before = fleet.told.len();
+    fleet.run();
+    fleet.passes(Duration::from_secs(1));
+    let told: Vec<(u64, bool)> = fleet.told[before..].iter().cloned().map(accepted).collect();
+    assert_eq!(told, [(6, false), (6, true), (7, false)]);
+    assert_eq!(fleet.value(2).setup, b"13");
+}
+
+/// Changes that wait are taken together in one round; each has a receipt and a revision of its own, that
+/// of its own bytes, on all disks, and a refusal waits for what it rests on.
+#[test]
+fn changes_that_wait_go_in_one_round() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let rounds = std::rc::Rc::new(std::cell::Cell::new(0));
+    let counted = rounds.clone();
+    fleet.loses = Box::new(move |_, _, ask| {
+        counted.set(counted.get() + u32::from(matches!(ask, Ask::Accept { .. })));
+        false
+    });
+    let wait = |fleet: &mut Fleet, key: &str, bytes: &str, if_revision: Option<u64>| {
+        fleet.tickets.push(Asker::Operator);
+        let ticket = fleet.tickets.len() as u64 - 1;
+        let bytes = bytes.as_bytes().to_vec();
+        let change = Change::Setup { bytes, if_revision, version: None };
+        let ask = Ask::Change { key: key.to_string(), change };
+        fleet.events.push_back((0, Event::Asked { ticket, ask }));
+    };
+    for number in 0..20 {
+        wait(&mut fleet, &format!("k{number}"), &format!("{number}"), None);
+    }
+    // On top of what is not in force any more once the others are.
+    wait(&mut fleet, "late", "late", Some(0));
+    wait(&mut fleet, "k3", "another matter", None);
+    wait(&mut fleet, "k4", "4", None);
+    fleet.run();
+    let told: Vec<Outcome> = fleet.told.clone();
+    let mut revisions = std::collections::BTreeSet::new();
+    for (number, outcome) in told.iter().take(20).enumerate() {
+        let Outcome::Accepted { revision, setup_revision, repeat: false } = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(revision, setup_revision);
+        assert!(revisions.insert(*revision));
+        for store in &fleet.stores {
+            let mut of = store.disk.versions.values().filter(|one| one.revision == *revision);
+            assert_eq!(of.next().unwrap().setup, format!("{number}").into_bytes());
+        }
+    }
+    assert!(matches!(told[20], Outcome::Conflict { .. }), "{:?}", told[20]);
+    assert!(matches!(told[21], Outcome::KeyReused { .. }), "{:?}", told[21]);
+    assert!(matches!(told[22], Outcome::Accepted { repeat: true, .. }), "{:?}", told[22]);
+    assert!(rounds.get() <= 8, "{} accepts sent to two copies", rounds.get());
+    fleet.passes(Duration::from_secs(4));
+    for revision in 1..=20 {
+        let before = fleet.told.len();
+        fleet.ask(1, Ask::History { revision });
+        assert!(
+            matches!(&fleet.told[before], Outcome::Value { value } if value.revision == revision)
+        );
+    }
+}
+
+/// The proposer dies with several changes under way that one copy has: whoever goes on brings all of
+/// them, not the last alone, and their operators are told that nobody can tell.
+#[test]
+fn what_was_proposed_together_is_brought_back_together() {
+    for is_restarted in [false, true] {
+        let mut fleet = Fleet::of(3);
+        fleet.passes(Duration::from_secs(2));
+        fleet.loses = Box::new(|_, target, ask| {
+            matches!(ask, Ask::Accept { value, .. } if value.revision > 1) && target != 1
+        });
+        fleet.mutes = Box::new(|_, _, tell| matches!(tell, Tell::Accepted { .. }));
+        for key in ["a", "b", "c"] {
+            fleet.tickets.push(Asker::Operator);
+            let ticket = fleet.tickets.len() as u64 - 1;
+            let bytes = key.as_bytes().to_vec();
+            let change = Change::Setup { bytes, if_revision: None, version: None };
+            let ask = Ask::Change { key: key.to_string(), change };
+            fleet.events.push_back((0, Event::Asked { ticket, ask }));
+        }
+        fleet.run();
+        fleet.passes(Duration::from_secs(1));
+        assert!(fleet.told.iter().all(|one| *one == Outcome::Unknown), "{:?}", fleet.told);
+        assert_eq!(fleet.told.len(), 3);
+        fleet.stores[0].is_up = false;
+        fleet.mutes = Box::new(|_, _, _| false);
+        fleet.loses = Box::new(|_, _, ask| matches!(ask, Ask::Fetch { .. }));
+        if is_restarted {
+            fleet.restart(1);
+        }
+        assert!(matches!(fleet.put(2, "d"), Some(Outcome::Accepted { .. })));
+        let held: Vec<&[u8]> =
+            fleet.stores[2].disk.versions.values().map(|value| &value.setup[..]).collect();
+        for key in [b"a", b"b", b"c", b"d"] {
+            assert!(held.contains(&&key[..]), "{held:?} without any fetch");
+        }
+    }
+}
+
+/// What a disk keeps is bounded in bytes as well: large setups push out old ones, and the chain of the
+/// latest stays whole.
+#[test]
+fn large_setups_do_not_fill_a_disk() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let most = vanepath_store::talk::HISTORY_BYTES_MOST;
+    let size = 700_000;
+    for number in 0..120_u32 {
+        let mut bytes = vec![b'x'; size];
+        bytes[..4].copy_from_slice(&number.to_be_bytes());
+        let change = Change::Setup { bytes, if_revision: None, version: None };
+        fleet.ask(0, Ask::Change { key: format!("k{number}"), change });
+        for store in &fleet.stores {
+            let held: usize = store.disk.versions.values().map(|value| value.encode().len()).sum();
+            assert!(held <= most + size, "{held} bytes at revision {number}");
+        }
+    }
+    // A new disk gets what fits, and no more, and then is at rest.
+    fleet.wipe(2, 500);
+    fleet.passes(Duration::from_secs(15));
+    let held = |index: usize| -> usize {
+        let versions = fleet.stores[index].disk.versions.values();
+        versions.map(|value| value.encode().len()).sum()
+    };
+    assert!((most / 2..=most).contains(&held(2)), "{}", held(2));
+    let latest = fleet.accepted()[0];
+    let before = fleet.told.len();
+    for revision in latest - 20..=latest {
+        fleet.ask(2, Ask::History { revision });
+    }
+    assert!(fleet.told[before..].iter().all(|one| matches!(one, Outcome::Value { .. })));
+}
+
+/// A majority is lost: the copy that is left goes on alone and the empty ones are admitted one after
+/// the other, up to as many as there were.
+#[test]
+fn a_rescued_copy_fills_all_its_seats_again() {
+    for stores in [3, 5] {
+        let mut fleet = Fleet::of(stores);
+        fleet.passes(Duration::from_secs(2));
+        fleet.put(0, "a");
+        for index in 1..stores {
+            fleet.wipe(index, 700 + index as u64);
+        }
+        fleet.passes(Duration::from_secs(6));
+        assert!(!matches!(fleet.put(0, "b"), Some(Outcome::Accepted { .. })));
+        let value = fleet.value(0).clone();
+        let state = fleet.stores[0].disk.state.clone().unwrap();
+        let (state, value) = vanepath_store::register::rescued(&state, &value, "s0");
+        let digest = vanepath_store::talk::digest_of(&value.encode());
+        fleet.stores[0].disk.versions.insert((value.revision, digest), value);
+        fleet.stores[0].disk.state = Some(state);
+        fleet.restart(0);
+        fleet.passes(Duration::from_secs(12));
+        assert_eq!(fleet.votes(), stores);
+        assert_eq!(fleet.value(0).seats.iter().flatten().count(), stores);
+        assert!(matches!(fleet.put(0, "c"), Some(Outcome::Accepted { .. })));
+    }
+}
+
+/// A holder that is silent when asked whether it is there, and then among the majority that promises,
+/// keeps its seat.
+#[test]
+fn a_holder_that_is_back_in_time_keeps_its_seat() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    fleet.put(0, "a");
+    fleet.add("s3", 3, 500);
+    fleet.loses = Box::new(|_, target, ask| target == 2 && matches!(ask, Ask::Alive));
+    fleet.mutes = Box::new(|teller, _, tell| teller == 1 && matches!(tell, Tell::Promise { .. }));
+    fleet.passes(Duration::from_secs(8));
+    assert!(fleet.stores[3].core.is_blank());
+    assert_eq!(fleet.stores[2].core.summary().incarnation, 102);
+    fleet.loses = Box::new(|_, _, _| false);
+    fleet.mutes = Box::new(|_, _, _| false);
+    fleet.passes(Duration::from_millis(50));
+    assert_eq!(revision(fleet.put(0, "b")), 2, "and nothing was made of it");
+}
+
+/// With one seat given to a disk that cannot vote yet, and one more store lost, no further table is
+/// made: nobody could accept it, and it would stand in the way of the one that comes back.
+#[test]
+fn no_seat_is_given_that_too_few_could_accept() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    fleet.put(0, "a");
+    fleet.stores[2].is_up = false;
+    fleet.add("s3", 3, 500);
+    fleet.mutes = Box::new(|_, _, tell| matches!(tell, Tell::Membership { .. }));
+    fleet.passes(Duration::from_secs(5));
+    assert_eq!(fleet.accepted()[..2], [2, 2], "the seat is given");
+    fleet.stores[1].is_up = false;
+    fleet.add("s4", 3, 600);
+    fleet.mutes = Box::new(|_, _, _| false);
+    fleet.passes(Duration::from_secs(8));
+    assert_eq!(fleet.accepted()[0], 2, "one of two is no majority");
+    fleet.restart(1);
+    fleet.passes(Duration::from_secs(8));
+    assert!(fleet.stores[3].core.summary().votes);
+    assert!(matches!(fleet.put(0, "b"), Some(Outcome::Accepted { .. })));
+}
+
+/// While a store brings back what was half accepted, its own disk goes on to another proposer's ballot
+/// and value. Nothing is made of that one under the old ballot: nobody has seen it as chosen.
+#[test]
+fn nothing_is_made_of_a_value_that_came_under_another_ballot() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    fleet.put(0, "a");
+    let child = |fleet: &Fleet, index: usize, setup: &str| {
+        let parent = fleet.stores[index].disk.state.clone().unwrap().accepted.unwrap();
+        let mut value = fleet.value(index).clone();
+        value.revision += 1;
+        (value.parent_revision, value.parent) = (parent.revision, parent.digest);
+        value.setup = setup.as_bytes().to_vec();
+        value
+    };
+    let accept = |value: Value, number: u64| {
+        let ballot = Ballot { number, incarnation: 101 };
+        Ask::Accept { from: 101, ballot, value, before: Vec::new() }
+    };
+    let half = child(&fleet, 0, "half");
+    fleet.ask(0, accept(half, 50));
+    fleet.delays = Box::new(|_, _, tell| matches!(tell, Tell::Accepted { .. }));
+    let change = Change::Empty { zone: "a1".to_string() };
+    let told = fleet.told.len();
+    fleet.ask(0, Ask::Change { key: "k".to_string(), change });
+    assert_eq!(fleet.late.len(), 2, "two have accepted what was half done");
+    let other = child(&fleet, 0, "other");
+    fleet.ask(0, accept(other, 1000));
+    fleet.loses = Box::new(|_, _, ask| matches!(ask, Ask::Prepare { .. }));
+    fleet.delays = Box::new(|_, _, _| false);
+    let late = std::mem::take(&mut fleet.late);
+    fleet.events.extend(late);
+    fleet.run();
+    assert_eq!(fleet.accepted(), [3, 2, 2], "no fourth revision on a third that one copy has");
+    assert!(!matches!(fleet.told.get(told), Some(Outcome::Accepted { .. })));
+    fleet.loses = Box::new(|_, _, _| false);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(fleet.accepted(), [4; 3]);
+    assert!(matches!(fleet.told[told], Outcome::Accepted { revision: 4, .. }));
+}
+
+/// Two of three disks are lost while the third is down, and a spare is there: three empty stores, and
+/// still no other word while anybody remembers the one there was.
+#[test]
+fn no_word_begins_while_anyone_remembers_one() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    fleet.put(0, "a");
+    fleet.stores[0].is_up = false;
+    fleet.wipe(1, 501);
+    fleet.wipe(2, 502);
+    fleet.add("s3", 3, 503);
+    for index in 1..4 {
+        fleet.events.push_back((index, Event::Heard { revision: 1 }));
+    }
+    fleet.passes(Duration::from_secs(10));
+    assert!(fleet.stores[1..].iter().all(|store| store.core.is_blank()));
+}
