--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -100,6 +100,39 @@
     }
 }
 
+/// A setup that names its version: what is not newer is a repeat, whatever its bytes and its key.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_old_version_of_a_setup_changes_nothing() {
+    let fleet = Fleet::start(tiny()).await;
+    fleet.put_setup(&fleet.shape.setup).await;
+    let zone = "/v1/zones/north-2/emptied";
+    let emptied = call(fleet.registries()[0], "PUT", zone, &[], b"").await.unwrap();
+    assert_eq!(emptied.status, 200);
+    let versioned = |version: &str, tag: usize| {
+        let setup = String::from_utf8(setup(&fleet, tag)).unwrap();
+        setup.replacen('{', &format!("{{\"version\": {version},"), 1).into_bytes()
+    };
+    let first = put(&fleet, 0, &[], &versioned("7", 1)).await.json();
+    for (version, tag) in [("7", 1), ("7", 2), ("6", 3)] {
+        let again = put(&fleet, tag % 3, &[], &versioned(version, tag)).await;
+        assert_eq!(again.status, 200);
+        let again = again.json();
+        assert_eq!(again["repeat"].as_bool(), Some(true));
+        assert_eq!(again["setupRevision"], first["revision"]);
+    }
+    assert_eq!(in_force(&fleet).await, Some(versioned("7", 1)));
+    let next = put(&fleet, 1, &[], &versioned("8", 4)).await.json();
+    assert_eq!(next["revision"].as_u64(), first["revision"].as_u64().map(|one| one + 1));
+    assert_eq!(in_force(&fleet).await, Some(versioned("8", 4)));
+    let zones = call(fleet.registries()[2], "GET", "/v1/zones", &[], b"").await.unwrap();
+    assert_eq!(zones.json()["emptied"][0].as_str(), Some("north-2"));
+    for bad in ["0", "1.5", "\"7\"", "-1", "9007199254740994"] {
+        let refused = put(&fleet, 0, &[], &versioned(bad, 5)).await;
+        assert_eq!(refused.status, 422, "{bad}");
+        assert_eq!(refused.json()["faults"][0]["path"].as_str(), Some("$.version"));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_accepted_word_outlives_disks_and_power_and_is_never_begun_anew() {
     let mut fleet = Fleet::start(tiny()).await;
@@ -277,6 +310,7 @@
     let file = folder.join("settings.json");
     let own = std::env::current_exe().unwrap();
     let program = own.ancestors().nth(2).unwrap().join("vanepath-proxy");
+    let store = own.ancestors().nth(2).unwrap().join("vanepath-store");
     let good = r#"{"name": "p", "region": "a", "zone": "a1", "listen": "127.0.0.1:7000",
                    "siblingListen": "127.0.0.1:7001", "seeds": ["127.0.0.1:7011"]}"#;
     for (text, key) in [
@@ -294,6 +328,26 @@
         let said = String::from_utf8_lossy(&run.stderr).to_string();
         assert!(said.contains(key), "{key}: {said}");
     }
+    // A store's own keys, which no other daemon has.
+    let of_store = good.replacen('{', "{\"dataFolder\": \"/tmp\", \"stores\": 5,", 1);
+    for (program, text, key) in [
+        (&store, of_store.replace("5,", "4,"), "$.stores: must be odd"),
+        (&store, of_store.replace("5,", "17,"), "$.stores"),
+        (&store, of_store.replace("5,", "5, \"firstStart\": 1,"), "$.firstStart"),
+        (&store, of_store.replace("5,", "5, \"seat\": 1,"), "$.seat"),
+        (&store, good.to_string(), "$.dataFolder: missing"),
+        (&program, good.replacen('{', "{\"stores\": 3,", 1), "$.stores"),
+        (&program, good.replacen('{', "{\"firstStart\": true,", 1), "$.firstStart"),
+        (&store, of_store.replace("5,", "5, \"firstStart\": false,"), ""),
+        (&store, of_store.replace("\"stores\": 5,", ""), ""),
+    ] {
+        std::fs::write(&file, text).unwrap();
+        let check = ["--check", "--settings"];
+        let run = std::process::Command::new(program).args(check).arg(&file).output().unwrap();
+        assert_eq!(run.status.success(), key.is_empty(), "{key}");
+        let said = String::from_utf8_lossy(&run.stderr).to_string();
+        assert!(said.contains(key), "{key}: {said}");
+    }
     std::fs::write(&file, good).unwrap();
     let check = std::process::Command::new(&program)
         .args(["--check", "--settings"])
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -4,9 +4,12 @@
 
 use std::time::Duration;
 use strum::IntoEnumIterator;
+use vanepath_fleet::sim::control::{Duty, Sim, What};
 use vanepath_fleet::sim::day::{Deployment, Fault, Plan, run};
 use vanepath_fleet::sim::judge::judge;
+use vanepath_fleet::sim::net::Delays;
 use vanepath_fleet::sim::{cores, on_threads};
+use vanepath_sibling::wire::Role;
 
 /// How often an operator does something.
 const OPERATOR: Duration = Duration::from_millis(900);
@@ -124,6 +127,167 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// Days with five stores: two disks, or two core machines, are lost at one time, and all five machines
+/// are swapped in turn.
+#[test]
+fn five_stores_lose_two_at_one_time() {
+    use Fault::*;
+    let mut work = Vec::new();
+    for fault in [LoseDisk, ReplaceCore, SwapAllCore, SwapAllCoreThenKillAll] {
+        work.extend((1..=2).map(|seed| (seed, vec![fault])));
+    }
+    for fault in [None, KillStore, KillControl, KillAll, RegionPower, RegionCut, SplitControl] {
+        work.push((4, vec![fault]));
+    }
+    for fault in [OneWayCut, DiskFull, RollingRestart, Storm, FreezeStore, SlowNetwork] {
+        work.push((5, vec![fault, LoseDisk]));
+    }
+    days_of(5, 0, work);
+}
+
+/// With a spare store: whoever is cut off or down for long loses its seat to it, comes back as an empty
+/// one and waits; nobody has to do anything.
+#[test]
+fn a_spare_takes_a_lost_seat_and_its_holder_waits_in_turn() {
+    use Fault::*;
+    let mut work = Vec::new();
+    for fault in [KillStore, CoreMachineCutOff, CoreMachineFreezes, OneWayCut, SplitControl] {
+        work.extend((1..=2).map(|seed| (seed, vec![fault, fault])));
+    }
+    work.push((4, vec![KillAll, LoseDisk, ReplaceCore]));
+    work.push((5, vec![SwapAllCoreThenKillAll]));
+    work.push((6, vec![DiskFull, RollingRestart, RegionCut]));
+    let taken = days_of(3, 1, work.clone()) + days_of(5, 2, work);
+    assert!(taken > 10, "spares had {taken} seats at the ends of all days");
+}
+
+/// Days with so many stores and spares: all is well by the judges, and at the end so many vote. How many
+/// of the spares were among those.
+fn days_of(stores: usize, spares: usize, work: Vec<(u64, Vec<Fault>)>) -> usize {
+    let taken = std::sync::atomic::AtomicUsize::new(0);
+    let found = std::sync::Mutex::new(Vec::new());
+    on_threads(cores(), 2 * work.len(), |index| {
+        let (seed, faults) = &work[index / 2];
+        let deployment = [Deployment::Raiocerto, Deployment::Guild][index % 2];
+        let plan = Plan { stores, spares, rate: 0.3, ..Plan::new(deployment, faults) };
+        let day = run(*seed, &plan);
+        let mut faults_found = judge(&day).faults;
+        let mut voting = 0;
+        for (index, daemon) in day.sim.daemons.iter().enumerate() {
+            let Duty::Store(store) = &daemon.duty else { continue };
+            if day.sim.is_up(index) && store.core.summary().votes {
+                voting += 1;
+                let is_taken = daemon.card.name.starts_with("spare");
+                taken.fetch_add(usize::from(is_taken), std::sync::atomic::Ordering::Relaxed);
+            }
+        }
+        if voting != stores {
+            faults_found.push(format!("{voting} stores vote at the end"));
+        }
+        for fault in faults_found {
+            let line = format!("{stores} stores, seed {seed} {deployment:?} {faults:?}: {fault}");
+            found.lock().unwrap().push(line);
+        }
+    });
+    let found = found.into_inner().unwrap();
+    assert!(found.is_empty(), "{}", found.join("\n"));
+    taken.into_inner()
+}
+
+/// An empty core machine that is started as another one dies has its seat and votes before the next one
+/// may be replaced.
+#[test]
+fn a_replaced_core_machine_votes_within_five_seconds() {
+    let mut took = Vec::new();
+    for deployment in [Deployment::Raiocerto, Deployment::Guild] {
+        for stores in [3, 5] {
+            let base = Plan { rate: 0.02, traces: true, stores, ..Plan::new(deployment, &[]) };
+            for seed in 1..=3 {
+                let day = run(seed, &Plan { faults: vec![Fault::SwapAllCore], ..base.clone() });
+                let at = |line: &String| line.trim_start()[..6].trim().parse::<f64>().unwrap();
+                let lines = day.sim.trace.iter();
+                let replaced = lines.clone().filter(|line| line.contains("script: Replace"));
+                let admitted = lines.filter(|line| line.contains("admitted to its seat"));
+                let pairs: Vec<f64> =
+                    replaced.zip(admitted).map(|(from, to)| at(to) - at(from)).collect();
+                assert_eq!(pairs.len(), stores);
+                took.extend(pairs);
+            }
+        }
+    }
+    let most = took.iter().copied().fold(0.0, f64::max);
+    println!("{} machines, at the most {most:.1} s", took.len());
+    assert!(most < 5.0, "{most} s");
+}
+
+/// All stores start within a second of each other, with seeds of up to three others: two seconds after
+/// the last one they have begun the word and vote.
+#[test]
+fn the_word_begins_within_two_seconds_of_the_start() {
+    let mut late = Vec::new();
+    for stores in [3, 5, 7] {
+        for seed in 1..=10_u64 {
+            let region = Duration::from_millis(55);
+            let (zone, caller) = (Duration::from_millis(1), Duration::from_millis(8));
+            let mut sim = Sim::new(seed, Delays { zone, region, caller });
+            for number in 0..stores {
+                let name = format!("store-{number}");
+                let region = format!("region-{}", number % 3);
+                sim.add_daemon(Role::Store, &name, &format!("zone-{number}"), &region, stores);
+            }
+            for number in 0..stores {
+                // The three after it in a ring, or as many as there are.
+                let others = (1..=3.min(stores - 1)).map(|step| (number + step) % stores);
+                let seeds = others.map(|other| sim.daemons[other].card.sibling_address).collect();
+                sim.daemons[number].seeds = seeds;
+            }
+            for number in 0..stores {
+                let at = Duration::from_millis(1000 * number as u64 / (stores as u64 - 1));
+                sim.run_until(at);
+                sim.start_daemon((number + seed as usize) % stores);
+            }
+            sim.run_until(Duration::from_secs(3));
+            let votes = sim.daemons.iter().filter(|daemon| match &daemon.duty {
+                Duty::Store(store) => store.core.summary().votes,
+                _ => false,
+            });
+            let votes = votes.count();
+            if votes < stores {
+                late.push(format!("seed {seed}: {votes} of {stores} stores vote"));
+            }
+        }
+    }
+    assert!(late.is_empty(), "{}", late.join("\n"));
+}
+
+/// Over a hundred changes in ten seconds, where a round trip between stores takes longer than the pause
+/// between two of them: none waits for those before it.
+#[test]
+fn a_storm_of_changes_does_not_queue_up() {
+    for stores in [3, 5] {
+        let operator_every = Duration::from_millis(80);
+        let plan = Plan {
+            rate: 0.3,
+            operator_every,
+            stores,
+            ..Plan::new(Deployment::Raiocerto, &[Fault::None])
+        };
+        let day = run(1, &plan);
+        let faults = judge(&day).faults;
+        assert!(faults.is_empty(), "{}", faults.join("\n"));
+        let took: Vec<Duration> = day
+            .sim
+            .operations
+            .iter()
+            .filter(|one| matches!(one.what, What::Change { .. }))
+            .map(|one| one.ended_at.expect("it is over") - one.started_at)
+            .collect();
+        assert!(took.len() > 300, "{} changes", took.len());
+        let most = took.iter().max().unwrap();
+        assert!(*most < Duration::from_millis(900), "{stores} stores: one took {most:?}");
+    }
+}
+
 /// Each judge sees what it is there for: the product is broken on purpose, one way at a time.
 #[test]
 fn every_judge_can_find_fault() {
@@ -218,7 +382,6 @@
 /// Thousands of changes: what the stores keep stays bounded, and the last thousand stay readable.
 #[test]
 fn months_of_changes_stay_bounded() {
-    use vanepath_fleet::sim::control::Duty;
     let plan = Plan {
         rate: 0.001,
         operator_every: Duration::from_millis(150),
--- a/fleet/tests/losses.rs
+++ b/fleet/tests/losses.rs
@@ -127,6 +127,63 @@
     }
 }
 
+/// Five stores; two of their disks are lost at one time, one wiped and one with its machine. Both seats
+/// are given, changes go on meanwhile, and the old machine's disk, back again, is an empty spare by
+/// itself, which takes the next seat that is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_of_five_stores_are_lost_at_one_time() {
+    let mut shape = small(2);
+    shape.stores = 5;
+    let mut fleet = start(shape).await;
+    let stores = fleet.of("store");
+    let (wiped, gone) = (stores[1], stores[3]);
+    fleet.kill(wiped);
+    fleet.kill(gone);
+    fleet.wipe(wiped);
+    let (zone, region) = fleet.shape.zones[3];
+    let new = fleet.add_store(3, zone, region, "-new", 63);
+    fleet.run(wiped);
+    fleet.run(new);
+    let body = String::from_utf8(tagged(&fleet.shape.setup, 1)).unwrap();
+    let revision = fleet.put_setup(&body).await;
+    let fleet_ref = &fleet;
+    let votes =
+        async |index: usize| fleet_ref.page(index, "status").await["votes"].as_bool() == Some(true);
+    until("both new disks vote", SOON, async || votes(wiped).await && votes(new).await).await;
+    fleet.until_in_force(revision, SOON).await;
+    let status = fleet.page(new, "status").await;
+    assert_eq!(status["seat"].as_u64(), Some(3));
+    assert_eq!(status["seats"].as_array().unwrap().len(), 5);
+    let incarnation =
+        |status: &jzon::JsonValue| status["incarnation"].as_str().unwrap().to_string();
+    let versions = |fleet: &Fleet, index: usize| {
+        let files = std::fs::read_dir(fleet.data_folder(index)).unwrap();
+        let names = files.map(|entry| entry.unwrap().file_name().to_string_lossy().to_string());
+        names.filter(|name| name.starts_with("version-")).count()
+    };
+    assert!(versions(&fleet, gone) > 0, "it holds what it held");
+    fleet.run(gone);
+    let fleet_ref = &fleet;
+    until("the old disk is an empty one", SOON, async || {
+        let status = fleet_ref.page(gone, "status").await;
+        status["why"].as_str() == Some("its disk is empty and waits for a seat")
+            && versions(fleet_ref, gone) == 0
+    })
+    .await;
+    let spare = incarnation(&fleet.page(gone, "status").await);
+    fleet.kill(stores[0]);
+    fleet.kill(stores[4]);
+    let fleet_ref = &fleet;
+    until("the spare has one of the seats", SOON, async || {
+        let status = fleet_ref.page(gone, "status").await;
+        status["votes"].as_bool() == Some(true) && incarnation(&status) == spare
+    })
+    .await;
+    let body = String::from_utf8(tagged(&fleet.shape.setup, 2)).unwrap();
+    let next = fleet.put_setup(&body).await;
+    fleet.until_in_force(next, SOON).await;
+}
+
 /// Every daemon is killed under traffic and started again: each kind of service is there within
 /// fifteen seconds, with the word that was accepted last.
 #[tokio::test(flavor = "multi_thread")]
