Each proxy has a part of its zone's servers; others' load is taken as usual where it is not told

Change: the servers of a zone are divided among its proxies, which go to their own part first; of the others it takes the usual fill as that which it does not know. Ruled out: processor time of the proxies (9 % of their share).

--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -4,6 +4,9 @@
 /// Where a server stands as seen from this proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
+    /// In the zone, and in this proxy's part of it: few others send anything there, so what is in
+    /// hand here is what is with it.
+    Own,
     Zone,
     Region,
     Far,
@@ -36,9 +39,11 @@
     Step { farthest, fill }
 }
 
-/// A free slot in the zone, or a queue of half its slots there; a free slot or a short queue in the
-/// region; then a free slot far away, then longer queues.
-const STEPS: [Step; 8] = [
+/// A free slot in the own part of the zone, or a queue of half its slots there; the same in all of the
+/// zone; a free slot or a short queue in the region; then a free slot far away, then longer queues.
+const STEPS: [Step; 10] = [
+    step(Distance::Own, 1.0),
+    step(Distance::Own, 1.5),
     step(Distance::Zone, 1.0),
     step(Distance::Zone, 1.5),
     step(Distance::Region, 1.0),
@@ -50,7 +55,8 @@
 ];
 
 /// Large answers stay near for longer: their bytes cost more than a short wait.
-const STEPS_BULK: [Step; 6] = [
+const STEPS_BULK: [Step; 7] = [
+    step(Distance::Own, 1.0),
     step(Distance::Zone, 1.0),
     step(Distance::Zone, 2.5),
     step(Distance::Region, 1.5),
@@ -89,5 +95,18 @@
     None
 }
 
+/// Which servers of a zone are this proxy's part: every server has about as many proxies as every other,
+/// and every proxy about as many servers. `proxies` are those of the zone, this one at `rank`; a server
+/// is at its place among `servers`.
+pub fn is_own(rank: usize, proxies: usize, place: usize, servers: usize) -> bool {
+    if proxies <= 1 || servers == 0 {
+        return true;
+    }
+    match servers >= proxies {
+        true => place % proxies == rank,
+        false => rank % servers == place,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/proxy/src/choice/tests.rs
+++ b/proxy/src/choice/tests.rs
@@ -19,7 +19,8 @@
         (0..count)
             .map(|index| Candidate {
                 index: 100 + index,
-                distance: [Distance::Zone, Distance::Region, Distance::Far][self.below(3) as usize],
+                distance: [Distance::Own, Distance::Zone, Distance::Region, Distance::Far]
+                    [self.below(4) as usize],
                 load: self.below(80) as f64 / 4.0,
                 slots: (1 + self.below(6)) as f64,
             })
@@ -135,7 +136,8 @@
 fn a_rising_load_spreads_from_near_to_far() {
     let mut shown = String::new();
     for is_bulk in [false, true] {
-        let mut candidates: Vec<Candidate> = [Distance::Zone, Distance::Region, Distance::Far]
+        let all = [Distance::Own, Distance::Zone, Distance::Region, Distance::Far];
+        let mut candidates: Vec<Candidate> = all
             .into_iter()
             .enumerate()
             .map(|(index, distance)| Candidate { index, distance, load: 0.0, slots: 2.0 })
@@ -143,13 +145,34 @@
         let mut order = String::new();
         while let Some(index) = choose(&candidates, is_bulk, 0) {
             candidates[index].load += 1.0;
-            order += ["z", "r", "f"][index];
+            order += ["o", "z", "r", "f"][index];
         }
         shown += &format!("bulk {is_bulk}: {order}\n");
     }
     expect_test::expect![[r#"
-        bulk false: zzrrzrzrffzrzrffffzrfzrf
-        bulk true: zzzzzrrrrrzrffffffzrfzrf
+        bulk false: ooozzzrrrozrffozrozrffffozrfozrf
+        bulk true: oozzozozozrrrrrozrffffffozrfozrf
     "#]]
     .assert_eq(&shown);
 }
+
+/// Parts are even: no proxy has more than one server more than another, and the other way round where
+/// there are fewer servers than proxies; nobody is left out.
+#[test]
+fn parts_of_a_zone_are_even_and_whole() {
+    for proxies in 1..20 {
+        for servers in 1..40 {
+            let owns = |rank: usize, place: usize| super::is_own(rank, proxies, place, servers);
+            let of_proxy: Vec<usize> = (0..proxies)
+                .map(|rank| (0..servers).filter(|place| owns(rank, *place)).count())
+                .collect();
+            let of_server: Vec<usize> = (0..servers)
+                .map(|place| (0..proxies).filter(|rank| owns(*rank, place)).count())
+                .collect();
+            for counts in [of_proxy, of_server] {
+                let (least, most) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
+                assert!(*least >= 1 && most - least <= 1, "{proxies} {servers}: {counts:?}");
+            }
+        }
+    }
+}
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -52,6 +52,8 @@
     slots: u32,
     /// Requests of other proxies that are with it, by what it told lately.
     others: f64,
+    /// In this proxy's part of its zone.
+    is_own: bool,
     pub idle: Vec<Idle<C>>,
     pub probing: bool,
     /// It sent bytes that nobody had asked for: each connection carries one request at most.
@@ -354,6 +356,7 @@
                         demand_at: Duration::ZERO,
                         slots: server.slots,
                         others: 0.0,
+                        is_own: true,
                         idle: Vec::new(),
                         probing: false,
                         is_untidy: false,
@@ -446,6 +449,34 @@
         }
     }
 
+    /// Which servers of its zone are this proxy's part (design 8.7), by who is live there.
+    pub fn part(&self, view: &View, own: &wire::Card) {
+        let table = self.table.load();
+        let hash = |kind: &str, name: &str| vanepath_setup::stable_hash(&["part", kind, name]);
+        let mut proxies: Vec<(u64, &str)> = view
+            .live
+            .iter()
+            .filter(|(card, report)| {
+                card.role == wire::Role::Proxy && card.zone == own.zone && !report.leaving
+            })
+            .map(|(card, _)| (hash("proxy", &card.name), card.name.as_str()))
+            .collect();
+        proxies.sort_unstable();
+        let rank = proxies.iter().position(|one| one.1 == own.name).unwrap_or_default();
+        for of_service in &table.by_service {
+            let near = of_service.iter().map(|index| &table.entries[*index]);
+            let near = near.filter(|entry| entry.server.zone == own.zone && !entry.server.leaving);
+            let mut near: Vec<(u64, &Entry)> =
+                near.map(|entry| (hash("server", &entry.server.id), entry)).collect();
+            near.sort_unstable_by_key(|one| one.0);
+            let count = near.len();
+            for (place, (_, entry)) in near.into_iter().enumerate() {
+                let is_own = crate::choice::is_own(rank, proxies.len(), place, count);
+                self.with(entry.slot, |quick| quick.is_own = is_own);
+            }
+        }
+    }
+
     /// Moves each server's liveness on and finds those that want a probe.
     pub fn pulse(&self, now: Duration, paces: &Paces) -> Pulsed {
         let table = self.table.load();
@@ -663,7 +694,7 @@
         let is_lookup = class.kind == vanepath_setup::model::Kind::Repeatable;
         let mut cold_at: Option<Duration> = None;
         // Well; not trusted with much; dead as far as is known.
-        let mut tiers: [Vec<Candidate>; 3] = Default::default();
+        let mut tiers: [Vec<Seen>; 3] = Default::default();
         for index in &table.by_service[want.service] {
             let entry = &table.entries[*index];
             let server = &entry.server;
@@ -697,13 +728,21 @@
                     _ if quick.liveness.is_limping(now, may_try) => 1,
                     _ => 0,
                 };
-                let (load, slots) = (quick.load(now), f64::from(server.slots));
-                Some((tier, Candidate { index: *index, distance, load, slots }))
+                let is_own = distance == Distance::Zone && quick.is_own;
+                let distance = if is_own { Distance::Own } else { distance };
+                let (in_hand, others, slots) =
+                    (quick.in_hand as f64, quick.others, f64::from(server.slots));
+                let fresh = quick.freshness(now);
+                Some((tier, Seen { index: *index, distance, in_hand, others, fresh, slots }))
             });
-            if let Some(Some((tier, candidate))) = found {
-                tiers[tier].push(candidate);
+            if let Some(Some((tier, seen))) = found {
+                tiers[tier].push(seen);
             }
         }
+        let usual = usual_fill(&tiers[0]);
+        let tiers = tiers.map(|tier| -> Vec<Candidate> {
+            tier.into_iter().map(|seen| seen.candidate(usual)).collect()
+        });
         for (tier, candidates) in tiers.iter().enumerate() {
             if want.looks && tier == 2 {
                 break;
@@ -867,6 +906,43 @@
     }
 }
 
+/// A server as a choice sees it.
+struct Seen {
+    index: usize,
+    distance: crate::choice::Distance,
+    in_hand: f64,
+    others: f64,
+    fresh: f64,
+    slots: f64,
+}
+
+impl Seen {
+    /// Others' requests as it told them; as that grows old, none where this proxy's part is, and as
+    /// many as are usual where all send.
+    fn candidate(&self, usual: f64) -> crate::choice::Candidate {
+        let (index, distance, slots) = (self.index, self.distance, self.slots);
+        let unknown = match distance {
+            crate::choice::Distance::Own => 0.0,
+            _ => usual * slots,
+        };
+        let load = self.in_hand + self.fresh * self.others + (1.0 - self.fresh) * unknown;
+        crate::choice::Candidate { index, distance, load, slots }
+    }
+}
+
+/// How full servers are in the mean, by those that this proxy knows best.
+fn usual_fill(seen: &[Seen]) -> f64 {
+    let sum = |is_known: &dyn Fn(&Seen) -> bool| {
+        let known = seen.iter().filter(|one| is_known(one));
+        known.fold((0.0, 0.0), |(load, slots), one| {
+            (load + one.in_hand + one.fresh * one.others, slots + one.slots)
+        })
+    };
+    let own = sum(&|one| one.distance == crate::choice::Distance::Own);
+    let (load, slots) = if own.1 > 0.0 { own } else { sum(&|one| one.fresh > 0.3) };
+    if slots > 0.0 { (load / slots).min(1.0) } else { 0.3 }
+}
+
 impl<C> Quick<C> {
     /// What it told of its demand is old, and nothing of ours is there to tell more: one request
     /// will find out.
@@ -874,10 +950,10 @@
         self.in_hand == 0 && now.saturating_sub(self.demand_at) > FULL_HOLDS
     }
 
-    /// Requests that are with it, those of other proxies as far as is known.
-    fn load(&self, now: Duration) -> f64 {
+    /// How much what it told last counts still, from 1 to 0.
+    fn freshness(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.demand_at).as_secs_f64();
-        self.in_hand as f64 + self.others * (1.0 - age / OTHERS_HOLD_S).max(0.0)
+        (1.0 - age / OTHERS_HOLD_S).max(0.0)
     }
 
     pub fn demand(&self, now: Duration) -> u32 {
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -21,6 +21,8 @@
             plan: None,
             paces: crate::servers::Paces::default(),
             telling: crate::servers::Telling::default(),
+            parted: None,
+            part_at: Duration::ZERO,
         },
         xtra::Mailbox::unbounded(),
     );
@@ -191,8 +193,13 @@
     plan: Option<((u64, u64), (u64, u64))>,
     paces: crate::servers::Paces,
     telling: crate::servers::Telling,
+    /// For which revision and how many live daemons its part was made, and when it is made anew.
+    parted: Option<((u64, u64), usize)>,
+    part_at: Duration,
 }
 
+const PART_EVERY: Duration = Duration::from_secs(2);
+
 struct Pulse;
 
 impl xtra::Handler<Pulse> for Keeper {
@@ -246,6 +253,12 @@
             self.plan = Some((plan, self.revision));
             proxy.servers.hear_plan(now, &view.plan);
         }
+        let live = view.live.len();
+        if self.parted != Some((self.revision, live)) || now >= self.part_at {
+            self.parted = Some((self.revision, live));
+            self.part_at = now + PART_EVERY;
+            proxy.servers.part(view, &proxy.daemon.card);
+        }
         self.paces.pulse(now, view, &proxy.daemon.card, &table);
         let pulsed = proxy.servers.pulse(now, &self.paces);
         if pulsed.is_news {
