Stores tell each other at once what is chosen, also where the proposer's registry is gone

Change: stores pull from all other stores, lightly: a light pull may be answered by any daemon, only registries judge who is silent.

--- a/registry/src/platform.rs
+++ b/registry/src/platform.rs
@@ -141,7 +141,7 @@
     let names: Vec<&str> = registries.map(|(card, _)| card.name.as_str()).collect();
     let first = names.iter().min();
     let is_first = first.is_none_or(|first| *first == own) && !view.is_alone;
-    let others = names.len().saturating_sub(1).max(2) as u32;
+    let others = names.len().saturating_sub(1).max(1) as u32;
     let every = if is_first { DUTY_EVERY } else { OTHERS_EVERY * others };
     read_at.is_none_or(|at| now >= at + every)
 }
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -202,6 +202,8 @@
     told_loud: u64,
     /// When a registry last said who is live.
     judged_at: Option<Duration>,
+    /// A registry is live as far as is known: lines are chosen by that.
+    is_served: bool,
     /// Whose connections ended lately: asked themselves with the next pulse.
     doubted: Vec<std::net::SocketAddr>,
     beat_at: Duration,
@@ -247,6 +249,7 @@
             names: Default::default(),
             told_loud: 0,
             judged_at: None,
+            is_served: false,
             doubted: Vec::new(),
             beat_at: now,
             seed_at: now,
@@ -498,6 +501,11 @@
             wanted.extend(store.map(|index| live[index].card.sibling_address));
             return Some(wanted);
         }
+        if self.own.role == wire::Role::Store {
+            // What one of them knows as chosen the others know at once, whichever registry is gone.
+            let stores = live.iter().filter(|one| one.card.role == wire::Role::Store);
+            wanted.extend(stores.map(|one| one.card.sibling_address));
+        }
         let mut good = 0;
         for index in ranked {
             let address = live[index].card.sibling_address;
@@ -535,6 +543,11 @@
         if alone {
             wanted.extend(&self.seeds);
         }
+        let was_served = std::mem::replace(&mut self.is_served, is_served);
+        if was_served != is_served {
+            // Beats count again, or do not any more: everyone is told anew what is known here.
+            self.lines.values_mut().for_each(|line| line.is_known = false);
+        }
         if self.fresh_since.is_none() {
             // Just awake: its few siblings may all be gone by now, so everyone is asked once.
             let asked = live.iter().filter(|one| !is_served || one.card.role != wire::Role::Proxy);
@@ -596,7 +609,8 @@
         line.sent_at = now;
         let tells_card = !line.is_known;
         let light = self.own.role != wire::Role::Registry;
-        let has_vector = is_registry && light && line.is_known;
+        let light = light && self.is_served;
+        let has_vector = light && line.is_known;
         let silent = line.silent.as_ref().map_or(0, |(_, silent)| digest_of(silent));
         let tells_detail = is_registry && line.detail_told < self.mark.detail;
         if tells_detail {
@@ -613,7 +627,7 @@
             own: self.own_delta(tells_card, tells_detail),
             wait_ms,
             wants_detail: self.own.role == wire::Role::Registry,
-            light: light && is_registry,
+            light,
             silent,
         };
         effects.push(Effect::Pull { address, pull });
@@ -897,7 +911,9 @@
                 mark.life > seen.life || (mark.life == seen.life && mark.edition > seen.edition)
             }
         };
-        let is_silent_new = parked.light && parked.silent != digest_of(&self.silent_for(parked));
+        let judges = self.own.role == wire::Role::Registry;
+        let is_silent_new =
+            parked.light && judges && parked.silent != digest_of(&self.silent_for(parked));
         is_silent_new
             || self.word.revision > parked.word
             || self.platform.revision > parked.platform
@@ -993,7 +1009,8 @@
             platform: (self.platform.revision > parked.platform).then(|| (*self.platform).clone()),
             plan: ((self.plan.epoch, self.plan.counter) > parked.plan)
                 .then(|| (*self.plan).clone()),
-            silent: parked.light.then(|| self.silent_for(parked)),
+            silent: (parked.light && self.own.role == wire::Role::Registry)
+                .then(|| self.silent_for(parked)),
             resend: false,
         }
     }
