Platform lists are told by what changed

Change: a teller keeps the last sixteen lists and tells what changed since the asker's; a digest shows where two readers had given one revision to different lists, and then the whole one is asked for. Tests: deltas over random lists, an asker astray.

--- a/setup/src/platform.rs
+++ b/setup/src/platform.rs
@@ -31,6 +31,69 @@
 }
 
 /// Three times 4,500 servers (docs/CAPACITY.md), with room for labels.
+/// What changed from one revision of a list to a later one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ListDelta {
+    pub base: u64,
+    pub revision: u64,
+    /// New or different.
+    pub changed: Vec<Server>,
+    /// Ids.
+    pub removed: Vec<String>,
+    /// Of the list that it leads to: two readers may have given one revision to different lists.
+    pub digest: u64,
+}
+
+impl PlatformList {
+    /// Of its servers, whatever their order.
+    pub fn digest(&self) -> u64 {
+        let one = |server: &Server| {
+            let flags = [server.leaving, server.cold].map(|flag| if flag { "1" } else { "0" });
+            let address = server.address.to_string();
+            crate::stable_hash(&[&server.id, &address, &server.zone, flags[0], flags[1]])
+        };
+        self.servers.iter().map(one).fold(0, u64::wrapping_add)
+    }
+
+    /// From `base` to this list.
+    pub fn since(&self, base: &PlatformList) -> ListDelta {
+        let before: std::collections::HashMap<&str, &Server> =
+            base.servers.iter().map(|server| (server.id.as_str(), server)).collect();
+        let now: std::collections::HashSet<&str> =
+            self.servers.iter().map(|server| server.id.as_str()).collect();
+        let is_same = |server: &&Server| before.get(server.id.as_str()) != Some(server);
+        let gone = base.servers.iter().filter(|server| !now.contains(server.id.as_str()));
+        ListDelta {
+            base: base.revision,
+            revision: self.revision,
+            changed: self.servers.iter().filter(is_same).cloned().collect(),
+            removed: gone.map(|server| server.id.clone()).collect(),
+            digest: self.digest(),
+        }
+    }
+
+    /// The list that a delta leads to; `None` where it does not lead there from this one.
+    pub fn with(&self, delta: &ListDelta) -> Option<PlatformList> {
+        if delta.base != self.revision {
+            return None;
+        }
+        let mut changed: std::collections::HashMap<&str, &Server> =
+            delta.changed.iter().map(|server| (server.id.as_str(), server)).collect();
+        let removed: std::collections::HashSet<&str> =
+            delta.removed.iter().map(String::as_str).collect();
+        let kept = self.servers.iter().filter(|server| !removed.contains(server.id.as_str()));
+        let mut servers: Vec<Server> = kept
+            .map(|server| changed.remove(server.id.as_str()).unwrap_or(server).clone())
+            .collect();
+        // In the order in which they were told.
+        servers.extend(
+            delta.changed.iter().filter(|one| changed.contains_key(one.id.as_str())).cloned(),
+        );
+        let list = PlatformList { revision: delta.revision, servers };
+        (list.digest() == delta.digest).then_some(list)
+    }
+}
+
 pub const SERVERS_MOST: usize = 16_384;
 pub const BYTES_MOST: usize = 8 << 20;
 
@@ -154,3 +217,6 @@
     }
     labels
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/setup/src/platform/tests.rs
@@ -0,0 +1,49 @@
+use super::{PlatformList, Server};
+
+fn server(number: u64, flags: u64) -> Server {
+    Server {
+        id: format!("s{number}"),
+        address: ([127, 0, 0, 1], 9000 + number as u16).into(),
+        region: "a".to_string(),
+        zone: format!("a{}", number % 3),
+        labels: Default::default(),
+        leaving: flags & 1 > 0,
+        cold: flags & 2 > 0,
+        slots: 2,
+    }
+}
+
+/// Whatever changed, the delta leads from the one list to the other; from any other list, also one of
+/// the same revision, it leads nowhere.
+#[test]
+fn a_delta_leads_to_its_list_and_from_its_base_only() {
+    let mut seed = 5_u64;
+    let mut draw = |bound: u64| {
+        seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (seed >> 33) % bound
+    };
+    for revision in 1..300 {
+        let mut list = |revision: u64| PlatformList {
+            revision,
+            servers: (0..20)
+                .filter(|_| draw(4) > 0)
+                .collect::<Vec<u64>>()
+                .into_iter()
+                .map(|number| server(number, draw(8)))
+                .collect(),
+        };
+        let (base, next, other) = (list(revision), list(revision + 1), list(revision));
+        let delta = next.since(&base);
+        let led = base.with(&delta).expect("it leads there");
+        let sorted = |list: &PlatformList| {
+            let mut servers = list.servers.clone();
+            servers.sort_by(|left, right| left.id.cmp(&right.id));
+            servers
+        };
+        assert_eq!((led.revision, sorted(&led)), (next.revision, sorted(&next)));
+        if sorted(&other) != sorted(&base) {
+            assert!(other.with(&delta).is_none_or(|led| sorted(&led) == sorted(&next)));
+        }
+        assert_eq!(next.with(&delta), None, "of another revision");
+    }
+}
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -12,6 +12,8 @@
 pub const REGISTRY_DEAD_AFTER: Duration = Duration::from_millis(2200);
 /// Not heard of for so long: forgotten.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(600);
+/// So many earlier lists are kept for deltas.
+const LISTS_KEPT: usize = 16;
 /// A daemon that registries serve pulls from so many of them.
 const LIGHT_LINES: usize = 2;
 /// A pull that is out for so long is slow: another registry is asked too.
@@ -193,6 +195,10 @@
     pub plan: Arc<wire::Plan>,
     lines: std::collections::BTreeMap<std::net::SocketAddr, Line>,
     parked: Vec<Parked>,
+    /// Lists that were in force lately, for those who have them still.
+    lists: std::collections::VecDeque<Arc<vanepath_setup::platform::PlatformList>>,
+    /// A delta did not lead where it should: the next pulls ask for the whole list.
+    wants_list: bool,
     /// What each light asker has, by name.
     askers: std::collections::HashMap<String, std::collections::HashMap<u32, wire::Mark>>,
     /// Who is not live, by short names in order; and all names.
@@ -244,6 +250,8 @@
             plan: Arc::default(),
             lines: std::collections::BTreeMap::new(),
             parked: Vec::new(),
+            lists: Default::default(),
+            wants_list: false,
             askers: std::collections::HashMap::new(),
             silent: Vec::new(),
             names: Default::default(),
@@ -270,6 +278,12 @@
         &self.report
     }
 
+    /// The revision of the platform list that siblings may tell changes to; 0: they are to tell the
+    /// whole list.
+    pub fn list_held(&self) -> u64 {
+        if self.wants_list { 0 } else { self.platform.revision }
+    }
+
     pub fn own_mark(&self) -> wire::Mark {
         self.mark
     }
@@ -393,7 +407,12 @@
         effects: &mut Vec<Effect>,
     ) {
         if list.revision > self.platform.revision {
-            self.platform = list;
+            let before = std::mem::replace(&mut self.platform, list);
+            self.lists.push_back(before);
+            if self.lists.len() > LISTS_KEPT {
+                self.lists.pop_front();
+            }
+            self.wants_list = false;
             self.loud += 1;
             effects.push(Effect::Changed);
         }
@@ -622,7 +641,7 @@
             vector: (!has_vector)
                 .then(|| self.sources.iter().map(|one| (one.short, one.mark)).collect()),
             word: self.word.revision,
-            platform: self.platform.revision,
+            platform: self.list_held(),
             plan: (self.plan.epoch, self.plan.counter),
             own: self.own_delta(tells_card, tells_detail),
             wait_ms,
@@ -670,8 +689,18 @@
                 self.hear_word(Arc::new(word), effects);
             }
             if let Some(list) = news.platform {
+                if self.wants_list && list.revision == self.platform.revision {
+                    // Of one revision two lists are in force: whoever has asked takes the teller's.
+                    self.platform = Arc::default();
+                }
                 self.hear_platform(Arc::new(list), effects);
             }
+            if let Some(delta) = news.platform_delta {
+                match self.platform.with(&delta) {
+                    Some(list) => self.hear_platform(Arc::new(list), effects),
+                    None => self.wants_list |= delta.base == self.platform.revision,
+                }
+            }
             if let Some(plan) = news.plan {
                 self.hear_plan(Arc::new(plan), effects);
             }
@@ -1003,10 +1032,15 @@
                 detail: new_detail.then(|| detail.clone()),
             });
         }
+        let is_list_new = self.platform.revision > parked.platform;
+        let base = self.lists.iter().find(|list| list.revision == parked.platform);
+        let list_delta = base.filter(|base| is_list_new && base.revision > 0);
+        let list_delta = list_delta.map(|base| self.platform.since(base));
         wire::News {
             deltas,
             word: (self.word.revision > parked.word).then(|| (*self.word).clone()),
-            platform: (self.platform.revision > parked.platform).then(|| (*self.platform).clone()),
+            platform: (is_list_new && list_delta.is_none()).then(|| (*self.platform).clone()),
+            platform_delta: list_delta,
             plan: ((self.plan.epoch, self.plan.counter) > parked.plan)
                 .then(|| (*self.plan).clone()),
             silent: (parked.light && self.own.role == wire::Role::Registry)
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -239,6 +239,8 @@
     pub deltas: Vec<Delta>,
     pub word: Option<Word>,
     pub platform: Option<vanepath_setup::platform::PlatformList>,
+    /// Instead of the whole list, where the asker has one that the teller knows.
+    pub platform_delta: Option<vanepath_setup::platform::ListDelta>,
     pub plan: Option<Plan>,
     /// For a light asker: who is not live as the teller sees it, by short names.
     pub silent: Option<Vec<u32>>,
--- a/sibling/tests/details.rs
+++ b/sibling/tests/details.rs
@@ -59,7 +59,7 @@
             asker.sources.iter().map(|one| (wire::short_name(&one.card.name), one.mark)).collect(),
         ),
         word: 0,
-        platform: 0,
+        platform: asker.list_held(),
         plan: (0, 0),
         own: wire::Delta {
             name: asker.own().name.clone(),
@@ -158,3 +158,47 @@
     pull_after(&mut asker, &mut third, 16, 0);
     assert_eq!(seen(&asker), (5, 5), "who just started or woke gets all there is");
 }
+
+fn list(revision: u64, leaving: &[u64]) -> std::sync::Arc<vanepath_setup::platform::PlatformList> {
+    let one = |number: u64| vanepath_setup::platform::Server {
+        id: format!("s{number}"),
+        address: ([127, 0, 0, 1], 9000 + number as u16).into(),
+        region: "a".to_string(),
+        zone: "a1".to_string(),
+        labels: Default::default(),
+        leaving: leaving.contains(&number),
+        cold: false,
+        slots: 2,
+    };
+    let servers = (0..50).map(one).collect();
+    std::sync::Arc::new(vanepath_setup::platform::PlatformList { revision, servers })
+}
+
+/// Who has a list that the teller knows is told what changed; who has another one under the same
+/// revision finds that out, asks for the whole list and has it.
+#[test]
+fn a_list_is_told_by_what_changed_and_whole_where_that_leads_astray() {
+    let (mut teller, mut asker, mut astray) =
+        (registry("r0", 1), registry("r1", 2), registry("r2", 4));
+    let hear = |news: &mut News, list| {
+        news.step(NOW, Event::Platform(list));
+    };
+    hear(&mut teller, list(1, &[]));
+    hear(&mut asker, list(1, &[]));
+    hear(&mut astray, list(1, &[7]));
+    hear(&mut teller, list(2, &[3]));
+    let pulled = |asker: &mut News, teller: &mut News, ticket: u64| {
+        let told = pull(asker, teller, ticket);
+        let news = Some(Box::new(told.clone()));
+        asker.step(NOW, Event::Told { address: teller.own().sibling_address, news });
+        told
+    };
+    let told = pulled(&mut asker, &mut teller, 1);
+    assert!(told.platform.is_none() && told.platform_delta.unwrap().changed.len() == 1);
+    assert_eq!(asker.platform, teller.platform);
+    pulled(&mut astray, &mut teller, 2);
+    assert_eq!(astray.platform.revision, 1, "it does not lead there");
+    let told = pulled(&mut astray, &mut teller, 3);
+    assert!(told.platform.is_some());
+    assert_eq!(astray.platform, teller.platform);
+}
