Large answers keep to their part of a narrow link; resting connections to a part of a server's cap

Changes: a gate lets pieces of large answers through at 0.8 of the link, where the settings name a link below 100 Mbit/s; of a server's cap half may rest, divided by the live proxies. Tests: the gate's arithmetic, the sum of what rests.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -66,6 +66,9 @@
 /// Paths under this are the proxy's own.
 pub const OWN_PREFIX: &str = "/vanepath/";
 
+/// On a link that carries as much, a large answer holds nothing up.
+const WIDE_MBPS: f64 = 100.0;
+
 pub struct Proxy {
     pub daemon: Arc<Daemon>,
     pub servers: Servers<crate::pool::Sender>,
@@ -80,12 +83,16 @@
     pub is_news: AtomicBool,
     pub live_proxies: std::sync::atomic::AtomicUsize,
     pub takings: std::sync::Mutex<crate::takings::Takings>,
+    /// For large answers, where the link is narrow.
+    gate: Option<std::sync::Mutex<crate::gate::Gate>>,
     random: AtomicU64,
 }
 
 impl Proxy {
     pub fn new(daemon: Arc<Daemon>) -> Proxy {
         let retries = daemon.settings.retries;
+        let narrow = daemon.settings.link_mbps.filter(|mbps| *mbps < WIDE_MBPS);
+        let gate = narrow.map(|mbps| std::sync::Mutex::new(crate::gate::Gate::new(mbps)));
         Proxy {
             daemon,
             servers: Servers::default(),
@@ -98,6 +105,7 @@
             is_news: AtomicBool::new(false),
             live_proxies: std::sync::atomic::AtomicUsize::new(1),
             takings: Default::default(),
+            gate,
             random: AtomicU64::new(daemon::random()),
         }
     }
@@ -419,7 +427,8 @@
                 }
                 chart.state = State::Answering;
                 proxy.tally.one(Counter::Done);
-                return Ok(pass(proxy, reply, in_hand, held.take()));
+                let gated = class.bulk && proxy.gate.is_some();
+                return Ok(pass(proxy, reply, in_hand, held.take(), gated));
             }
             Err(miss) => miss,
         };
@@ -1028,6 +1037,7 @@
     reply: Reply,
     in_hand: InHand,
     held: Option<Held>,
+    gated: bool,
 ) -> hyper::Response<Body> {
     let mut head = reply.head;
     strip_hops(&mut head.headers);
@@ -1049,6 +1059,8 @@
         is_other_zone: reply.is_other_zone,
         length,
         slots: Some((in_hand, held)),
+        gated,
+        pause: None,
     };
     let mut tail = tail;
     if tail.rest.is_none() {
@@ -1070,9 +1082,53 @@
     is_other_zone: bool,
     length: Option<u64>,
     slots: Option<(InHand, Option<Held>)>,
+    /// Held to the large answers' part of the link (design 8.10).
+    gated: bool,
+    pause: Option<std::pin::Pin<Box<tokio::time::Sleep>>>,
 }
 
 impl Tail {
+    /// Whether the next piece may be written; else the task is woken when to ask again.
+    fn poll_gate(&mut self, context: &mut std::task::Context<'_>) -> std::task::Poll<()> {
+        loop {
+            if let Some(pause) = &mut self.pause {
+                std::task::ready!(pause.as_mut().poll(context));
+                self.pause = None;
+            }
+            let Some(gate) = &self.proxy.gate else { return std::task::Poll::Ready(()) };
+            let now = self.proxy.now();
+            let passed =
+                gate.lock().expect("no panic under this lock").pass(now, crate::gate::PIECE);
+            match passed {
+                Ok(()) => return std::task::Poll::Ready(()),
+                Err(until) => {
+                    let pause = until.saturating_sub(now);
+                    self.pause = Some(Box::pin(tokio::time::sleep(pause)));
+                }
+            }
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.rest.is_none() && self.read.is_empty()
+    }
+
+    /// A piece of a frame; what is over comes next.
+    fn piece(
+        &mut self,
+        frame: hyper::body::Frame<bytes::Bytes>,
+    ) -> hyper::body::Frame<bytes::Bytes> {
+        match frame.into_data() {
+            Ok(mut data) if data.len() > crate::gate::PIECE => {
+                let rest = data.split_off(crate::gate::PIECE);
+                self.read.push_front(hyper::body::Frame::data(rest));
+                hyper::body::Frame::data(data)
+            }
+            Ok(data) => hyper::body::Frame::data(data),
+            Err(frame) => frame,
+        }
+    }
+
     /// The whole receipt is in: the connection may rest and then be used again.
     fn whole(&mut self) {
         self.rest = None;
@@ -1094,6 +1150,9 @@
         mut self: std::pin::Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, BodyError>>> {
+        if self.gated && !self.is_over() {
+            std::task::ready!(self.poll_gate(context));
+        }
         let frame = match self.read.pop_front() {
             Some(frame) => Some(Ok(frame)),
             None => match &mut self.rest {
@@ -1117,6 +1176,10 @@
                 }
             },
         };
+        let frame = match frame {
+            Some(Ok(frame)) if self.gated => Some(Ok(self.piece(frame))),
+            frame => frame,
+        };
         if let Some(Ok(frame)) = &frame
             && self.is_other_zone
         {
@@ -1138,6 +1201,6 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.rest.is_none() && self.read.is_empty()
+        self.is_over()
     }
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod chart;
 pub mod choice;
 pub mod classes;
+pub mod gate;
 pub mod liveness;
 pub mod pool;
 pub mod servers;
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -54,6 +54,8 @@
     others: f64,
     /// In this proxy's part of its zone.
     is_own: bool,
+    /// Connections that may rest here, so that all proxies together stay below what it takes.
+    idle_most: usize,
     pub idle: Vec<Idle<C>>,
     pub probing: bool,
     /// It sent bytes that nobody had asked for: each connection carries one request at most.
@@ -239,6 +241,15 @@
 /// Before its server closes it, a resting connection is not used any more.
 const KEPT_MARGIN: Duration = Duration::from_millis(700);
 const IDLE_COUNT_MOST: usize = 64;
+/// A part of the connections that a server takes from all proxies may rest; the others are in use.
+const RESTING_PART: f64 = 0.5;
+
+/// Connections to one server that may rest at one of so many proxies.
+pub fn idle_most(connections_most: u64, proxies: usize) -> usize {
+    let part = connections_most as f64 * RESTING_PART / proxies.max(1) as f64;
+    (part as usize).clamp(1, IDLE_COUNT_MOST)
+}
+
 /// What a server told of its demand is believed for so long.
 const DEMAND_HOLDS: Duration = Duration::from_secs(5);
 /// What a server told of others' requests fades in so long, and a new telling counts so much.
@@ -357,6 +368,7 @@
                         slots: server.slots,
                         others: 0.0,
                         is_own: true,
+                        idle_most: IDLE_COUNT_MOST,
                         idle: Vec::new(),
                         probing: false,
                         is_untidy: false,
@@ -463,7 +475,13 @@
             .collect();
         proxies.sort_unstable();
         let rank = proxies.iter().position(|one| one.1 == own.name).unwrap_or_default();
-        for of_service in &table.by_service {
+        let all = live_proxies(view);
+        for (service, of_service) in table.by_service.iter().enumerate() {
+            let connections = table.setup.services[service].connections_most;
+            for index in of_service.iter().filter(|_| connections > 0) {
+                let most = idle_most(connections, all);
+                self.with(table.entries[*index].slot, |quick| quick.idle_most = most);
+            }
             let near = of_service.iter().map(|index| &table.entries[*index]);
             let near = near.filter(|entry| entry.server.zone == own.zone && !entry.server.leaving);
             let mut near: Vec<(u64, &Entry)> =
@@ -820,7 +838,7 @@
     pub fn put_idle(&self, slot: usize, idle: Idle<C>) {
         self.with(slot, |quick| {
             let may_rest = !(quick.is_untidy && idle.is_used);
-            if may_rest && quick.idle.len() < IDLE_COUNT_MOST {
+            if may_rest && quick.idle.len() < quick.idle_most {
                 quick.idle.push(idle);
             }
         });
--- a/proxy/tests/resting.rs
+++ b/proxy/tests/resting.rs
@@ -94,3 +94,13 @@
     servers.bad(ms(1060), slot, vanepath_proxy::liveness::Failure::Refused);
     assert_eq!(taken(&servers, slot, ms(1100)), None);
 }
+
+/// However many proxies there are, what rests with all of them is no more than half of what a server
+/// takes, as long as each may keep one at all.
+#[test]
+fn what_rests_stays_below_what_a_server_takes() {
+    for proxies in 1..700 {
+        let all = vanepath_proxy::servers::idle_most(490, proxies) * proxies;
+        assert!(all <= 245 || all == proxies, "{proxies}: {all}");
+    }
+}
--- a/setup/src/settings.rs
+++ b/setup/src/settings.rs
@@ -37,6 +37,8 @@
     /// The region of each zone, where the platform list does not tell it.
     pub zones: std::collections::BTreeMap<String, String>,
     pub retries: Retries,
+    /// Millions of bits a second that its machine's link carries, if it is narrow enough to matter.
+    pub link_mbps: Option<f64>,
     /// How the outside is spoken to; set by the program, not by its settings.
     pub dialect: crate::dialect::Spoken,
     /// What it was started with, so that changed settings can be read again (design 2.2).
@@ -96,6 +98,7 @@
         "zones",
         "the region of each zone, if the platform list does not tell it (file only)",
     ),
+    ("linkMbps", "link-mbps", "proxy only: what its machine's link carries, in Mbit/s (file only)"),
     ("retries", "retries", "proxy only: further attempts of the fleet for a service (file only)"),
 ];
 
@@ -103,7 +106,7 @@
     match key {
         "dataFolder" | "stores" | "storeLosses" | "firstStart" => role == Role::Store,
         "platform" | "directoryListen" => role == Role::Registry,
-        "retries" => role == Role::Proxy,
+        "retries" | "linkMbps" => role == Role::Proxy,
         _ => true,
     }
 }
@@ -125,7 +128,7 @@
     }
     for (key, flag, meaning) in KEYS.iter().filter(|(key, _, _)| allowed(role, key)) {
         match *key {
-            "zones" | "retries" => continue,
+            "zones" | "retries" | "linkMbps" => continue,
             "seeds" => options.optmulti("", flag, meaning, "IP:PORT"),
             _ => options.optopt("", flag, meaning, "VALUE"),
         };
@@ -172,7 +175,7 @@
         }
     }
     for (key, flag, _) in KEYS.iter().filter(|(key, _, _)| allowed(role, key)) {
-        if matches!(*key, "zones" | "retries") {
+        if matches!(*key, "zones" | "retries" | "linkMbps") {
             continue;
         }
         let given = matches.opt_strs(flag);
@@ -289,6 +292,7 @@
         address(reader, "$.directoryListen", values.get("directoryListen"), false, false);
     let zones = zones(reader, values.get("zones"));
     let retries = retries(reader, values.get("retries"));
+    let link_mbps = reader.number("$.linkMbps", values.get("linkMbps"), 0.01, 1e7);
     Some(Settings {
         role,
         fleet: fleet?,
@@ -309,6 +313,7 @@
         directory_listen,
         zones,
         retries,
+        link_mbps,
         dialect: Default::default(),
         arguments: Vec::new(),
         file: None,
