Connections are reused where ids prove answers; suspects are probed by their part's proxies only

Change: where an answer is proved by its request id a server that sent surplus bytes keeps its other connections, but for filings; suspects outside a proxy's part are tried again by one request after 1.5 s of rest.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -90,12 +90,15 @@
 
 impl Proxy {
     pub fn new(daemon: Arc<Daemon>) -> Proxy {
+        let proves_answers = daemon.settings.dialect.headers().request_id.is_some();
+        let mut servers = Servers::default();
+        servers.proves_answers = proves_answers;
         let retries = daemon.settings.retries;
         let narrow = daemon.settings.link_mbps.filter(|mbps| *mbps < WIDE_MBPS);
         let gate = narrow.map(|mbps| std::sync::Mutex::new(crate::gate::Gate::new(mbps)));
         Proxy {
             daemon,
-            servers: Servers::default(),
+            servers,
             classes: Default::default(),
             waiting: Default::default(),
             budget: std::sync::Mutex::new(crate::budget::Budgets::new(retries)),
@@ -901,7 +904,13 @@
         let fit = |idle: &Idle<crate::pool::Sender>| idle.connection.is_ready();
         let dialect = self.proxy.daemon.settings.dialect;
         let is_greeted = dialect.headers().target.is_none();
+        // What runs once takes no connection on which a late answer may be lying.
+        let is_doubtful = kind == Kind::Once && !is_greeted && self.proxy.servers.is_untidy(slot);
         while let Some(mut idle) = self.proxy.servers.take_idle(now, slot, fit) {
+            if is_doubtful {
+                self.proxy.servers.put_idle(slot, idle);
+                break;
+            }
             // Where every request names its server, a filing takes no connection that its server
             // may be about to close.
             let rested = now.saturating_sub(idle.quiet_since);
@@ -938,7 +947,7 @@
         };
         match connected {
             Ok((sender, greeted)) => {
-                if self.proxy.servers.is_untidy(slot) {
+                if is_greeted && self.proxy.servers.is_untidy(slot) {
                     // What the greeting may bring on top shows first.
                     tokio::time::sleep(crate::servers::QUIET).await;
                     if !sender.is_ready() {
--- a/proxy/src/liveness.rs
+++ b/proxy/src/liveness.rs
@@ -34,6 +34,8 @@
 
 /// Good probes in a row before a suspect gets work again.
 const GOOD_NEEDED: u32 = 2;
+/// A suspect that this proxy does not probe rests so long.
+const RETRY_AFTER: Duration = Duration::from_millis(1500);
 /// Silent for so long, it counts as having been away and comes back cold.
 const AWAY_AFTER: Duration = Duration::from_secs(3);
 /// Longer without a sign, and it may have been away meanwhile.
@@ -170,6 +172,13 @@
         self.refused = false;
     }
 
+    /// A suspect that others probe is tried again after a rest.
+    pub fn retry(&mut self, now: Duration) {
+        if self.phase == Phase::Suspect && now.saturating_sub(self.since) >= RETRY_AFTER {
+            self.trust(now);
+        }
+    }
+
     /// Something speaks against it that only a probe can settle.
     pub fn is_in_doubt(&self) -> bool {
         self.phase == Phase::Suspect || self.is_doubted || self.bad > 0
--- a/proxy/src/liveness/tests.rs
+++ b/proxy/src/liveness/tests.rs
@@ -170,3 +170,20 @@
     server.good(second(0.2));
     assert!(!server.is_in_doubt());
 }
+
+/// A suspect that this proxy does not probe is tried again after a rest, and is suspect again if it is
+/// still not there.
+#[test]
+fn a_suspect_that_others_probe_is_tried_after_a_rest() {
+    let ms = Duration::from_millis;
+    let mut server = Liveness::new(ms(0));
+    server.trust(ms(0));
+    server.bad(ms(1000), Failure::Refused);
+    assert_eq!(server.phase, Phase::Suspect);
+    server.retry(ms(2499));
+    assert_eq!(server.phase, Phase::Suspect);
+    server.retry(ms(2500));
+    assert_eq!(server.phase, Phase::Live);
+    server.bad(ms(2600), Failure::Refused);
+    assert_eq!(server.phase, Phase::Suspect);
+}
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -272,6 +272,9 @@
     pub table: arc_swap::ArcSwap<Table>,
     shards: Vec<std::sync::Mutex<std::collections::HashMap<usize, Quick<C>>>>,
     next_slot: std::sync::atomic::AtomicUsize,
+    /// An answer is told from another request's by its id, so that a server which sent surplus bytes
+    /// may go on with the connections on which it did not.
+    pub proves_answers: bool,
 }
 
 impl<C> Default for Servers<C> {
@@ -280,6 +283,7 @@
             table: arc_swap::ArcSwap::default(),
             shards: (0..SHARDS).map(|_| Default::default()).collect(),
             next_slot: std::sync::atomic::AtomicUsize::new(0),
+            proves_answers: false,
         }
     }
 }
@@ -478,9 +482,14 @@
         let all = live_proxies(view);
         for (service, of_service) in table.by_service.iter().enumerate() {
             let connections = table.setup.services[service].connections_most;
-            for index in of_service.iter().filter(|_| connections > 0) {
-                let most = idle_most(connections, all);
-                self.with(table.entries[*index].slot, |quick| quick.idle_most = most);
+            for index in of_service {
+                let entry = &table.entries[*index];
+                self.with(entry.slot, |quick| {
+                    quick.is_own &= entry.server.zone == own.zone;
+                    if connections > 0 {
+                        quick.idle_most = idle_most(connections, all);
+                    }
+                });
             }
             let near = of_service.iter().map(|index| &table.entries[*index]);
             let near = near.filter(|entry| entry.server.zone == own.zone && !entry.server.leaving);
@@ -510,6 +519,10 @@
                 entry.services.iter().all(|one| table.setup.services[*one].probes_in_doubt_only);
             let moved = self.with(entry.slot, |quick| {
                 let before = quick.liveness.phase;
+                if in_doubt_only && !quick.is_own {
+                    // Others probe it; here one request finds out.
+                    quick.liveness.retry(now);
+                }
                 quick.liveness.pulse(now, cold);
                 if is_leaving {
                     quick.idle.clear();
@@ -525,7 +538,7 @@
                 };
                 let wants = !quick.probing
                     && !is_leaving
-                    && (!in_doubt_only || quick.liveness.is_in_doubt())
+                    && (!in_doubt_only || (quick.is_own && quick.liveness.is_in_doubt()))
                     && now >= quick.liveness.probe_at(every)
                     && quick.probed_at.is_none_or(|last| now >= last + pause);
                 if wants {
@@ -837,7 +850,7 @@
 
     pub fn put_idle(&self, slot: usize, idle: Idle<C>) {
         self.with(slot, |quick| {
-            let may_rest = !(quick.is_untidy && idle.is_used);
+            let may_rest = self.proves_answers || !(quick.is_untidy && idle.is_used);
             if may_rest && quick.idle.len() < quick.idle_most {
                 quick.idle.push(idle);
             }
