--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -243,6 +243,7 @@
     options.optopt("", "span-ms", "real time for each figure of a core (default 100)", "N");
     options.optflag("", "joins", "all hollow daemons start at once and know the seeds alone");
     options.optflag("", "no-details", "proxies tell registries nothing of their servers");
+    options.optflag("", "by-probes", "services as of old: judged by probes, no slots told");
     options.optflag("", "json", "JSON only");
     let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
     if matches.opt_present("help") {
@@ -274,6 +275,10 @@
     if let Some(part) = only.as_deref().filter(|part| !parts.contains(part)) {
         miette::bail!("--only: there is no '{part}'; see --help");
     }
+    let judged = match matches.opt_present("by-probes") {
+        true => vanepath_fleet::scale::Judged::ByProbes,
+        false => vanepath_fleet::scale::Judged::ByTraffic,
+    };
     let is_json = matches.opt_present("json");
     let mut all = Vec::new();
     let mut show = |rows: Vec<vanepath_fleet::scale::Row>| {
@@ -286,11 +291,11 @@
     };
     for part in parts.into_iter().filter(|part| only.as_deref().is_none_or(|only| only == *part)) {
         match part {
-            "memory" => show(vanepath_fleet::scale::cores::memory()),
-            "setups" => show(vanepath_fleet::scale::cores::setups(span)),
-            "proxies" => show(vanepath_fleet::scale::cores::proxies(span)),
-            "registries" => show(vanepath_fleet::scale::cores::registries(span)),
-            "stores" => show(vanepath_fleet::scale::cores::stores(span)),
+            "memory" => show(vanepath_fleet::scale::cores::memory(judged)),
+            "setups" => show(vanepath_fleet::scale::cores::setups(span, judged)),
+            "proxies" => show(vanepath_fleet::scale::cores::proxies(span, judged)),
+            "registries" => show(vanepath_fleet::scale::cores::registries(span, judged)),
+            "stores" => show(vanepath_fleet::scale::cores::stores(span, judged)),
             _ => {
                 for daemons in &sizes {
                     use vanepath_fleet::scale;
@@ -299,6 +304,7 @@
                         servers: scale::in_proportion(scale::SERVERS, *daemons).max(34),
                         services: scale::in_proportion(scale::SERVICES, *daemons),
                         routes: scale::in_proportion(scale::ROUTES, *daemons).max(2),
+                        judged,
                         joins: matches.opt_present("joins"),
                         details: !matches.opt_present("no-details"),
                         settle: Duration::from_secs(3),
--- a/fleet/src/scale/cores.rs
+++ b/fleet/src/scale/cores.rs
@@ -1,6 +1,6 @@
 //! The pure cores at several sizes, one after the other (docs/CAPACITY.md).
 
-use super::{Row, each, weigh};
+use super::{Judged, Row, each, weigh};
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_sibling::daemon::View;
@@ -16,9 +16,15 @@
 }
 
 /// The news core of a registry that heard of a whole fleet, details included if wanted.
-pub fn informed(daemons: usize, servers: usize, services: usize, details: bool) -> News {
+pub fn informed(
+    daemons: usize,
+    servers: usize,
+    services: usize,
+    details: bool,
+    judged: Judged,
+) -> News {
     let now = Duration::from_secs(100);
-    let list = super::platform(servers, services);
+    let list = super::platform(servers, services, judged);
     let cards = super::cards(daemons);
     let mut news = News::new(cards[0].clone(), Vec::new(), 1, now);
     news.step(
@@ -33,7 +39,7 @@
         card: Some(card.clone()),
         report: Some(wire::Report { ready: true, settled: true, ..wire::Report::default() }),
         detail: (details && card.role == wire::Role::Proxy)
-            .then(|| super::detail(index, daemons, &list, services, 3)),
+            .then(|| super::detail(index, daemons, &list, services, 3, judged)),
     });
     let told =
         wire::News { deltas: deltas.collect(), platform: Some(list), ..wire::News::default() };
@@ -43,10 +49,10 @@
 }
 
 /// What a daemon of such a fleet goes by.
-pub fn view(news: &News, routes: usize, services: usize) -> View {
+pub fn view(news: &News, routes: usize, services: usize, judged: Judged) -> View {
     let now = Duration::from_secs(100);
     let (mut view, _) = View::of(news, &View::default(), now);
-    view.setup = Arc::new(super::setup(routes, services));
+    view.setup = Arc::new(super::setup(routes, services, judged));
     let word = wire::Word { revision: 5, setup_revision: 5, ..wire::Word::default() };
     view.word = Arc::new(word);
     view.is_fresh = true;
@@ -57,16 +63,18 @@
     [(14, 34, 12, 25), (84, 560, 34, 138), (250, 1680, 100, 410), (670, 4500, 270, 1100)];
 
 /// Memory first, while the process is small; what was weighed is kept.
-pub fn memory() -> Vec<Row> {
+pub fn memory(judged: Judged) -> Vec<Row> {
     let mut rows = Vec::new();
     for (daemons, servers, services, routes) in SIZES {
         let count = if daemons < 200 { 20 } else { 4 };
-        let plain = weigh(count, || informed(daemons, 0, services, false));
-        let whole = weigh(2, || informed(daemons, servers, services, true));
-        let list = weigh(count, || super::platform(servers, services));
-        let setup = weigh(count, || super::setup(routes, services));
-        let (setup_of, list_of) =
-            (Arc::new(super::setup(routes, services)), super::platform(servers, services));
+        let plain = weigh(count, || informed(daemons, 0, services, false, judged));
+        let whole = weigh(2, || informed(daemons, servers, services, true, judged));
+        let list = weigh(count, || super::platform(servers, services, judged));
+        let setup = weigh(count, || super::setup(routes, services, judged));
+        let (setup_of, list_of) = (
+            Arc::new(super::setup(routes, services, judged)),
+            super::platform(servers, services, judged),
+        );
         let table = weigh(count, || {
             let table: vanepath_proxy::servers::Servers<()> = Default::default();
             let rate = |_: &vanepath_setup::platform::Server, _: &[usize]| Default::default();
@@ -94,12 +102,12 @@
     rows
 }
 
-pub fn setups(span: Duration) -> Vec<Row> {
+pub fn setups(span: Duration, judged: Judged) -> Vec<Row> {
     let mut rows = Vec::new();
     for (routes, services) in [(100, 25), (275, 68), (550, 135), (1100, 270), (2200, 540)] {
-        let text = super::setup_text(routes, services);
+        let text = super::setup_text(routes, services, judged);
         let parse = each(span, || vanepath_setup::model::parse(text.as_bytes()));
-        let setup = super::setup(routes, services);
+        let setup = super::setup(routes, services, judged);
         let asked: Vec<(String, String)> = (0..routes)
             .map(|route| {
                 let service = route % services;
@@ -130,7 +138,7 @@
         });
     }
     for servers in [34, 560, 1680, 4500, 9000] {
-        let list = super::platform(servers, 270);
+        let list = super::platform(servers, 270, judged);
         let text = super::platform_text(&list);
         let parse = each(span, || vanepath_setup::platform::parse(text.as_bytes()));
         let bytes = wire::encode(&list);
@@ -152,20 +160,20 @@
 }
 
 /// What a proxy does with its servers.
-pub fn proxies(span: Duration) -> Vec<Row> {
+pub fn proxies(span: Duration, judged: Judged) -> Vec<Row> {
     let mut rows = Vec::new();
     for (daemons, servers, services, routes) in SIZES {
-        let news = informed(daemons, servers, services, false);
-        let view = view(&news, routes, services);
+        let news = informed(daemons, servers, services, false, judged);
+        let view = view(&news, routes, services, judged);
         let own = super::cards(daemons).pop().expect("a proxy");
         let table: vanepath_proxy::servers::Servers<()> = Default::default();
-        let list = super::platform(servers, services);
+        let list = super::platform(servers, services, judged);
         let rate = |server: &vanepath_setup::platform::Server, services: &[usize]| {
             vanepath_proxy::servers::cold_rate(&view, &own.name, server, services)
         };
-        let started = std::time::Instant::now();
+        let started = super::spent();
         table.adopt(Duration::ZERO, (5, 1), &view.setup, &list, rate);
-        let first = started.elapsed();
+        let first = super::spent().saturating_sub(started);
         for entry in &table.table.load().entries {
             table.good(Duration::from_secs(1), entry.slot);
         }
@@ -224,8 +232,8 @@
     }
     // One service with many servers.
     for servers in [17, 170, 1700, 4500] {
-        let setup = Arc::new(super::setup(1, 1));
-        let list = super::platform(servers, 1);
+        let setup = Arc::new(super::setup(1, 1, judged));
+        let list = super::platform(servers, 1, judged);
         let table: vanepath_proxy::servers::Servers<()> = Default::default();
         table.adopt(Duration::ZERO, (5, 1), &setup, &list, |_, _| Default::default());
         for entry in &table.table.load().entries {
@@ -262,11 +270,11 @@
 }
 
 /// What a registry does for callers and for the plan.
-pub fn registries(span: Duration) -> Vec<Row> {
+pub fn registries(span: Duration, judged: Judged) -> Vec<Row> {
     let mut rows = Vec::new();
     for (daemons, servers, services, routes) in SIZES {
-        let news = informed(daemons, servers, services, true);
-        let view = view(&news, routes, services);
+        let news = informed(daemons, servers, services, true, judged);
+        let view = view(&news, routes, services, judged);
         let mut turn = 0;
         let mut bytes = 0;
         let steer = each(span, || {
@@ -301,9 +309,9 @@
         });
     }
     // The design size in all but one.
-    let news = informed(super::DAEMONS, super::SERVERS, super::SERVICES, true);
+    let news = informed(super::DAEMONS, super::SERVERS, super::SERVICES, true, judged);
     for routes in [275, 550, 1100, 2200] {
-        let view = view(&news, routes, super::SERVICES);
+        let view = view(&news, routes, super::SERVICES, judged);
         let mut turn = 0;
         let mut bytes = 0;
         let steer = each(span, || {
@@ -326,10 +334,10 @@
 }
 
 /// A store's value: what a change syncs, and what an answer to a sibling carries.
-pub fn stores(span: Duration) -> Vec<Row> {
+pub fn stores(span: Duration, judged: Judged) -> Vec<Row> {
     let mut rows = Vec::new();
     for (routes, services) in [(275, 68), (550, 135), (1100, 270), (2200, 540)] {
-        let setup = super::setup_text(routes, services).into_bytes();
+        let setup = super::setup_text(routes, services, judged).into_bytes();
         let word = wire::Word { revision: 9, setup_revision: 9, setup, ..wire::Word::default() };
         let bytes = wire::encode(&word);
         let encode = each(span, || wire::encode(&word));
--- a/fleet/src/scale/hollow.rs
+++ b/fleet/src/scale/hollow.rs
@@ -1,5 +1,5 @@
 //! Hollow daemons: the real news core of each, on simulated time, with every message encoded and decoded
-//! as on the wire. Processor time is measured, all other time is simulated.
+//! as on the wire; proxies and stores are light, registries whole (design 5.3). Processor time is measured, all other time is simulated.
 
 use super::Row;
 use std::cmp::Reverse;
@@ -14,6 +14,7 @@
     pub servers: usize,
     pub services: usize,
     pub routes: usize,
+    pub judged: super::Judged,
     /// Proxies tell registries what they see.
     pub details: bool,
     /// All start at once and know nobody but the seeds; else the fleet is there and one joins it at the end.
@@ -43,8 +44,15 @@
         from: usize,
         bytes: Vec<u8>,
     },
+    /// The time of a pull is up, as the shell has it.
+    Unanswered {
+        from: usize,
+    },
 }
 
+/// Beyond what a pull waits for something loud.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1000);
+
 /// One direction and role; processor time by what was done.
 #[derive(Clone, Copy, Default)]
 struct Sum {
@@ -75,9 +83,25 @@
     addresses: std::collections::HashMap<std::net::SocketAddr, usize>,
     list: vanepath_setup::platform::PlatformList,
     oversized: u64,
+    /// Its machine is gone without a word: nothing comes or goes.
+    silenced: Option<usize>,
+}
+
+/// How many daemons each one takes for live, itself included: the fewest and the most of that.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Known {
+    fewest: usize,
+    most: usize,
 }
 
 impl Run {
+    fn known(&self, now: Duration) -> Known {
+        let there = self.daemons.iter().filter(|one| Some(one.index) != self.silenced);
+        let counts: Vec<usize> = there.map(|daemon| daemon.core.live(now).count()).collect();
+        let fewest = counts.iter().copied().min().unwrap_or(0);
+        Known { fewest, most: counts.iter().copied().max().unwrap_or(0) }
+    }
+
     fn push(&mut self, at: Duration, whom: usize, what: What) {
         self.next += 1;
         self.queue.push(Reverse((at, self.next, whom)));
@@ -96,15 +120,20 @@
     }
 
     fn step(&mut self, now: Duration, whom: usize, event: Event) {
-        let started = Instant::now();
+        let started = super::spent();
         let effects = self.daemons[whom].core.step(now, event);
-        self.daemons[whom].sum.step += started.elapsed();
+        self.daemons[whom].sum.step += super::spent().saturating_sub(started);
         for effect in effects {
             match effect {
                 Effect::Pull { address, pull } => {
                     let Some(to) = self.addresses.get(&address).copied() else { continue };
+                    let limit = Duration::from_millis(u64::from(pull.wait_ms)) + ANSWER_LIMIT;
                     let bytes = self.encode(whom, || wire::encode(&wire::Request::Pull(pull)));
                     self.daemons[whom].sum.pulls += 1;
+                    if self.silenced == Some(to) {
+                        self.push(now + limit, whom, What::Unanswered { from: to });
+                        continue;
+                    }
                     let at = now + self.delay(whom, to);
                     self.push(at, to, What::Pull { from: whom, bytes });
                 }
@@ -121,10 +150,10 @@
     }
 
     fn encode(&mut self, whom: usize, encode: impl FnOnce() -> Vec<u8>) -> Vec<u8> {
-        let started = Instant::now();
+        let started = super::spent();
         let bytes = encode();
         let sum = &mut self.daemons[whom].sum;
-        sum.code += started.elapsed();
+        sum.code += super::spent().saturating_sub(started);
         sum.bytes_out += bytes.len() as u64 + 4;
         sum.largest = sum.largest.max(bytes.len());
         self.oversized += u64::from(bytes.len() > wire::FRAME_MOST);
@@ -132,10 +161,10 @@
     }
 
     fn decode<T>(&mut self, whom: usize, bytes: &[u8], decode: impl Fn(&[u8]) -> Option<T>) -> T {
-        let started = Instant::now();
+        let started = super::spent();
         let value = decode(bytes).expect("what was encoded here");
         let sum = &mut self.daemons[whom].sum;
-        sum.code += started.elapsed();
+        sum.code += super::spent().saturating_sub(started);
         sum.bytes_in += bytes.len() as u64 + 4;
         value
     }
@@ -153,7 +182,14 @@
                 return true;
             }
             let what = self.whats.remove(&number).expect("each is there once");
+            if self.silenced == Some(whom) {
+                continue;
+            }
             match what {
+                What::Unanswered { from } => {
+                    let address = self.daemons[from].core.own().sibling_address;
+                    self.step(now, whom, Event::Told { address, news: None });
+                }
                 What::Pulse => {
                     self.step(now, whom, Event::Pulse);
                     self.push(now + PULSE, whom, What::Pulse);
@@ -166,6 +202,7 @@
                         &self.list,
                         self.plan.services,
                         turn,
+                        self.plan.judged,
                     );
                     self.step(now, whom, Event::Detail(detail));
                     self.push(now + DETAIL_EVERY, whom, What::Detail(turn + 1));
@@ -212,6 +249,9 @@
     }
 }
 
+/// The run goes on for so long after one was silenced.
+const SILENCED_FOR: Duration = Duration::from_secs(6);
+
 /// All that a daemon tells of itself but its detail.
 fn whole(core: &News) -> wire::Delta {
     wire::Delta {
@@ -232,7 +272,7 @@
     let seeds: Vec<std::net::SocketAddr> =
         cards.iter().take(3).map(|card| card.sibling_address).collect();
     let mut random = crate::sim::Random::new(7);
-    let list = super::platform(plan.servers, plan.services);
+    let list = super::platform(plan.servers, plan.services, plan.judged);
     let mut run = Run {
         plan: plan.clone(),
         daemons: Vec::new(),
@@ -246,14 +286,20 @@
             .collect(),
         list,
         oversized: 0,
+        silenced: None,
     };
     let second = Duration::from_secs(1);
-    let report = wire::Report { ready: true, settled: true, ..wire::Report::default() };
+    let report_of = |role: wire::Role| wire::Report {
+        ready: true,
+        settled: true,
+        whole: role == wire::Role::Registry,
+        ..wire::Report::default()
+    };
     for (index, card) in cards.into_iter().enumerate() {
         // Lives are wall clocks with a random part, as the shell makes them.
         let life = LIFE + (random.draw() & 0xffff);
         let at = second + random.between(Duration::ZERO, second);
-        let is_proxy = card.role == wire::Role::Proxy;
+        let role = card.role;
         run.daemons.push(Daemon {
             core: News::new(card, seeds.clone(), life, if plan.joins { at } else { second }),
             waiting: Default::default(),
@@ -261,9 +307,9 @@
             sum: Sum::default(),
             index,
         });
-        run.step(at, index, Event::Report(report.clone()));
+        run.step(at, index, Event::Report(report_of(role)));
         run.push(at, index, What::Pulse);
-        if is_proxy && plan.details {
+        if role == wire::Role::Proxy && plan.details {
             let first = at + random.between(Duration::ZERO, DETAIL_EVERY);
             run.push(first, index, What::Detail(1));
         }
@@ -301,10 +347,7 @@
         vec![("daemons", plan.daemons), ("servers", plan.servers), ("services", plan.services)];
     let begin = 2 * second + plan.settle;
     let mut is_whole = run.until(begin, limit, |_, _| true);
-    let knows = |run: &Run, now: Duration| {
-        run.daemons.iter().map(|daemon| daemon.core.live(now).count()).min().unwrap_or(0)
-    };
-    let known = knows(&run, begin);
+    let known = run.known(begin);
     let joining = run.take_sums();
     let end = begin + plan.measure;
     let mut ended_at = begin;
@@ -351,7 +394,7 @@
     let mut spread_bytes = f64::NAN;
     let mut spread_cost = f64::NAN;
     if is_whole {
-        let setup = super::setup_text(plan.routes, plan.services).into_bytes();
+        let setup = super::setup_text(plan.routes, plan.services, plan.judged).into_bytes();
         let word = wire::Word { revision: 9, setup_revision: 9, setup, ..wire::Word::default() };
         let told = run.daemons.iter().position(|one| one.core.own().role == wire::Role::Store);
         run.step(end, told.unwrap_or(0), Event::Word(Arc::new(word)));
@@ -398,7 +441,7 @@
         let card = run.daemons[last].core.own().clone();
         run.daemons[last].core = News::new(card, seeds.clone(), LIFE + 0x1_0000, at);
         run.daemons[last].waiting.clear();
-        run.step(at, last, Event::Report(report));
+        run.step(at, last, Event::Report(report_of(wire::Role::Proxy)));
         let mut known_at = None;
         let whole = run.until(at + 2 * second, limit, |run, now| {
             if known_at.is_none() && run.daemons[last].core.sources.len() + 1 == plan.daemons {
@@ -413,13 +456,40 @@
             restart_known = known_at.map_or(f64::NAN, |known| (known - at).as_secs_f64());
         }
     }
+    // One proxy falls silent: all others see that, and nobody sees another one as gone.
+    let mut unseen = f64::NAN;
+    let mut left = Known { fewest: 0, most: 0 };
+    if is_whole && (plan.joins || restart_known.is_finite()) {
+        let at = end + 6 * second;
+        let is_there = run.until(at, limit, |_, _| true);
+        run.silenced = Some(plan.daemons - 2);
+        let all_but_one = Known { fewest: plan.daemons - 1, most: plan.daemons - 1 };
+        let mut seen_at = None;
+        let mut looked_at = at;
+        let is_there = is_there
+            && run.until(at + SILENCED_FOR, limit, |run, now| {
+                if seen_at.is_none() && now >= looked_at + Duration::from_millis(100) {
+                    looked_at = now;
+                    seen_at = (run.known(now) == all_but_one).then_some(now);
+                }
+                true
+            });
+        if is_there {
+            left = run.known(at + SILENCED_FOR);
+            unseen = seen_at.map_or(f64::NAN, |seen| (seen - at).as_secs_f64());
+        }
+    }
     let joined: f64 = joining.iter().map(|one| (one.1.step + one.1.code).as_secs_f64()).sum();
     let joined_bytes: f64 = joining.iter().map(|one| one.1.bytes_in as f64).sum();
     rows.push(Row {
         what: "news, all".to_string(),
         size,
         figures: vec![
-            ("live as the least knowing has it", known as f64),
+            ("live as the least knowing has it", known.fewest as f64),
+            ("live at the most", known.most as f64),
+            ("s until all see a silenced one as gone", unseen),
+            ("live then at the least", left.fewest as f64),
+            ("live then at the most", left.most as f64),
             ("s until a new setup is everywhere", spread),
             ("kB each in the 3 s from it on", spread_bytes),
             ("ms of a core each in those", spread_cost),
--- a/fleet/src/scale/mod.rs
+++ b/fleet/src/scale/mod.rs
@@ -4,7 +4,7 @@
 pub mod cores;
 pub mod hollow;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use vanepath_setup::platform::{PlatformList, Server};
 use vanepath_sibling::wire;
 
@@ -14,6 +14,8 @@
 pub const SERVICES: usize = 270;
 pub const ROUTES: usize = 1100;
 pub const TENANTS: usize = 22_000;
+/// Requests that a server works on at one time.
+const SLOTS: u32 = 8;
 
 /// 16 zones in 6 regions, the first four of three zones and the others of two.
 pub const ZONES: [(&str, &str); 16] = [
@@ -35,6 +37,15 @@
     ("d3", "d"),
 ];
 
+/// How proxies judge the servers of all services.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judged {
+    /// By the traffic that they get, a probe only in doubt; servers tell their slots (design 8.6, 8.7).
+    ByTraffic,
+    /// By probes all the time; servers tell no slots.
+    ByProbes,
+}
+
 /// So much of `whole` as `daemons` are of the design's.
 pub fn in_proportion(whole: usize, daemons: usize) -> usize {
     (whole * daemons / DAEMONS).max(1)
@@ -42,7 +53,11 @@
 
 /// A setup with so many routes: each service has a few hosts and paths, some rules are bound to a region,
 /// some spill, and the last takes the rest.
-pub fn setup_text(routes: usize, services: usize) -> String {
+pub fn setup_text(routes: usize, services: usize, judged: Judged) -> String {
+    let probes = match judged {
+        Judged::ByTraffic => r#", "probes": "in-doubt""#,
+        Judged::ByProbes => "",
+    };
     let mut text = String::from(r#"{"places": ["#);
     let places: Vec<String> = ZONES
         .iter()
@@ -58,7 +73,7 @@
         .map(|service| {
             format!(
                 r#"{{"name": "service-{service}", "selector": "app = service-{service}",
-                     "livenessPath": "/live", "cold": {{"ratePerSecond": 5, "periodMs": 8000}}}}"#
+                     "livenessPath": "/live", "cold": {{"ratePerSecond": 5, "periodMs": 8000}}{probes}}}"#
             )
         })
         .collect();
@@ -87,13 +102,13 @@
     text + r#"{"name": "rest", "class": "lookup", "service": "service-0"}]}"#
 }
 
-pub fn setup(routes: usize, services: usize) -> vanepath_setup::model::Setup {
-    vanepath_setup::model::parse(setup_text(routes, services).as_bytes())
+pub fn setup(routes: usize, services: usize, judged: Judged) -> vanepath_setup::model::Setup {
+    vanepath_setup::model::parse(setup_text(routes, services, judged).as_bytes())
         .expect("a setup without faults")
 }
 
 /// So many servers, spread over all zones and services.
-pub fn platform(servers: usize, services: usize) -> PlatformList {
+pub fn platform(servers: usize, services: usize, judged: Judged) -> PlatformList {
     let one = |index: usize| {
         let (zone, region) = ZONES[index % ZONES.len()];
         let address = [10, 1 + (index >> 16) as u8, (index >> 8) as u8, index as u8];
@@ -106,7 +121,7 @@
                 .into(),
             leaving: false,
             cold: false,
-            slots: 0,
+            slots: if judged == Judged::ByTraffic { SLOTS } else { 0 },
         }
     };
     PlatformList { revision: 1, servers: (0..servers).map(one).collect() }
@@ -119,8 +134,12 @@
         .iter()
         .map(|server| {
             let state = if server.leaving { "leaving" } else { "ready" };
+            let slots = match server.slots {
+                0 => String::new(),
+                slots => format!(r#", "slots": {slots}"#),
+            };
             format!(
-                r#"{{"id": "{}", "address": "{}", "region": "{}", "zone": "{}", "labels": {}, "state": "{state}"}}"#,
+                r#"{{"id": "{}", "address": "{}", "region": "{}", "zone": "{}", "labels": {}, "state": "{state}"{slots}}}"#,
                 server.id,
                 server.address,
                 server.region,
@@ -159,20 +178,27 @@
         .collect()
 }
 
-/// What a proxy tells registries on a quiet day: of the servers of its own zone, of its part of those that
-/// three proxies watch, and what it takes of each service.
+/// What a proxy tells registries on a quiet day: what it takes of each service, and of one server in doubt;
+/// where servers are judged by probes, of those of its own zone and of its part of those that three
+/// proxies watch.
 pub fn detail(
     proxy: usize,
     proxies: usize,
     list: &PlatformList,
     services: usize,
     turn: u64,
+    judged: Judged,
 ) -> wire::Detail {
     let zone = proxy % ZONES.len();
-    let watched = (3 * list.servers.len()).div_ceil(proxies.max(1));
+    let watched = match judged {
+        Judged::ByTraffic => 1,
+        Judged::ByProbes => (3 * list.servers.len()).div_ceil(proxies.max(1)),
+    };
     let own = (zone..list.servers.len()).step_by(ZONES.len());
-    let others = (0..watched).map(|index| (index * 31 + proxy * 7) % list.servers.len());
-    let seen: std::collections::BTreeSet<usize> = own.chain(others).collect();
+    let own = own.take_while(|_| judged == Judged::ByProbes);
+    let others = (0..watched).map(|index| (index * 31 + proxy * 7) % list.servers.len().max(1));
+    let seen: std::collections::BTreeSet<usize> =
+        own.chain(others).filter(|index| *index < list.servers.len()).collect();
     let sights = seen
         .into_iter()
         .map(|index| wire::Sight {
@@ -189,15 +215,25 @@
     wire::Detail { sights, in_hand: vec![3, 1, 0], waiting: vec![0; 3], taken: taken.collect() }
 }
 
-/// Runs something again and again for about `span`; the mean time of one.
+/// Processor time of this thread so far: what other work on the machine takes is not in it.
+pub fn spent() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// Runs something again and again for about `span`; the mean processor time of one.
 pub fn each<R>(span: Duration, mut act: impl FnMut() -> R) -> Duration {
-    let started = Instant::now();
+    let started = spent();
     let mut count = 0_u32;
     loop {
         std::hint::black_box(act());
         count += 1;
-        if started.elapsed() >= span {
-            return started.elapsed() / count;
+        // Asking for the time costs as much as the shortest of these acts.
+        if count.is_power_of_two() || count.is_multiple_of(64) {
+            let taken = spent().saturating_sub(started);
+            if taken >= span {
+                return taken / count;
+            }
         }
     }
 }
--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -2,19 +2,20 @@
 
 use std::time::Duration;
 use vanepath_fleet::scale;
+use vanepath_fleet::scale::Judged::{ByProbes, ByTraffic};
 use vanepath_sibling::wire;
 
 #[test]
 fn a_setup_and_a_list_of_twice_the_design_size_are_taken() {
-    for times in [1, 2] {
-        let text = scale::setup_text(times * scale::ROUTES, times * scale::SERVICES);
+    for (times, judged) in [(1, ByProbes), (2, ByProbes), (1, ByTraffic), (2, ByTraffic)] {
+        let text = scale::setup_text(times * scale::ROUTES, times * scale::SERVICES, judged);
         let setup = vanepath_setup::model::parse(text.as_bytes()).unwrap();
         assert_eq!(setup.rules.len(), times * scale::ROUTES);
         assert_eq!(setup.services.len(), times * scale::SERVICES);
         // Tenants are of later setups: a hundred bytes for each.
         let room = vanepath_setup::model::BYTES_MOST;
         assert!(text.len() + times * scale::TENANTS * 100 < room, "{} of {room}", text.len());
-        let list = scale::platform(times * scale::SERVERS, times * scale::SERVICES);
+        let list = scale::platform(times * scale::SERVERS, times * scale::SERVICES, judged);
         let text = scale::platform_text(&list);
         let read = vanepath_setup::platform::parse(text.as_bytes()).unwrap();
         assert!(read == list);
@@ -26,8 +27,9 @@
 #[test]
 fn the_news_of_twice_the_design_size_are_within_a_frame() {
     let (daemons, servers) = (2 * scale::DAEMONS, 2 * scale::SERVERS);
-    let mut asked = scale::cores::informed(daemons, servers, 2 * scale::SERVICES, true);
-    let mut setup = scale::setup_text(2 * scale::ROUTES, 2 * scale::SERVICES).into_bytes();
+    let mut asked = scale::cores::informed(daemons, servers, 2 * scale::SERVICES, true, ByProbes);
+    let mut setup =
+        scale::setup_text(2 * scale::ROUTES, 2 * scale::SERVICES, ByProbes).into_bytes();
     setup.resize(vanepath_setup::model::BYTES_MOST, b' ');
     let word = wire::Word { revision: 9, setup_revision: 9, setup, ..wire::Word::default() };
     let now = Duration::from_secs(101);
@@ -70,15 +72,17 @@
     assert_eq!(news.platform.unwrap().servers.len(), servers);
 }
 
-/// The measure itself: hollow daemons hear of each other, of a new setup and of one that starts anew.
+/// The measure itself: hollow daemons hear of each other, of a new setup, of one that starts anew and of
+/// one that falls silent.
 #[test]
 fn hollow_daemons_know_all_and_a_setup_gets_everywhere() {
-    for joins in [false, true] {
+    for (joins, judged) in [(false, ByTraffic), (true, ByTraffic), (false, ByProbes)] {
         let plan = scale::hollow::Plan {
             daemons: 30,
             servers: 200,
             services: 12,
             routes: 50,
+            judged,
             details: true,
             joins,
             settle: Duration::from_secs(4),
@@ -89,6 +93,10 @@
         let all = rows.last().unwrap();
         let figure = |name: &str| all.figures.iter().find(|one| one.0 == name).unwrap().1;
         assert_eq!(figure("live as the least knowing has it"), 30.0);
+        assert_eq!(figure("live at the most"), 30.0);
+        assert!(figure("s until all see a silenced one as gone") < 6.0, "{all}");
+        assert_eq!(figure("live then at the least"), 29.0);
+        assert_eq!(figure("live then at the most"), 29.0);
         assert!(figure("s until a new setup is everywhere") < 2.0, "{all}");
         assert!(joins || figure("s until it knows all") < 2.0, "{all}");
         assert_eq!(rows.len(), 4);
