--- a/setup/src/settings.rs
+++ b/setup/src/settings.rs
@@ -98,7 +98,11 @@
         "zones",
         "the region of each zone, if the platform list does not tell it (file only)",
     ),
-    ("linkMbps", "link-mbps", "proxy only: what its machine's link carries, in Mbit/s (file only)"),
+    (
+        "linkMegabits",
+        "link-megabits",
+        "proxy only: what its machine's link carries, in Mbit/s (file only)",
+    ),
     ("retries", "retries", "proxy only: further attempts of the fleet for a service (file only)"),
 ];
 
@@ -106,7 +110,7 @@
     match key {
         "dataFolder" | "stores" | "storeLosses" | "firstStart" => role == Role::Store,
         "platform" | "directoryListen" => role == Role::Registry,
-        "retries" | "linkMbps" => role == Role::Proxy,
+        "retries" | "linkMegabits" => role == Role::Proxy,
         _ => true,
     }
 }
@@ -128,7 +132,7 @@
     }
     for (key, flag, meaning) in KEYS.iter().filter(|(key, _, _)| allowed(role, key)) {
         match *key {
-            "zones" | "retries" | "linkMbps" => continue,
+            "zones" | "retries" | "linkMegabits" => continue,
             "seeds" => options.optmulti("", flag, meaning, "IP:PORT"),
             _ => options.optopt("", flag, meaning, "VALUE"),
         };
@@ -175,7 +179,7 @@
         }
     }
     for (key, flag, _) in KEYS.iter().filter(|(key, _, _)| allowed(role, key)) {
-        if matches!(*key, "zones" | "retries" | "linkMbps") {
+        if matches!(*key, "zones" | "retries" | "linkMegabits") {
             continue;
         }
         let given = matches.opt_strs(flag);
@@ -292,7 +296,7 @@
         address(reader, "$.directoryListen", values.get("directoryListen"), false, false);
     let zones = zones(reader, values.get("zones"));
     let retries = retries(reader, values.get("retries"));
-    let link_mbps = reader.number("$.linkMbps", values.get("linkMbps"), 0.01, 1e7);
+    let link_mbps = reader.number("$.linkMegabits", values.get("linkMegabits"), 0.01, 1e7);
     Some(Settings {
         role,
         fleet: fleet?,
