--- /dev/null
+++ b/sibling/tests/light.rs
@@ -0,0 +1,156 @@
+//! Daemons that registries serve (design 5.3): who is live for them, and what makes them fresh.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use vanepath_sibling::news::{Effect, Event, News};
+use vanepath_sibling::wire;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn card(name: &str, role: wire::Role, port: u16) -> wire::Card {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    wire::Card {
+        name: name.to_string(),
+        role,
+        region: "a".to_string(),
+        zone: "a1".to_string(),
+        address,
+        sibling_address: address,
+    }
+}
+
+fn delta(name: &str, role: wire::Role, port: u16, report: wire::Report) -> wire::Delta {
+    wire::Delta {
+        name: name.to_string(),
+        mark: wire::Mark { life: 5, counter: 1, edition: 1, detail: 0 },
+        age_ms: 0,
+        card: Some(card(name, role, port)),
+        report: Some(report),
+        detail: None,
+    }
+}
+
+fn told(
+    news: &mut News,
+    now: Duration,
+    port: u16,
+    deltas: Vec<wire::Delta>,
+    silent: Option<&[&str]>,
+) {
+    let names = |names: &[&str]| {
+        let mut names: Vec<u32> = names.iter().map(|name| wire::short_name(name)).collect();
+        names.sort_unstable();
+        names
+    };
+    let told = wire::News { deltas, silent: silent.map(names), ..wire::News::default() };
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    news.step(now, Event::Told { address, news: Some(Box::new(told)) });
+}
+
+fn pulled(effects: Vec<Effect>) -> Vec<u16> {
+    let mut ports: Vec<u16> = effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Pull { address, .. } => Some(address.port()),
+            _ => None,
+        })
+        .collect();
+    ports.sort_unstable();
+    ports
+}
+
+/// After all processes were killed no registry is ready yet: a store that has asked a majority since it
+/// runs vouches for the word at once, and one that has not does not.
+#[test]
+fn a_settled_store_makes_fresh_at_once() {
+    for settled in [false, true] {
+        let seeds = vec![SocketAddr::from(([127, 0, 0, 1], 7))];
+        let mut news = News::new(card("p", wire::Role::Proxy, 1), seeds, 9, ms(0));
+        news.step(ms(10), Event::Pulse);
+        let report = wire::Report { ready: true, settled, ..wire::Report::default() };
+        told(&mut news, ms(50), 7, vec![delta("s", wire::Role::Store, 7, report)], None);
+        assert_eq!(news.is_fresh(ms(60)), settled);
+    }
+}
+
+/// It goes by what registries say: who is silent for all that speak is not live, whom one of them holds
+/// for live is, and while none speaks nobody is judged.
+#[test]
+fn a_light_daemon_goes_by_what_registries_say() {
+    let mut news = News::new(card("p0", wire::Role::Proxy, 1), Vec::new(), 9, ms(0));
+    let whole = wire::Report { ready: true, whole: true, ..wire::Report::default() };
+    let deltas = vec![
+        delta("r1", wire::Role::Registry, 11, whole.clone()),
+        delta("r2", wire::Role::Registry, 12, whole),
+        delta("p1", wire::Role::Proxy, 2, wire::Report::default()),
+        delta("p2", wire::Role::Proxy, 3, wire::Report::default()),
+    ];
+    told(&mut news, ms(100), 11, deltas, Some(&[]));
+    news.step(ms(150), Event::Pulse);
+    let live = |news: &News, now: Duration| {
+        let mut names: Vec<String> = news.live(now).map(|one| one.0.name.clone()).collect();
+        names.sort_unstable();
+        names.join(" ")
+    };
+    for now in (200..8000).step_by(50) {
+        news.step(ms(now), Event::Pulse);
+        if now % 500 == 0 {
+            told(&mut news, ms(now), 11, Vec::new(), Some(&["p1"]));
+            told(&mut news, ms(now), 12, Vec::new(), Some(if now < 4000 { &[] } else { &["p1"] }));
+        }
+        if now == 3900 {
+            assert_eq!(live(&news, ms(now)), "p0 p1 p2 r1 r2", "one registry hears it");
+        }
+    }
+    assert_eq!(live(&news, ms(8000)), "p0 p2 r1 r2");
+    // Both fall silent: they are not live any more, and nobody else is judged by that.
+    for now in (8000..14_000).step_by(50) {
+        news.step(ms(now), Event::Pulse);
+    }
+    assert_eq!(live(&news, ms(14_000)), "p0 p2");
+}
+
+/// A proxy pulls from two registries, and from any that does not hear from most others; a store from
+/// all other stores too.
+#[test]
+fn whom_light_daemons_pull_from() {
+    for (role, is_apart, wanted) in [
+        (wire::Role::Proxy, false, "two of 11 12 13"),
+        (wire::Role::Proxy, true, "11 12 13"),
+        (wire::Role::Store, false, "two of 11 12 13, 21 22"),
+    ] {
+        let seeds = vec![SocketAddr::from(([127, 0, 0, 1], 11))];
+        let mut news = News::new(card("x", role, 1), seeds, 9, ms(0));
+        news.step(ms(10), Event::Pulse);
+        let report = |whole| wire::Report { ready: true, whole, ..wire::Report::default() };
+        let mut deltas: Vec<wire::Delta> = (0..4)
+            .map(|index| delta(&format!("p{index}"), wire::Role::Proxy, 30 + index, report(false)))
+            .collect();
+        for (port, whole) in [(11, true), (12, true), (13, !is_apart)] {
+            deltas.push(delta(&format!("r{port}"), wire::Role::Registry, port, report(whole)));
+        }
+        for port in [21, 22] {
+            deltas.push(delta(&format!("s{port}"), wire::Role::Store, port, report(false)));
+        }
+        // The seed replies, and again; from then on lines are chosen by what is known.
+        told(&mut news, ms(100), 11, deltas, Some(&[]));
+        let mut ports = vec![11];
+        for now in [150, 200, 250] {
+            ports.extend(pulled(news.step(ms(now), Event::Pulse)));
+        }
+        ports.sort_unstable();
+        ports.dedup();
+        let registries = ports.iter().filter(|port| **port < 20).count();
+        let stores = ports.iter().filter(|port| (20..30).contains(*port)).count();
+        let proxies = ports.iter().filter(|port| **port >= 30).count();
+        let counted = match (registries, stores, proxies) {
+            (2, 0, 0) => "two of 11 12 13",
+            (3, 0, 0) => "11 12 13",
+            (2, 2, 0) => "two of 11 12 13, 21 22",
+            _ => "others",
+        };
+        assert_eq!(counted, wanted, "{ports:?}");
+    }
+}
