Read through: no copy of each answer's headers, names kept instead of rebuilt, one refusal

Work that need not be there: every answer's headers were cloned to read one of them; a registry rebuilt the set of all names, and looked for each asker among all sources, twenty times a second. And the directory's two calls told their refusals in two copies of one piece. Behaviour is as it was.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -818,14 +818,14 @@
         if head.status == hyper::StatusCode::SWITCHING_PROTOCOLS {
             return Err(Miss::Truncated);
         }
-        let reply_headers = head.headers.clone();
+        let kept_for = crate::pool::kept_for(&head.headers);
         let mut reply = Reply {
             head,
             read: Default::default(),
             rest: Some(incoming),
             sender: Some(sender),
             greeted_at,
-            kept_for: crate::pool::kept_for(&reply_headers),
+            kept_for,
             slot: self.entry.slot,
             is_other_zone: self.is_other_zone,
         };
--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -83,18 +83,21 @@
     }
     match steered.receipt {
         Ok(receipt) => daemon::json(StatusCode::OK, &receipt),
-        Err(why) => {
-            registry.tally.one(match why {
-                crate::directory::NoReceipt::Behind => Counter::SteerRefusedBehind,
-                crate::directory::NoReceipt::CutOff => Counter::SteerRefusedCutOff,
-                crate::directory::NoReceipt::NotReady => Counter::SteerRefusedNotReady,
-            });
-            let error = jzon::object! { "error": why.to_string() };
-            come_back(StatusCode::SERVICE_UNAVAILABLE, &error, 1)
-        }
+        Err(why) => steers_nobody(registry, why),
     }
 }
 
+/// Why there is no order from here; another directory may have one.
+fn steers_nobody(registry: &Registry, why: crate::directory::NoReceipt) -> Receipt {
+    registry.tally.one(match why {
+        crate::directory::NoReceipt::Behind => Counter::SteerRefusedBehind,
+        crate::directory::NoReceipt::CutOff => Counter::SteerRefusedCutOff,
+        crate::directory::NoReceipt::NotReady => Counter::SteerRefusedNotReady,
+    });
+    let error = jzon::object! { "error": why.to_string() };
+    come_back(StatusCode::SERVICE_UNAVAILABLE, &error, 1)
+}
+
 /// The order of places as plain addresses, for clients that choose among them by themselves.
 fn addresses(registry: &Registry, query: &str) -> Receipt {
     registry.tally.one(Counter::SteerPolls);
@@ -104,15 +107,7 @@
     let is_ready = view.is_fresh && registry.daemon.is_awake() && !registry.daemon.is_stopping();
     match crate::directory::addresses(&view, is_ready, own, query, daemon::random()) {
         Ok(answer) => daemon::json(StatusCode::OK, &answer),
-        Err(why) => {
-            registry.tally.one(match why {
-                crate::directory::NoReceipt::Behind => Counter::SteerRefusedBehind,
-                crate::directory::NoReceipt::CutOff => Counter::SteerRefusedCutOff,
-                crate::directory::NoReceipt::NotReady => Counter::SteerRefusedNotReady,
-            });
-            let error = jzon::object! { "error": why.to_string() };
-            come_back(StatusCode::SERVICE_UNAVAILABLE, &error, 1)
-        }
+        Err(why) => steers_nobody(registry, why),
     }
 }
 
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -254,7 +254,7 @@
             wants_list: false,
             askers: std::collections::HashMap::new(),
             silent: Vec::new(),
-            names: Default::default(),
+            names: [short].into(),
             told_loud: 0,
             judged_at: None,
             is_served: false,
@@ -455,6 +455,8 @@
         if self.sources.len() < before {
             let names = self.sources.iter().map(|source| source.card.name.clone());
             self.by_name = names.zip(0..).collect();
+            let shorts = self.sources.iter().map(|source| source.short);
+            self.names = shorts.chain([self.short]).collect();
         }
         let mut just_lost = std::mem::take(&mut self.doubted);
         let (role, judged_at) = (self.own.role, self.judged_at);
@@ -492,9 +494,7 @@
             self.silent = silent;
             self.loud += 1;
         }
-        let names = self.sources.iter().map(|source| source.short);
-        self.names = names.chain([wire::short_name(&self.own.name)]).collect();
-        self.askers.retain(|name, _| self.sources.iter().any(|one| one.card.name == *name));
+        self.askers.retain(|name, _| self.by_name.contains_key(name));
     }
 
     /// The lines of a daemon that registries serve: the nearest registry and one of another region;
