Servers are chosen by what a request costs: crowding, pace, way and bytes

Change: the choice takes the server of least cost; pace, usual work and size, zones' fill and way are learned from answers (proxy/src/usual.rs, design 8.7).

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -780,7 +780,9 @@
         self.address(request.headers_mut());
         chart.state = State::Sent;
         chart.sends += 1;
-        self.proxy.servers.sent(self.proxy.now(), self.entry.slot);
+        let sent_at = self.proxy.now();
+        self.proxy.servers.sent(sent_at, self.entry.slot);
+        let lateness = self.proxy.servers.lateness(sent_at, self.entry.slot);
         let sent = {
             let sending = sender.try_send_request(request);
             tokio::pin!(sending);
@@ -818,6 +820,9 @@
         if head.status == hyper::StatusCode::SWITCHING_PROTOCOLS {
             return Err(Miss::Truncated);
         }
+        if !head.status.is_server_error() {
+            self.hear_time(&head.headers, told, sent_at, lateness);
+        }
         let kept_for = crate::pool::kept_for(&head.headers);
         let mut reply = Reply {
             head,
@@ -884,6 +889,26 @@
         Ok(())
     }
 
+    /// How long the server took, for what is usual (design 8.7).
+    fn hear_time(&self, headers: &HeaderMap, told: &Told, sent_at: Duration, lateness: f64) {
+        let length = |headers: &HeaderMap| -> Option<f64> {
+            headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+        };
+        let asked = length(&told.headers).unwrap_or(0.0);
+        let class = &self.table.setup.classes[self.table.setup.rules[self.rule].class];
+        let now = self.proxy.now();
+        let answered = crate::servers::Answered {
+            slot: self.entry.slot,
+            class: &class.name,
+            service: &self.service.name,
+            is_bulk: class.bulk,
+            took: now.saturating_sub(sent_at),
+            lateness,
+            kilobytes: length(headers).map(|length| (length + asked) / 1000.0),
+        };
+        self.proxy.servers.answered(now, answered);
+    }
+
     fn hear_demand(&self, headers: &HeaderMap) {
         let dialect = self.proxy.daemon.settings.dialect;
         let Some(value) = headers.get(dialect.headers().load) else {
@@ -939,12 +964,16 @@
         self.proxy.tally.one(Counter::ConnectionsOpened);
         let untidy = self.proxy.untidy(slot, &self.entry.server.id);
         let is_far = self.entry.server.region != self.proxy.daemon.settings.region;
+        let opened_at = self.proxy.now();
         let connected = match is_greeted {
             true => crate::pool::connect(dialect, self.entry, self.service, untidy).await,
             false => crate::pool::open(self.entry, is_far, untidy)
                 .await
                 .map(|sender| (sender, Default::default())),
         };
+        if !is_greeted && connected.is_ok() {
+            self.proxy.servers.connected(slot, self.proxy.now().saturating_sub(opened_at));
+        }
         match connected {
             Ok((sender, greeted)) => {
                 if is_greeted && self.proxy.servers.is_untidy(slot) {
--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -1,5 +1,6 @@
-//! The choice among servers that say how many requests each works on at one time (design 8.7): by
-//! free slots, the nearest first, and by the shortest queue where none is free. Pure.
+//! The choice among servers that say how many requests each works on at one time (design 8.7): the one
+//! at which a request costs least, by the time that it takes there, the time that it takes from others
+//! who are with it, and the way of its bytes. Pure.
 
 /// Where a server stands as seen from this proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,79 +21,100 @@
     /// Requests that are with it, those of other proxies estimated.
     pub load: f64,
     pub slots: f64,
+    /// How long it takes for its work, as a multiple of what is usual in the service.
+    pub pace: f64,
+    /// There and back.
+    pub way_ms: f64,
 }
 
+/// What is known of a request before it is sent, by those like it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Job {
+    /// What a server of usual pace takes that has room.
+    pub work_ms: f64,
+    /// Request and answer together.
+    pub kilobytes: f64,
+}
+
+/// Waiting that a kilobyte is worth which stays in the zone.
+const KILOBYTE_MS: f64 = 20.0;
+/// A server takes longer for everything as it fills up: what the last free slot costs, as a multiple of
+/// the first ones, with what the others there lose by it.
+const LAST_SLOT: f64 = 2.8;
+/// The same of a whole queue as long as its slots.
+const QUEUE: f64 = 3.0;
+/// How much longer a request takes with all slots in use.
+const FULL_TAKES: f64 = 1.6;
+
 impl Candidate {
     /// Its requests as a multiple of what it works on at one time, this one included.
     fn fill(&self) -> f64 {
         (self.load + 1.0) / self.slots
     }
-}
 
-/// One step of the search: servers up to this distance whose fill stays at most so much.
-struct Step {
-    farthest: Distance,
-    fill: f64,
+    /// What the request costs here, in milliseconds: to itself, to others, and for its bytes.
+    pub fn cost(&self, job: &Job) -> f64 {
+        let carried = match self.distance {
+            Distance::Own | Distance::Zone => 0.0,
+            Distance::Region | Distance::Far => KILOBYTE_MS * job.kilobytes,
+        };
+        self.way_ms + carried + job.work_ms * self.pace * crowding(self.load + 1.0, self.slots)
+    }
 }
 
-const fn step(farthest: Distance, fill: f64) -> Step {
-    Step { farthest, fill }
+/// Half of the slots, one at the least, are free of cost to others.
+fn roomy(slots: f64) -> f64 {
+    (slots / 2.0).max(1.0)
 }
 
-/// A free slot in the own part of the zone, or a queue of half its slots there; the same in all of the
-/// zone; a free slot or a short queue in the region; then a free slot far away, then longer queues.
-const STEPS: [Step; 10] = [
-    step(Distance::Own, 1.0),
-    step(Distance::Own, 1.5),
-    step(Distance::Zone, 1.0),
-    step(Distance::Zone, 1.5),
-    step(Distance::Region, 1.0),
-    step(Distance::Region, 2.0),
-    step(Distance::Far, 1.0),
-    step(Distance::Region, 3.0),
-    step(Distance::Far, 3.0),
-    step(Distance::Far, FILL_MOST),
-];
+/// The cost of a request that makes it so many at a server, as a multiple of its work.
+fn crowding(load: f64, slots: f64) -> f64 {
+    let roomy = roomy(slots);
+    if load <= roomy {
+        // The emptier of two that have room.
+        0.9 + 0.1 * load / roomy
+    } else if load <= slots {
+        1.0 + (LAST_SLOT - 1.0) * (load - roomy) / (slots - roomy)
+    } else {
+        LAST_SLOT + QUEUE * (load / slots - 1.0)
+    }
+}
 
-/// Large answers stay near for longer: their bytes cost more than a short wait.
-const STEPS_BULK: [Step; 7] = [
-    step(Distance::Own, 1.0),
-    step(Distance::Zone, 1.0),
-    step(Distance::Zone, 2.5),
-    step(Distance::Region, 1.5),
-    step(Distance::Region, 3.0),
-    step(Distance::Far, 2.0),
-    step(Distance::Far, FILL_MOST),
-];
+/// How long a request takes that makes it so many at a server, as a multiple of its work: what is
+/// taken out before a server's pace is judged.
+pub fn lateness(load: f64, slots: f64) -> f64 {
+    let roomy = roomy(slots);
+    if load <= roomy {
+        1.0
+    } else if load <= slots {
+        1.0 + (FULL_TAKES - 1.0) * (load - roomy) / (slots - roomy)
+    } else {
+        FULL_TAKES * load / slots
+    }
+}
 
 /// A server with more than that is full: it would turn the request away.
 pub const FILL_MOST: f64 = 4.0;
 
-/// The server for a request; `None` where all are full. Within a step the least filled one, and of
-/// equal ones the one that the draw falls on.
-pub fn choose(candidates: &[Candidate], is_bulk: bool, random: u64) -> Option<usize> {
-    let steps: &[Step] = if is_bulk { &STEPS_BULK } else { &STEPS };
+/// The server for a request; `None` where all are full. Of those that cost the same the nearest one,
+/// and of equal ones the one that the draw falls on.
+pub fn choose(candidates: &[Candidate], job: &Job, random: u64) -> Option<usize> {
     let turn = random as usize % candidates.len().max(1);
-    for step in steps {
-        let mut best: Option<(f64, Distance, usize)> = None;
-        for offset in 0..candidates.len() {
-            let one = &candidates[(turn + offset) % candidates.len()];
-            let fill = one.fill();
-            if one.distance > step.farthest || fill > step.fill {
-                continue;
-            }
-            let is_better = best.is_none_or(|(least, distance, _)| {
-                fill < least || (fill == least && one.distance < distance)
-            });
-            if is_better {
-                best = Some((fill, one.distance, one.index));
-            }
+    let mut best: Option<(f64, Distance, usize)> = None;
+    for offset in 0..candidates.len() {
+        let one = &candidates[(turn + offset) % candidates.len()];
+        if one.fill() > FILL_MOST {
+            continue;
         }
-        if let Some((_, _, index)) = best {
-            return Some(index);
+        let cost = one.cost(job);
+        let is_better = best.is_none_or(|(least, distance, _)| {
+            cost < least || (cost == least && one.distance < distance)
+        });
+        if is_better {
+            best = Some((cost, one.distance, one.index));
         }
     }
-    None
+    best.map(|best| best.2)
 }
 
 /// Which servers of a zone are this proxy's part: every server has about as many proxies as every other,
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod servers;
 pub mod shell;
 pub mod takings;
+pub mod usual;
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -1,7 +1,9 @@
 //! The servers as this proxy knows them: a table by read-copy-update, what changes quickly in
 //! shards under their own locks, and the choice among them (design 8.6, 8.7).
 
+use crate::choice::{Candidate, Distance, Job};
 use crate::liveness::{ColdRate, Failure, Liveness, Phase};
+use crate::usual::{Pace, Pool, Usual};
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_sibling::daemon::View;
@@ -52,6 +54,9 @@
     slots: u32,
     /// Requests of other proxies that are with it, by what it told lately.
     others: f64,
+    pub pace: Pace,
+    /// Which of `pools` it belongs to.
+    pool: usize,
     /// In this proxy's part of its zone.
     is_own: bool,
     /// Connections that may rest here, so that all proxies together stay below what it takes.
@@ -275,6 +280,10 @@
     /// An answer is told from another request's by its id, so that a server which sent surplus bytes
     /// may go on with the connections on which it did not.
     pub proves_answers: bool,
+    /// By service and zone.
+    pools: std::sync::Mutex<Vec<((String, String), Pool)>>,
+    /// By class and service.
+    usual: std::sync::Mutex<std::collections::HashMap<(String, String), Usual>>,
 }
 
 impl<C> Default for Servers<C> {
@@ -284,6 +293,8 @@
             shards: (0..SHARDS).map(|_| Default::default()).collect(),
             next_slot: std::sync::atomic::AtomicUsize::new(0),
             proves_answers: false,
+            pools: Default::default(),
+            usual: Default::default(),
         }
     }
 }
@@ -371,6 +382,8 @@
                         demand_at: Duration::ZERO,
                         slots: server.slots,
                         others: 0.0,
+                        pace: Pace::default(),
+                        pool: self.pool(setup, &services, &server.zone),
                         is_own: true,
                         idle_most: IDLE_COUNT_MOST,
                         idle: Vec::new(),
@@ -719,13 +732,13 @@
         want: &Want<'_>,
         random: u64,
     ) -> Choice {
-        use crate::choice::{Candidate, Distance};
         let rule = &table.setup.rules[want.rule];
         let class = &table.setup.classes[rule.class];
         let is_lookup = class.kind == vanepath_setup::model::Kind::Repeatable;
         let mut cold_at: Option<Duration> = None;
         // Well; not trusted with much; dead as far as is known.
-        let mut tiers: [Vec<Seen>; 3] = Default::default();
+        let mut tiers: [Vec<Candidate>; 3] = Default::default();
+        let pools = self.pools.lock().expect("no panic under this lock");
         for index in &table.by_service[want.service] {
             let entry = &table.entries[*index];
             let server = &entry.server;
@@ -761,31 +774,32 @@
                 };
                 let is_own = distance == Distance::Zone && quick.is_own;
                 let distance = if is_own { Distance::Own } else { distance };
-                let (in_hand, others, slots) =
-                    (quick.in_hand as f64, quick.others, f64::from(server.slots));
-                let fresh = quick.freshness(now);
-                Some((tier, Seen { index: *index, distance, in_hand, others, fresh, slots }))
+                let slots = f64::from(server.slots);
+                let pool = &pools[quick.pool].1;
+                let load = quick.load(now, distance, pool.fill(now) * slots);
+                let (index, pace) = (*index, quick.pace.times(now));
+                let way_ms = pool.way_ms(distance);
+                Some((tier, Candidate { index, distance, load, slots, pace, way_ms }))
             });
-            if let Some(Some((tier, seen))) = found {
-                tiers[tier].push(seen);
+            if let Some(Some((tier, candidate))) = found {
+                tiers[tier].push(candidate);
             }
         }
-        let usual = usual_fill(&tiers[0]);
-        let tiers = tiers.map(|tier| -> Vec<Candidate> {
-            tier.into_iter().map(|seen| seen.candidate(usual)).collect()
-        });
-        for (tier, candidates) in tiers.iter().enumerate() {
+        drop(pools);
+        let service = &table.setup.services[want.service];
+        let job = self.job(&class.name, &service.name, class.bulk);
+        for (tier, candidates) in tiers.iter_mut().enumerate() {
             if want.looks && tier == 2 {
                 break;
             }
-            for attempt in 0..3_u64 {
-                let draw = random.rotate_left(attempt as u32 * 16);
-                let Some(index) = crate::choice::choose(candidates, class.bulk, draw) else {
+            for _ in 0..3 {
+                let Some(index) = crate::choice::choose(candidates, &job, random) else {
                     break;
                 };
                 if want.looks || self.take(now, table, index, want.service, tier == 2) {
                     return Choice::Server(index, want.service);
                 }
+                candidates.retain(|one| one.index != index);
             }
             if tier == 1
                 && let Some(cold_at) = cold_at
@@ -926,54 +940,93 @@
     }
 
     pub fn told(&self, now: Duration, slot: usize, demand_milli: u32) {
-        self.with(slot, |quick| {
+        let others = self.with(slot, |quick| {
             // It tells this while the answer's own request still counts as in hand here.
             let told = f64::from(demand_milli) * f64::from(quick.slots) / 1000.0;
             let own = quick.in_hand.saturating_sub(1) as f64;
             quick.others += OTHERS_PART * ((told - own).max(0.0) - quick.others);
             quick.demand_milli = demand_milli;
             quick.demand_at = now;
+            (quick.pool, (told - own).max(0.0) / f64::from(quick.slots.max(1)))
         });
+        if let Some((pool, others)) = others {
+            let mut pools = self.pools.lock().expect("no panic under this lock");
+            pools[pool].1.told(now, others);
+        }
     }
-}
 
-/// A server as a choice sees it.
-struct Seen {
-    index: usize,
-    distance: crate::choice::Distance,
-    in_hand: f64,
-    others: f64,
-    fresh: f64,
-    slots: f64,
-}
+    /// The pool of servers of these services in this zone; a new one if it is the first.
+    fn pool(&self, setup: &vanepath_setup::model::Setup, services: &[usize], zone: &str) -> usize {
+        let service = services.first().map_or("", |index| setup.services[*index].name.as_str());
+        let mut pools = self.pools.lock().expect("no panic under this lock");
+        let is_it = |one: &((String, String), Pool)| one.0.0 == service && one.0.1 == zone;
+        pools.iter().position(is_it).unwrap_or_else(|| {
+            pools.push(((service.to_string(), zone.to_string()), Pool::default()));
+            pools.len() - 1
+        })
+    }
+
+    /// What requests of this class usually are at this service.
+    fn job(&self, class: &str, service: &str, is_bulk: bool) -> Job {
+        let usual = self.usual.lock().expect("no panic under this lock");
+        let known = usual.get(&(class.to_string(), service.to_string()));
+        known.copied().unwrap_or_else(|| Usual::new(is_bulk)).job()
+    }
+
+    /// A connection to this server came up in that time.
+    pub fn connected(&self, slot: usize, took: Duration) {
+        if let Some(pool) = self.with(slot, |quick| quick.pool) {
+            self.pools.lock().expect("no panic under this lock")[pool].1.connected(took);
+        }
+    }
+
+    /// How much later a request is answered for what is with this server now, itself included.
+    pub fn lateness(&self, now: Duration, slot: usize) -> f64 {
+        let lateness = self.with(slot, |quick| {
+            let load = quick.in_hand.max(1) as f64 + quick.freshness(now) * quick.others;
+            crate::choice::lateness(load, f64::from(quick.slots.max(1)))
+        });
+        lateness.unwrap_or(1.0)
+    }
 
-impl Seen {
-    /// Others' requests as it told them; as that grows old, none where this proxy's part is, and as
-    /// many as are usual where all send.
-    fn candidate(&self, usual: f64) -> crate::choice::Candidate {
-        let (index, distance, slots) = (self.index, self.distance, self.slots);
-        let unknown = match distance {
-            crate::choice::Distance::Own => 0.0,
-            _ => usual * slots,
+    /// A request was served so long after it was sent, at a server with this `lateness`.
+    pub fn answered(&self, now: Duration, answered: Answered<'_>) {
+        let Answered { slot, class, service, is_bulk, took, lateness, kilobytes } = answered;
+        let Some(pool) = self.with(slot, |quick| quick.pool) else { return };
+        let way_ms = {
+            let pools = self.pools.lock().expect("no panic under this lock");
+            pools[pool].1.way_ms(Distance::Own)
+        };
+        let took_ms = (took.as_secs_f64() * 1000.0 - way_ms).max(1.0) / lateness;
+        let work_ms = {
+            let mut usual = self.usual.lock().expect("no panic under this lock");
+            if usual.len() > USUAL_MOST {
+                usual.clear();
+            }
+            let key = (class.to_string(), service.to_string());
+            let usual = usual.entry(key).or_insert_with(|| Usual::new(is_bulk));
+            usual.answered(took_ms, kilobytes);
+            usual.job().work_ms
         };
-        let load = self.in_hand + self.fresh * self.others + (1.0 - self.fresh) * unknown;
-        crate::choice::Candidate { index, distance, load, slots }
+        self.with(slot, |quick| quick.pace.answered(now, took_ms / work_ms));
     }
 }
 
-/// How full servers are in the mean, by those that this proxy knows best.
-fn usual_fill(seen: &[Seen]) -> f64 {
-    let sum = |is_known: &dyn Fn(&Seen) -> bool| {
-        let known = seen.iter().filter(|one| is_known(one));
-        known.fold((0.0, 0.0), |(load, slots), one| {
-            (load + one.in_hand + one.fresh * one.others, slots + one.slots)
-        })
-    };
-    let own = sum(&|one| one.distance == crate::choice::Distance::Own);
-    let (load, slots) = if own.1 > 0.0 { own } else { sum(&|one| one.fresh > 0.3) };
-    if slots > 0.0 { (load / slots).min(1.0) } else { 0.3 }
+/// A request that was served, for what is usual.
+pub struct Answered<'a> {
+    pub slot: usize,
+    pub class: &'a str,
+    pub service: &'a str,
+    pub is_bulk: bool,
+    pub took: Duration,
+    pub lateness: f64,
+    /// Request and answer together, where the answer tells.
+    pub kilobytes: Option<f64>,
 }
 
+/// Names come and go with setups.
+const USUAL_MOST: usize = 8192;
+
 impl<C> Quick<C> {
     /// What it told of its demand is old, and nothing of ours is there to tell more: one request
     /// will find out.
@@ -981,6 +1034,14 @@
         self.in_hand == 0 && now.saturating_sub(self.demand_at) > FULL_HOLDS
     }
 
+    /// The requests that are with it. Others' are as it told them; as that grows old, none where this
+    /// proxy's part is, and `usual` elsewhere.
+    fn load(&self, now: Duration, distance: Distance, usual: f64) -> f64 {
+        let fresh = self.freshness(now);
+        let unknown = if distance == Distance::Own { 0.0 } else { usual };
+        self.in_hand as f64 + fresh * self.others + (1.0 - fresh) * unknown
+    }
+
     /// How much what it told last counts still, from 1 to 0.
     fn freshness(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.demand_at).as_secs_f64();
--- /dev/null
+++ b/proxy/src/usual.rs
@@ -0,0 +1,133 @@
+//! What is usual, learned from answers (design 8.7): how long a class's requests take at a service and
+//! how large they are, how full a zone's servers are with others' requests, how far a zone is. Pure.
+
+use crate::choice::{Distance, Job};
+use std::time::Duration;
+
+/// Before the first answer.
+const WORK_MS: f64 = 100.0;
+const KILOBYTES: f64 = 4.0;
+const KILOBYTES_BULK: f64 = 64.0;
+/// How much one answer counts at the least.
+const JOB_PART: f64 = 0.02;
+
+/// Of the requests of one class at one service.
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
+    job: Job,
+    answers: f64,
+}
+
+impl Usual {
+    pub fn new(is_bulk: bool) -> Usual {
+        let kilobytes = if is_bulk { KILOBYTES_BULK } else { KILOBYTES };
+        Usual { job: Job { work_ms: WORK_MS, kilobytes }, answers: 0.0 }
+    }
+
+    pub fn job(&self) -> Job {
+        self.job
+    }
+
+    /// An answer that took so long, what its server was full with taken out.
+    pub fn answered(&mut self, took_ms: f64, kilobytes: Option<f64>) {
+        self.answers += 1.0;
+        let part = (1.0 / self.answers).max(JOB_PART);
+        self.job.work_ms += part * (took_ms.max(1.0) - self.job.work_ms);
+        if let Some(kilobytes) = kilobytes {
+            self.job.kilobytes += part * (kilobytes - self.job.kilobytes);
+        }
+    }
+}
+
+/// How much one answer counts at the least, and the answers that the first guess counts for.
+const PACE_PART: f64 = 0.12;
+const PACE_PRIOR: f64 = 2.0;
+/// A server that had no request for so long is as fast as any until it shows otherwise.
+const PACE_HOLDS: Duration = Duration::from_secs(6);
+const PACE_BOUND: f64 = 2.1;
+
+/// How fast a server is beside the others of its service. The mean of logarithms, so that a slow
+/// answer does not outweigh many.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    log: f64,
+    answers: f64,
+    at: Duration,
+}
+
+impl Pace {
+    /// An answer that took so many times as long as is usual.
+    pub fn answered(&mut self, now: Duration, times: f64) {
+        self.log = self.faded(now);
+        self.at = now;
+        self.answers += 1.0;
+        let part = (1.0 / (self.answers + PACE_PRIOR)).max(PACE_PART);
+        let seen = times.max(0.01).ln().clamp(-PACE_BOUND, PACE_BOUND);
+        self.log += part * (seen - self.log);
+    }
+
+    fn faded(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at);
+        self.log * (1.0 - age.as_secs_f64() / PACE_HOLDS.as_secs_f64()).max(0.0)
+    }
+
+    /// As a multiple of the usual time.
+    pub fn times(&self, now: Duration) -> f64 {
+        self.faded(now).exp()
+    }
+}
+
+/// Of what is not told, so much of a server's slots is taken to be in use by others.
+const FILL: f64 = 0.3;
+const FILL_PART: f64 = 0.2;
+const FILL_HOLDS: Duration = Duration::from_secs(3);
+
+/// The servers of one service in one zone.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    fill: f64,
+    fill_at: Duration,
+    way_ms: Option<f64>,
+}
+
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool { fill: FILL, fill_at: Duration::ZERO, way_ms: None }
+    }
+}
+
+impl Pool {
+    /// One of them told of so many requests of others for each of its slots.
+    pub fn told(&mut self, now: Duration, others: f64) {
+        self.fill = self.fill(now);
+        self.fill_at = now;
+        self.fill += FILL_PART * (others.min(1.5) - self.fill);
+    }
+
+    /// How full they are with others' requests, where nothing newer is known of the one.
+    pub fn fill(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.fill_at).as_secs_f64();
+        let fresh = (1.0 - age / FILL_HOLDS.as_secs_f64()).max(0.0);
+        FILL + (self.fill - FILL) * fresh
+    }
+
+    /// A connection there came up in that time: the least is the way, the rest is what was in it.
+    pub fn connected(&mut self, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1000.0;
+        let before = self.way_ms.unwrap_or(took_ms);
+        self.way_ms =
+            Some(if took_ms < before { took_ms } else { before + 0.02 * (took_ms - before) });
+    }
+
+    /// There and back.
+    pub fn way_ms(&self, distance: Distance) -> f64 {
+        self.way_ms.unwrap_or(match distance {
+            Distance::Own | Distance::Zone => 1.0,
+            Distance::Region => 2.0,
+            Distance::Far => 30.0,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/proxy/src/usual/tests.rs
@@ -0,0 +1,63 @@
+use super::{Pace, Pool, Usual};
+use crate::choice::Distance;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn what_is_usual_follows_answers() {
+    let mut usual = Usual::new(true);
+    assert!(usual.job().kilobytes > Usual::new(false).job().kilobytes);
+    for _ in 0..200 {
+        usual.answered(170.0, Some(90.0));
+    }
+    let job = usual.job();
+    assert_eq!((job.work_ms.round(), job.kilobytes.round()), (170.0, 90.0));
+    // One answer that took long moves it by little, and one without a length says nothing of sizes.
+    usual.answered(1700.0, None);
+    assert!((171.0..230.0).contains(&usual.job().work_ms), "{:?}", usual.job());
+    assert_eq!(usual.job().kilobytes.round(), 90.0);
+}
+
+#[test]
+fn a_slow_server_is_known_after_a_few_answers_and_forgotten_when_it_gets_none() {
+    let mut pace = Pace::default();
+    assert_eq!(pace.times(ms(0)), 1.0);
+    for count in 1..=6 {
+        pace.answered(ms(count * 100), 5.0);
+    }
+    assert!((2.5..5.0).contains(&pace.times(ms(600))), "{}", pace.times(ms(600)));
+    assert!(pace.times(ms(3600)) < pace.times(ms(600)));
+    assert_eq!(pace.times(ms(6600)), 1.0);
+    // It works as usual again.
+    for count in 7..=40 {
+        pace.answered(ms(count * 100), 1.0);
+    }
+    assert!((0.9..1.1).contains(&pace.times(ms(4000))), "{}", pace.times(ms(4000)));
+    // However long one answer took.
+    pace.answered(ms(4100), 1e6);
+    assert!(pace.times(ms(4100)) < 1.4, "{}", pace.times(ms(4100)));
+}
+
+#[test]
+fn a_zone_is_as_full_as_its_servers_told_until_that_is_old() {
+    let mut pool = Pool::default();
+    let unknown = pool.fill(ms(0));
+    for count in 0..30 {
+        pool.told(ms(count * 10), 0.9);
+    }
+    assert!((0.85..=0.9).contains(&pool.fill(ms(300))), "{}", pool.fill(ms(300)));
+    assert_eq!(pool.fill(ms(9000)), unknown);
+}
+
+#[test]
+fn the_way_is_the_least_that_a_connection_took() {
+    let mut pool = Pool::default();
+    assert!(pool.way_ms(Distance::Far) > pool.way_ms(Distance::Zone));
+    for took in [40, 24, 90, 30] {
+        pool.connected(ms(took));
+    }
+    assert!((24.0..27.0).contains(&pool.way_ms(Distance::Far)), "{}", pool.way_ms(Distance::Far));
+}
