Resting connections count in the choice; a server that owes answers is slow at once

Change: a new connection costs its way again and 60 ms; a kilobyte to another zone 30 ms (20 before); a server that owes answers for 2.5 times the usual time is as slow as that; after a pause of 2 s old answers count no more than a first guess.

--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -25,6 +25,8 @@
     pub pace: f64,
     /// There and back.
     pub way_ms: f64,
+    /// A connection to it rests here that may be used.
+    pub is_connected: bool,
 }
 
 /// What is known of a request before it is sent, by those like it.
@@ -37,7 +39,10 @@
 }
 
 /// Waiting that a kilobyte is worth which stays in the zone.
-const KILOBYTE_MS: f64 = 20.0;
+const KILOBYTE_MS: f64 = 30.0;
+/// What a new connection costs beside its way there and back: its first packets wait in queues of their
+/// own, and are sent again after a second if they are lost.
+const OPEN_MS: f64 = 60.0;
 /// A server takes longer for everything as it fills up: what the last free slot costs, as a multiple of
 /// the first ones, with what the others there lose by it.
 const LAST_SLOT: f64 = 2.8;
@@ -58,7 +63,11 @@
             Distance::Own | Distance::Zone => 0.0,
             Distance::Region | Distance::Far => KILOBYTE_MS * job.kilobytes,
         };
-        self.way_ms + carried + job.work_ms * self.pace * crowding(self.load + 1.0, self.slots)
+        let opened = if self.is_connected { 0.0 } else { self.way_ms + OPEN_MS };
+        self.way_ms
+            + opened
+            + carried
+            + job.work_ms * self.pace * crowding(self.load + 1.0, self.slots)
     }
 }
 
--- a/proxy/src/choice/tests.rs
+++ b/proxy/src/choice/tests.rs
@@ -25,6 +25,7 @@
                 slots: (1 + self.below(6)) as f64,
                 pace: 0.5 + self.below(10) as f64 / 5.0,
                 way_ms: (1 + self.below(60)) as f64,
+                is_connected: self.below(2) == 0,
             })
             .collect()
     }
@@ -69,8 +70,10 @@
         let with_room = || candidates.iter().filter(|one| one.fill() <= FILL_MOST);
         for one in with_room() {
             assert!(chosen.cost(job) <= one.cost(job), "{chosen:?} of {candidates:?}");
-            let is_alike =
-                one.pace <= chosen.pace && one.slots == chosen.slots && one.way_ms <= chosen.way_ms;
+            let is_alike = one.pace <= chosen.pace
+                && one.slots == chosen.slots
+                && one.way_ms <= chosen.way_ms
+                && one.is_connected >= chosen.is_connected;
             if is_alike && one.distance == chosen.distance {
                 assert!(chosen.load <= one.load, "{chosen:?} of {candidates:?}");
             }
@@ -90,7 +93,15 @@
 }
 
 fn candidate(index: usize, load: f64) -> Candidate {
-    Candidate { index, distance: Distance::Zone, load, slots: 4.0, pace: 1.0, way_ms: 1.0 }
+    Candidate {
+        index,
+        distance: Distance::Zone,
+        load,
+        slots: 4.0,
+        pace: 1.0,
+        way_ms: 1.0,
+        is_connected: true,
+    }
 }
 
 /// Large answers stay in the zone until its servers have a queue twice as long as their slots.
@@ -152,7 +163,7 @@
     assert!(counts.iter().all(|count| (850..1150).contains(count)), "{counts:?}");
 }
 
-/// More load on one, a slower pace or a longer way never draws requests to it that would have gone
+/// More load on one, a slower pace, no connection or a longer way never draws requests to it that would have gone
 /// elsewhere.
 #[test]
 fn more_load_never_attracts() {
@@ -162,11 +173,12 @@
             return;
         }
         let at = draw.below(candidates.len() as u64) as usize;
-        for what in 0..3 {
+        for what in 0..4 {
             let mut heavier = candidates.to_vec();
             match what {
                 0 => heavier[at].load += 1.0,
                 1 => heavier[at].pace *= 1.2,
+                2 => heavier[at].is_connected = false,
                 _ => heavier[at].way_ms += 5.0,
             }
             let was_chosen = chosen.is_some_and(|one| one.index == candidates[at].index);
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -55,6 +55,8 @@
     /// Requests of other proxies that are with it, by what it told lately.
     others: f64,
     pub pace: Pace,
+    /// Since when it owes answers and sent none.
+    owes_since: Duration,
     /// Which of `pools` it belongs to.
     pool: usize,
     /// In this proxy's part of its zone.
@@ -383,6 +385,7 @@
                         slots: server.slots,
                         others: 0.0,
                         pace: Pace::default(),
+                        owes_since: now,
                         pool: self.pool(setup, &services, &server.zone),
                         is_own: true,
                         idle_most: IDLE_COUNT_MOST,
@@ -738,6 +741,8 @@
         let mut cold_at: Option<Duration> = None;
         // Well; not trusted with much; dead as far as is known.
         let mut tiers: [Vec<Candidate>; 3] = Default::default();
+        let service = &table.setup.services[want.service];
+        let job = self.job(&class.name, &service.name, class.bulk);
         let pools = self.pools.lock().expect("no panic under this lock");
         for index in &table.by_service[want.service] {
             let entry = &table.entries[*index];
@@ -777,17 +782,18 @@
                 let slots = f64::from(server.slots);
                 let pool = &pools[quick.pool].1;
                 let load = quick.load(now, distance, pool.fill(now) * slots);
-                let (index, pace) = (*index, quick.pace.times(now));
                 let way_ms = pool.way_ms(distance);
-                Some((tier, Candidate { index, distance, load, slots, pace, way_ms }))
+                let (index, pace) = (*index, quick.pace(now, load, job.work_ms, way_ms));
+                let is_connected = quick.is_connected(now, !is_lookup);
+                let candidate =
+                    Candidate { index, distance, load, slots, pace, way_ms, is_connected };
+                Some((tier, candidate))
             });
             if let Some(Some((tier, candidate))) = found {
                 tiers[tier].push(candidate);
             }
         }
         drop(pools);
-        let service = &table.setup.services[want.service];
-        let job = self.job(&class.name, &service.name, class.bulk);
         for (tier, candidates) in tiers.iter_mut().enumerate() {
             if want.looks && tier == 2 {
                 break;
@@ -835,7 +841,12 @@
     /// The request goes out now, a connection and a greeting after it was counted: the next one of a
     /// cold server's follows that far behind.
     pub fn sent(&self, now: Duration, slot: usize) {
-        self.with(slot, |quick| quick.liveness.take(now));
+        self.with(slot, |quick| {
+            quick.liveness.take(now);
+            if quick.in_hand <= 1 {
+                quick.owes_since = now;
+            }
+        });
     }
 
     pub fn release(&self, slot: usize) {
@@ -947,6 +958,7 @@
             quick.others += OTHERS_PART * ((told - own).max(0.0) - quick.others);
             quick.demand_milli = demand_milli;
             quick.demand_at = now;
+            quick.owes_since = now;
             (quick.pool, (told - own).max(0.0) / f64::from(quick.slots.max(1)))
         });
         if let Some((pool, others)) = others {
@@ -1034,6 +1046,30 @@
         self.in_hand == 0 && now.saturating_sub(self.demand_at) > FULL_HOLDS
     }
 
+    /// How slow it is: by its answers, or by those that it owes.
+    fn pace(&self, now: Duration, load: f64, work_ms: f64, way_ms: f64) -> f64 {
+        if self.in_hand == 0 {
+            return self.pace.times(now);
+        }
+        let owed_ms = now.saturating_sub(self.owes_since).as_secs_f64() * 1000.0 - way_ms;
+        let usual_ms = work_ms * crate::choice::lateness(load, f64::from(self.slots.max(1)));
+        self.pace.times_owing(now, owed_ms / usual_ms)
+    }
+
+    /// Whether a connection rests here that this request could use: what runs once takes none that its
+    /// server may be about to close.
+    fn is_connected(&self, now: Duration, is_once: bool) -> bool {
+        self.idle.iter().any(|idle| {
+            let rested = now.saturating_sub(idle.quiet_since);
+            let is_kept = if is_once {
+                rested <= idle.kept_for / 2
+            } else {
+                rested < IDLE_MOST && rested + KEPT_MARGIN < idle.kept_for
+            };
+            rested >= QUIET && is_kept
+        })
+    }
+
     /// The requests that are with it. Others' are as it told them; as that grows old, none where this
     /// proxy's part is, and `usual` elsewhere.
     fn load(&self, now: Duration, distance: Distance, usual: f64) -> f64 {
--- a/proxy/src/usual.rs
+++ b/proxy/src/usual.rs
@@ -44,6 +44,10 @@
 const PACE_PRIOR: f64 = 2.0;
 /// A server that had no request for so long is as fast as any until it shows otherwise.
 const PACE_HOLDS: Duration = Duration::from_secs(6);
+/// What answers before such a pause showed counts no more than a first guess against a new one.
+const PACE_RESUMES: Duration = Duration::from_secs(2);
+/// A server that sends none of the answers it owes for so many times the usual time is slow by now.
+const OWES: f64 = 2.5;
 const PACE_BOUND: f64 = 2.1;
 
 /// How fast a server is beside the others of its service. The mean of logarithms, so that a slow
@@ -59,8 +63,9 @@
     /// An answer that took so many times as long as is usual.
     pub fn answered(&mut self, now: Duration, times: f64) {
         self.log = self.faded(now);
+        let pause = now.saturating_sub(self.at).as_secs_f64() / PACE_RESUMES.as_secs_f64();
+        self.answers = self.answers * (1.0 - pause).max(0.0) + 1.0;
         self.at = now;
-        self.answers += 1.0;
         let part = (1.0 / (self.answers + PACE_PRIOR)).max(PACE_PART);
         let seen = times.max(0.01).ln().clamp(-PACE_BOUND, PACE_BOUND);
         self.log += part * (seen - self.log);
@@ -75,6 +80,12 @@
     pub fn times(&self, now: Duration) -> f64 {
         self.faded(now).exp()
     }
+
+    /// Likewise, of a server that owes answers and sent none for so many times the usual time.
+    pub fn times_owing(&self, now: Duration, owes: f64) -> f64 {
+        let times = self.times(now);
+        if owes > OWES { times.max(owes) } else { times }
+    }
 }
 
 /// Of what is not told, so much of a server's slots is taken to be in use by others.
--- a/proxy/src/usual/tests.rs
+++ b/proxy/src/usual/tests.rs
@@ -41,6 +41,23 @@
     assert!(pace.times(ms(4100)) < 1.4, "{}", pace.times(ms(4100)));
 }
 
+#[test]
+fn a_server_that_owes_answers_is_slow_before_they_come_and_well_soon_after() {
+    let mut pace = Pace::default();
+    for count in 1..=20 {
+        pace.answered(ms(count * 100), 1.0);
+    }
+    assert!(pace.times_owing(ms(2000), 2.0) < 1.1, "as long as many answers take");
+    assert_eq!(pace.times_owing(ms(2000), 4.0), 4.0);
+    for count in 1..=10 {
+        pace.answered(ms(2000 + count * 100), 5.0);
+    }
+    // After a pause one good answer counts as much as all before it.
+    assert!(pace.times(ms(3000)) > 2.5, "{}", pace.times(ms(3000)));
+    pace.answered(ms(5500), 1.0);
+    assert!(pace.times(ms(5500)) < 1.8, "{}", pace.times(ms(5500)));
+}
+
 #[test]
 fn a_zone_is_as_full_as_its_servers_told_until_that_is_old() {
     let mut pool = Pool::default();
