--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -85,6 +85,8 @@
     pub takings: std::sync::Mutex<crate::takings::Takings>,
     /// For large answers, where the link is narrow.
     gate: Option<std::sync::Mutex<crate::gate::Gate>>,
+    /// The same for what is read of them.
+    gate_in: Option<std::sync::Mutex<crate::gate::Gate>>,
     random: AtomicU64,
 }
 
@@ -95,7 +97,7 @@
         servers.proves_answers = proves_answers;
         let retries = daemon.settings.retries;
         let narrow = daemon.settings.link_mbps.filter(|mbps| *mbps < WIDE_MBPS);
-        let gate = narrow.map(|mbps| std::sync::Mutex::new(crate::gate::Gate::new(mbps)));
+        let gate = || narrow.map(|mbps| std::sync::Mutex::new(crate::gate::Gate::new(mbps)));
         Proxy {
             daemon,
             servers,
@@ -108,7 +110,8 @@
             is_news: AtomicBool::new(false),
             live_proxies: std::sync::atomic::AtomicUsize::new(1),
             takings: Default::default(),
-            gate,
+            gate: gate(),
+            gate_in: gate(),
             random: AtomicU64::new(daemon::random()),
         }
     }
@@ -835,7 +838,8 @@
             is_other_zone: self.is_other_zone,
         };
         // Held until whole, where that is little enough.
-        let hold = tokio::time::timeout_at(until, hold(&mut reply));
+        let class = &self.table.setup.classes[self.table.setup.rules[self.rule].class];
+        let hold = tokio::time::timeout_at(until, hold(self.proxy, &mut reply, class.bulk));
         match hold.await {
             Ok(Ok(())) => {}
             Ok(Err(())) => {
@@ -967,7 +971,7 @@
         let opened_at = self.proxy.now();
         let connected = match is_greeted {
             true => crate::pool::connect(dialect, self.entry, self.service, untidy).await,
-            false => crate::pool::open(self.entry, is_far, untidy)
+            false => crate::pool::open(self.entry, is_far, self.proxy.gate.is_some(), untidy)
                 .await
                 .map(|sender| (sender, Default::default())),
         };
@@ -1001,25 +1005,43 @@
     }
 }
 
-/// Reads frames until the body is whole or too much to hold. Safe to drop between frames.
-async fn hold(reply: &mut Reply) -> Result<(), ()> {
+/// Reads frames until the body is whole or too much to hold, large answers through their gate. Safe to
+/// drop between frames.
+async fn hold(proxy: &Proxy, reply: &mut Reply, is_bulk: bool) -> Result<(), ()> {
+    let gate = proxy.gate_in.as_ref().filter(|_| is_bulk);
     let mut held = 0;
     while let Some(rest) = &mut reply.rest {
         match rest.frame().await {
             None => reply.rest = None,
             Some(Err(_)) => return Err(()),
             Some(Ok(frame)) => {
-                held += frame.data_ref().map_or(0, |data| data.len());
+                let length = frame.data_ref().map_or(0, |data| data.len());
+                held += length;
                 reply.read.push_back(frame);
                 if held > HELD_MOST {
                     return Ok(());
                 }
+                if let Some(gate) = gate {
+                    pass_gate(proxy, gate, length).await;
+                }
             }
         }
     }
     Ok(())
 }
 
+/// Waits until so many bytes may have been read.
+async fn pass_gate(proxy: &Proxy, gate: &std::sync::Mutex<crate::gate::Gate>, bytes: usize) {
+    loop {
+        let now = proxy.now();
+        let passed = gate.lock().expect("no panic under this lock").pass(now, bytes);
+        match passed {
+            Ok(()) => return,
+            Err(until) => tokio::time::sleep(until.saturating_sub(now)).await,
+        }
+    }
+}
+
 /// What was read of a request's body, then the rest as it comes.
 fn streamed(read: bytes::Bytes, rest: Body, most: u64) -> Body {
     struct Rest {
--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -31,20 +31,32 @@
     service: &vanepath_setup::model::Service,
     untidy: impl FnOnce() + Send + 'static,
 ) -> Result<(Sender, Greeted), Failure> {
-    let mut sender = open(entry, true, untidy).await?;
+    let mut sender = open(entry, true, false, untidy).await?;
     let greeted = greet(dialect, &mut sender, entry, service).await?;
     Ok((sender, greeted))
 }
 
+/// What a server may send ahead of the reader, where the link is narrow (design 8.10).
+const WINDOW_NARROW: u32 = 16 << 10;
+
 /// A new connection that nothing was said on yet.
 pub async fn open(
     entry: &Entry,
     is_far: bool,
+    is_narrow: bool,
     untidy: impl FnOnce() + Send + 'static,
 ) -> Result<Sender, Failure> {
     let limit = if is_far { LIMIT } else { LIMIT_NEAR };
-    let connected =
-        tokio::time::timeout(limit, tokio::net::TcpStream::connect(entry.server.address));
+    let socket = match entry.server.address {
+        std::net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4(),
+        std::net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6(),
+    };
+    // No descriptor is left: that says nothing of the server, and may pass.
+    let socket = socket.map_err(|_| Failure::Silent)?;
+    if is_narrow {
+        let _ = socket.set_recv_buffer_size(WINDOW_NARROW);
+    }
+    let connected = tokio::time::timeout(limit, socket.connect(entry.server.address));
     let stream = match connected.await {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) => return Err(Failure::Refused),
