--- a/fleet/src/sim/breaks.rs
+++ b/fleet/src/sim/breaks.rs
@@ -48,6 +48,10 @@
     RefusesOperators,
     /// Registries do not check setups.
     TakesInvalid,
+    /// Orders to empty a zone that is emptied already change nothing.
+    OneOrderForAll,
+    /// An order that is sent again without a key counts once more.
+    CountsSentAgain,
     /// Directories give no receipts after the last fault.
     DirectoriesStayDown,
 }
--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -143,6 +143,22 @@
     pub fn is_invalid(&self) -> bool {
         matches!(self, What::Change { key, .. } if key.starts_with("invalid-"))
     }
+
+    /// The evacuation that this is an order of; such a one goes without a key of its caller's.
+    pub fn order(&self) -> Option<usize> {
+        let What::Change { key, .. } = self else { return None };
+        key.strip_prefix("order-")?.split('-').next()?.parse().ok()
+    }
+}
+
+/// An evacuation of a zone by orders without a key: one to empty it and one to return it, each sent again
+/// after a sending without a clear answer.
+#[derive(Clone, Debug)]
+pub struct Evacuation {
+    pub zone: &'static str,
+    /// When each order was first sent, and acknowledged.
+    pub asked_at: [Option<Duration>; 2],
+    pub acknowledged_at: [Option<Duration>; 2],
 }
 
 pub struct Sim {
@@ -152,6 +168,7 @@
     pub by_host: HashMap<HostId, usize>,
     pub operator: HostId,
     pub operations: Vec<Operation>,
+    pub evacuations: Vec<Evacuation>,
     pub platform_host: HostId,
     /// The platform says what is no list, or an older one, now and then.
     pub platform_lies: bool,
@@ -190,6 +207,7 @@
             by_host: HashMap::new(),
             operator,
             operations: Vec::new(),
+            evacuations: Vec::new(),
             platform_host,
             platform_lies: false,
             platform: Arc::default(),
@@ -530,6 +548,7 @@
                     _ => None,
                 };
                 self.note_operation(number);
+                super::day::order_told(self, number);
             }
             (Purpose::None, _) => {}
             (purpose, _) => self.data_replied(asker, target, call, purpose, body, is_reset),
@@ -915,13 +934,28 @@
                 Err(_) => {}
             }
         }
-        let question = match &self.operations[operation].what {
+        let mut question = match &self.operations[operation].what {
             What::Change { key, change } => {
-                Ask::Change { key: key.clone(), change: change.clone() }
+                let unnamed_for = self.operations[operation].what.order().map(|_| Duration::ZERO);
+                Ask::Change { key: key.clone(), change: change.clone(), unnamed_for }
             }
             What::Read => Ask::Read,
             What::History { revision } => Ask::History { revision: *revision },
         };
+        if let Ask::Change { unnamed_for, change, .. } = &mut question {
+            if self.has(Break::CountsSentAgain) {
+                *unnamed_for = None;
+            }
+            let word = &self.daemons[index].view.word;
+            if let Change::Empty { zone } = change
+                && self.has(Break::OneOrderForAll)
+                && word.emptied.contains(zone)
+            {
+                let (revision, setup_revision) = (word.revision, word.setup_revision);
+                let told = Outcome::Accepted { revision, setup_revision, repeat: true };
+                return self.net.reply(call, Body::Operated(told));
+            }
+        }
         if self.has(Break::RefusesOperators) && operation.is_multiple_of(9) {
             let why = "broken on purpose".to_string();
             return self.net.reply(call, Body::Operated(Outcome::NothingDone { why }));
@@ -943,7 +977,7 @@
         match errand.next(now, stores) {
             Step::Ask(card) => {
                 let target = Net::host_at(card.sibling_address);
-                let mut question = errand.question.clone();
+                let mut question = errand.question(now);
                 if self.passes(index, Point::BeforeStoreAsk) {
                     return;
                 }
@@ -967,16 +1001,26 @@
     }
 
     fn errand_told(&mut self, index: usize, number: usize, tell: Option<Tell>) {
+        let host = self.daemons[index].host;
+        let now = self.net.local(host);
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         let Some((errand, call)) = registry.errands.get_mut(&number) else { return };
         match errand.told(tell) {
             Some(outcome) => {
                 let call = *call;
+                let answered = errand.answered(now, &outcome);
                 registry.errands.remove(&number);
                 if self.passes(index, Point::BeforeReceipt) {
                     return;
                 }
                 self.net.reply(call, Body::Operated(outcome));
+                let Some(answered) = answered else { return };
+                for card in vanepath_registry::errand::stores(&self.daemons[index].view) {
+                    let target = Net::host_at(card.sibling_address);
+                    let limit = vanepath_registry::errand::TRY_LIMIT;
+                    let body = Body::Ask(answered.clone());
+                    self.net.ask(host, target, limit, body, Purpose::None);
+                }
             }
             None => self.step_errand(index, number),
         }
@@ -1036,7 +1080,9 @@
         let operation = self.operations.len() - 1;
         self.note_operation(operation);
         let target = self.daemons[registry].host;
-        let limit = Duration::from_secs(9);
+        // Who sends an order again waits for a second.
+        let is_order = self.operations[operation].what.order().is_some();
+        let limit = Duration::from_secs(if is_order { 1 } else { 9 });
         let purpose = Purpose::Operate { operation };
         self.net.ask(self.operator, target, limit, Body::Operate(operation), purpose);
         operation
--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -1,7 +1,7 @@
 //! Days in the simulator: a fleet of a deployment's size, its traffic and operators, and the
 //! faults of the brief by seed.
 
-use super::control::{Duty, Sim, What as Operate};
+use super::control::{Duty, Evacuation, Sim, What as Operate};
 use super::data::Manner;
 use super::net::{Delays, Event, Timer};
 use std::sync::Arc;
@@ -45,6 +45,9 @@
     AddressPassed,
     ServersMisbehave,
     EmptyZone,
+    /// Two or three evacuations of one zone that overlap, by orders without keys; registries die with some
+    /// of them in hand.
+    OverlappingEvacuations,
     Storm,
     /// Registry and store of one core machine together.
     CoreMachineDies,
@@ -134,6 +137,13 @@
     Bind(bool),
     Empty(&'static str),
     Return(&'static str),
+    /// Order 0 of an evacuation empties its zone, order 1 returns it; a registry that `dies` does so with
+    /// the call in hand.
+    Order {
+        evacuation: usize,
+        order: usize,
+        dies: bool,
+    },
     Put,
 }
 
@@ -492,6 +502,7 @@
             let earlier: Vec<usize> = (0..sim.operations.len())
                 .filter(|index| matches!(sim.operations[*index].what, Operate::Change { .. }))
                 .filter(|index| !sim.operations[*index].what.is_invalid())
+                .filter(|index| sim.operations[*index].what.order().is_none())
                 .collect();
             if let Some(index) = earlier.last().copied() {
                 let what = sim.operations[index].what.clone();
@@ -833,6 +844,22 @@
             at(sim, start + ms(9000), Act::Return(zone));
             return start + ms(10_000);
         }
+        Fault::OverlappingEvacuations => {
+            let zone = zones[sim.net.random.below(zones.len())].0;
+            let count = 2 + sim.net.random.below(2);
+            let mut when = [start, start + ms(8000)];
+            for _ in 0..count {
+                let (asked_at, acknowledged_at) = ([None; 2], [None; 2]);
+                sim.evacuations.push(Evacuation { zone, asked_at, acknowledged_at });
+                let evacuation = sim.evacuations.len() - 1;
+                for (order, when) in when.iter_mut().enumerate() {
+                    let dies = sim.net.random.chance(0.5);
+                    at(sim, *when, Act::Order { evacuation, order, dies });
+                    *when += ms(1200 + sim.net.random.draw() % 1500);
+                }
+            }
+            return start + ms(19_000);
+        }
         Fault::Storm => {
             for _ in 0..20 {
                 let later = ms(sim.net.random.draw() % 2000);
@@ -1099,8 +1126,50 @@
             let registry = any_registry(sim);
             sim.operate(Operate::Change { key, change }, registry);
         }
+        Act::Order { evacuation, order, dies } => {
+            let now = sim.net.now;
+            let one = &mut sim.evacuations[evacuation];
+            let first = *one.asked_at[order].get_or_insert(now);
+            // What was never acknowledged is not withdrawn, and nobody sends an order again for ever.
+            let is_due = order == 0 || one.acknowledged_at[0].is_some();
+            if !is_due || now > first + SENT_AGAIN_FOR {
+                return;
+            }
+            let zone = one.zone.to_string();
+            let change = if order == 0 { Change::Empty { zone } } else { Change::Return { zone } };
+            let key = format!("order-{evacuation}-{order}-{}", sim.operations.len());
+            let registry = any_registry(sim);
+            sim.operate(Operate::Change { key, change }, registry);
+            if dies {
+                // Before the stores have it, while they do, or after.
+                let most = [40, 150, 400][sim.net.random.below(3)];
+                let when = now + Duration::from_millis(sim.net.random.draw() % most);
+                at(sim, when, Act::Crash { daemon: registry, power: false });
+                at(sim, when + Duration::from_secs(3), Act::Start(registry));
+            }
+        }
         Act::Put => {
             put(sim, None);
         }
     }
 }
+
+/// A sending of an order has ended: acknowledged, or to be sent again.
+pub fn order_told(sim: &mut Sim, operation: usize) {
+    let ended = &sim.operations[operation];
+    let Some(evacuation) = ended.what.order() else { return };
+    let Operate::Change { change, .. } = &ended.what else { return };
+    let order = usize::from(matches!(change, Change::Return { .. }));
+    let (outcome, from) = (ended.outcome.clone(), ended.started_at);
+    sim.note(|| format!("order {order} of evacuation {evacuation} of {from:?}: {outcome:?}"));
+    let ended = &sim.operations[operation];
+    if matches!(ended.outcome, Some(Outcome::Accepted { .. })) {
+        sim.evacuations[evacuation].acknowledged_at[order] = Some(sim.net.now);
+        return;
+    }
+    let soon = sim.net.now + Duration::from_millis(50);
+    at(sim, soon, Act::Order { evacuation, order, dies: false });
+}
+
+/// For so long an order is sent again (the platform's pages).
+const SENT_AGAIN_FOR: Duration = Duration::from_secs(8);
--- a/fleet/src/sim/judge.rs
+++ b/fleet/src/sim/judge.rs
@@ -55,6 +55,7 @@
     cold(run, &mut judgement);
     revisions(run, &mut judgement);
     operators(run, &mut judgement);
+    evacuations(run, &mut judgement);
     judgement.faults.extend(run.sim.reach.faults.iter().cloned());
     judgement.worst_setup = run.sim.reach.worst_setup;
     judgement.worst_drain = run.sim.reach.worst_drain;
@@ -546,6 +547,35 @@
     judgement.faults.extend(faults);
 }
 
+/// A zone is back once each order to empty it was withdrawn, however often orders were sent, and is not
+/// before. (That nothing goes there meanwhile, `reach` judges.)
+fn evacuations(run: &Run, judgement: &mut Judgement) {
+    let sim = &run.sim;
+    let Some((_, Some(Outcome::Value { value }))) = sim.world.history.last() else { return };
+    let zones: std::collections::BTreeSet<&str> =
+        sim.evacuations.iter().map(|one| one.zone).collect();
+    for zone in zones {
+        let of_zone = || sim.evacuations.iter().filter(|one| one.zone == zone);
+        // Emptied by a key as well: that one's own business.
+        let is_other = sim.operations.iter().any(|one| {
+            matches!(&one.what, Operate::Change { change: Change::Empty { zone: other }, .. }
+                if other == zone && one.what.order().is_none())
+        });
+        let stand = of_zone().filter(|one| {
+            one.acknowledged_at[0].is_some() && one.asked_at[1].is_none_or(|at| at > run.end)
+        });
+        let is_emptied = value.emptied.contains(zone);
+        let is_over = of_zone().all(|one| one.acknowledged_at[1].is_some());
+        if is_over && is_emptied && !is_other {
+            let text = format!("{zone} is emptied still, and every order was withdrawn");
+            judgement.faults.push(text);
+        }
+        if stand.count() > 0 && !is_emptied {
+            judgement.faults.push(format!("{zone} is back, and an order to empty it stands"));
+        }
+    }
+}
+
 /// After the last fault all is back within 15 s, each kind of service by itself: from some moment
 /// within them on, each of its calls gets what it asked for.
 fn resumption(run: &Run, judgement: &mut Judgement) {
@@ -563,7 +593,7 @@
             .sim
             .operations
             .iter()
-            .filter(|one| !one.what.is_invalid())
+            .filter(|one| !one.what.is_invalid() && one.what.order().is_none())
             .filter(move |one| matches!(one.what, Operate::Change { .. }) == is_write);
         let told = of_kind.map(|one| {
             let is_good = match &one.outcome {
--- a/fleet/src/sim/reach.rs
+++ b/fleet/src/sim/reach.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub struct Emptying {
     pub zone: String,
+    /// The evacuation whose order it is: only its own withdrawal ends it. `None`: by a key.
+    pub order: Option<usize>,
     pub revision: u64,
     pub from: Duration,
     pub to: Option<Duration>,
@@ -347,7 +349,9 @@
                 None | Some(Outcome::NothingDone { .. } | Outcome::Unknown)
             );
         let majority_since = self.reach.majority_since.get(operation.registry).copied().flatten();
-        let is_undecided = is_undecided && !operation.what.is_invalid();
+        // An order is sent again after a second; whether it comes into force, the day's end shows.
+        let order = operation.what.order();
+        let is_undecided = is_undecided && !operation.what.is_invalid() && order.is_none();
         // A registry that dies with a call in hand cannot end it.
         let host = self.daemons[operation.registry].host;
         let is_undecided = is_undecided && !self.net.was_ill(host, operation.started_at, now);
@@ -370,10 +374,11 @@
         match (&operation.what, revision) {
             (What::Change { change: Change::Empty { zone }, .. }, Some(revision)) => {
                 let zone = zone.clone();
-                self.reach.emptyings.push(Emptying { zone, revision, from: now, to: None });
+                self.reach.emptyings.push(Emptying { zone, order, revision, from: now, to: None });
             }
             (What::Change { change: Change::Return { zone }, .. }, _) => {
-                for one in self.reach.emptyings.iter_mut().filter(|one| one.zone == *zone) {
+                let is_own = |one: &&mut Emptying| one.zone == *zone && one.order == order;
+                for one in self.reach.emptyings.iter_mut().filter(is_own) {
                     one.to.get_or_insert(now);
                 }
             }
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -118,6 +118,34 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// Evacuations of one zone that overlap, by orders that are sent again without a key: each holds until it
+/// is withdrawn itself, and then the zone is back (incident 0006).
+#[test]
+fn each_order_to_empty_a_zone_holds_for_itself() {
+    use Fault::*;
+    let mut work = Vec::new();
+    for seed in 1..=8 {
+        work.push((seed, Deployment::Raiocerto, vec![OverlappingEvacuations]));
+        work.push((seed, Deployment::Guild, vec![OverlappingEvacuations]));
+    }
+    let mut found = days(OPERATOR, work);
+    // With stores that die or are slow as well.
+    let beside = [SlowNetwork, KillStore, KillRegistry, FreezeStore];
+    let beside: Vec<(u64, Fault)> =
+        (1..=4).flat_map(|seed| beside.map(|fault| (seed, fault))).collect();
+    let more = std::sync::Mutex::new(Vec::new());
+    on_threads(cores(), beside.len(), |index| {
+        let (seed, fault) = beside[index];
+        let faults = [OverlappingEvacuations, fault];
+        let plan = Plan { overlap: true, rate: 0.4, ..Plan::new(Deployment::Raiocerto, &faults) };
+        for fault in judge(&run(seed, &plan)).faults {
+            more.lock().unwrap().push(format!("seed {seed} {faults:?}: {fault}"));
+        }
+    });
+    found.extend(more.into_inner().unwrap());
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 /// Every accepted setup is still read back when all three disks are new.
 #[test]
 fn a_long_history_outlives_every_disk() {
@@ -326,6 +354,8 @@
         (Break::ForgetsBounds, Fault::BoundsMove, "bound filing"),
         (Break::LateWord, Fault::BoundsMove, "could have been known"),
         (Break::IgnoresLeaving, Fault::PlatformLies, "got work"),
+        (Break::OneOrderForAll, Fault::OverlappingEvacuations, "in emptied"),
+        (Break::CountsSentAgain, Fault::OverlappingEvacuations, "is emptied still"),
         (Break::DirectoriesStayDown, Fault::None, "directory polls served after the last fault"),
     ];
     let blind = std::sync::Mutex::new(Vec::new());
--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use hyper::header::{self, HeaderValue};
 use std::sync::Arc;
+use std::time::Duration;
 use vanepath_sibling::{daemon, wire};
 use vanepath_store::talk::{Ask, Change, Outcome, Value};
 
@@ -124,7 +125,8 @@
             Step::End(outcome) => return outcome,
             Step::Ask(card) => {
                 registry.tally.one(Counter::StoreTries);
-                let request = wire::Request::Store(wire::encode(&errand.question).into());
+                let question = errand.question(now());
+                let request = wire::Request::Store(wire::encode(&question).into());
                 let other_zone = card.zone != registry.daemon.settings.zone;
                 let links = &registry.daemon.links;
                 let limit = crate::errand::TRY_LIMIT;
@@ -134,6 +136,9 @@
                     _ => None,
                 };
                 if let Some(outcome) = errand.told(tell) {
+                    if let Some(answered) = errand.answered(now(), &outcome) {
+                        tell_stores(registry, &answered);
+                    }
                     return outcome;
                 }
             }
@@ -141,6 +146,19 @@
     }
 }
 
+/// Tells all stores something that needs no reply.
+fn tell_stores(registry: &Registry, told: &Ask) {
+    let request = wire::Request::Store(wire::encode(told).into());
+    for card in crate::errand::stores(&registry.daemon.table.load()) {
+        let (links, request) = (registry.daemon.links.clone(), request.clone());
+        let other_zone = card.zone != registry.daemon.settings.zone;
+        tokio::spawn(async move {
+            let limit = crate::errand::TRY_LIMIT;
+            let _ = links.call(card.sibling_address, &request, limit, other_zone).await;
+        });
+    }
+}
+
 async fn read(registry: &Registry, question: Ask) -> Result<Outcome, Receipt> {
     registry.tally.one(Counter::Reads);
     match run(registry, question).await {
@@ -153,14 +171,25 @@
 }
 
 /// The same write under the same key until its outcome is known or the time is up.
-async fn write(registry: &Registry, key: &str, change: Change) -> Outcome {
-    run(registry, Ask::Change { key: key.to_string(), change }).await
+async fn write(registry: &Registry, key: &Key, change: Change, came: Duration) -> Outcome {
+    let waited = registry.daemon.clock.now().saturating_sub(came);
+    let unnamed_for = key.is_made.then_some(waited);
+    run(registry, Ask::Change { key: key.text.clone(), change, unnamed_for }).await
+}
+
+/// The key of a write, and whether it was made for it here.
+struct Key {
+    text: String,
+    is_made: bool,
 }
 
 /// The operator's key of a submission, or one made for it.
-fn key_of(headers: &hyper::HeaderMap) -> Result<String, Receipt> {
+fn key_of(headers: &hyper::HeaderMap) -> Result<Key, Receipt> {
     match headers.get("idempotency-key") {
-        None => Ok(format!("{:016x}{:016x}", daemon::random(), daemon::random())),
+        None => {
+            let text = format!("{:016x}{:016x}", daemon::random(), daemon::random());
+            Ok(Key { text, is_made: true })
+        }
         Some(value) => match value.to_str() {
             Ok(text)
                 if (1..=KEY_MOST).contains(&text.len())
@@ -168,7 +197,7 @@
                         .bytes()
                         .all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte)) =>
             {
-                Ok(text.to_string())
+                Ok(Key { text: text.to_string(), is_made: false })
             }
             _ => Err(fault(
                 StatusCode::BAD_REQUEST,
@@ -234,6 +263,7 @@
     registry: &Registry,
     request: hyper::Request<hyper::body::Incoming>,
 ) -> Receipt {
+    let came = registry.daemon.clock.now();
     let key = match key_of(request.headers()) {
         Ok(key) => key,
         Err(receipt) => return receipt,
@@ -271,12 +301,12 @@
         }
     };
     let change = Change::Setup { bytes: bytes.to_vec(), if_revision, version };
-    let outcome = write(registry, &key, change).await;
+    let outcome = write(registry, &key, change, came).await;
     if let Outcome::Accepted { revision, repeat: false, .. } = outcome {
         registry.tally.one(Counter::SetupsAccepted);
         log::info!("setup accepted as revision {revision}");
     }
-    told(registry, &key, outcome)
+    told(registry, &key.text, outcome)
 }
 
 fn refused(status: StatusCode, faults: &[vanepath_setup::Fault]) -> Receipt {
@@ -313,6 +343,7 @@
     change: Change,
     headers: &hyper::HeaderMap,
 ) -> Receipt {
+    let came = registry.daemon.clock.now();
     let key = match key_of(headers) {
         Ok(key) => key,
         Err(receipt) => return receipt,
@@ -325,8 +356,8 @@
         tokio::time::sleep(std::time::Duration::from_millis(50)).await;
     }
     registry.tally.one(Counter::ZoneChanges);
-    let outcome = write(registry, &key, change).await;
-    told(registry, &key, outcome)
+    let outcome = write(registry, &key, change, came).await;
+    told(registry, &key.text, outcome)
 }
 
 fn setup_receipt(value: &Value) -> Receipt {
@@ -367,12 +398,29 @@
     }
 }
 
+/// So many orders to empty each zone stand.
+fn orders_as_json(
+    emptied: &std::collections::BTreeSet<String>,
+    further: &std::collections::BTreeMap<String, u32>,
+) -> jzon::JsonValue {
+    let mut orders = jzon::JsonValue::new_object();
+    for zone in emptied {
+        let further = further.get(zone).copied().unwrap_or(0);
+        orders[zone.as_str()] = further.saturating_add(1).into();
+    }
+    orders
+}
+
 async fn read_zones(registry: &Registry) -> Receipt {
     match read(registry, Ask::Read).await {
         Ok(Outcome::Value { value }) => {
             let emptied: Vec<jzon::JsonValue> =
                 value.emptied.iter().map(|zone| zone.as_str().into()).collect();
-            let value = jzon::object! { "emptied": emptied, "revision": value.revision };
+            let value = jzon::object! {
+                "emptied": emptied,
+                "orders": orders_as_json(&value.emptied, &value.further_orders),
+                "revision": value.revision,
+            };
             daemon::json(StatusCode::OK, &value)
         }
         Ok(_) => fault(StatusCode::INTERNAL_SERVER_ERROR, "a store replied to another question"),
@@ -473,6 +521,7 @@
         "setupRevision": view.word.setup_revision,
         "inForceEverywhere": in_force == view.live.len(),
         "emptied": emptied,
+        "orders": orders_as_json(&view.word.emptied, &view.word.further_orders),
         "epoch": view.plan.epoch,
         "holder": view.plan.holder.as_str(),
         "platform": jzon::object! { "revision": view.platform.revision, "state": platform },
--- a/registry/src/errand.rs
+++ b/registry/src/errand.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 use vanepath_sibling::wire;
-use vanepath_store::talk::{Ask, Outcome, Tell};
+use vanepath_store::orders;
+use vanepath_store::talk::{Ask, Change, Outcome, Tell};
 
 /// A question is asked again for so long.
 pub const LIMIT: Duration = Duration::from_millis(4000);
@@ -20,7 +21,8 @@
 }
 
 pub struct Errand {
-    pub question: Ask,
+    question: Ask,
+    begun_at: Duration,
     until: Duration,
     round: Vec<wire::Card>,
     /// Stores that were silent when this errand asked them: asked again only after all others.
@@ -35,6 +37,7 @@
     pub fn new(question: Ask, now: Duration) -> Errand {
         Errand {
             question,
+            begun_at: now,
             until: now + LIMIT,
             round: Vec::new(),
             silent: Vec::new(),
@@ -45,6 +48,30 @@
         }
     }
 
+    /// What to ask now: a store is told how long an order without a caller's key has waited.
+    pub fn question(&self, now: Duration) -> Ask {
+        let mut question = self.question.clone();
+        if let Ask::Change { unnamed_for: Some(waited), .. } = &mut question {
+            *waited += now.saturating_sub(self.begun_at);
+        }
+        question
+    }
+
+    /// What to tell all stores once the caller of an order is answered, if it surely gets that in its
+    /// time: it isn't sent again then, and the next one like it is another one (design 6.10).
+    pub fn answered(&self, now: Duration, outcome: &Outcome) -> Option<Ask> {
+        let Ask::Change { change, unnamed_for: Some(waited), .. } = &self.question else {
+            return None;
+        };
+        if matches!(change, Change::Setup { .. }) {
+            return None;
+        }
+        let Outcome::Accepted { revision, .. } = outcome else { return None };
+        let is_in_time = *waited + now.saturating_sub(self.begun_at) < orders::SURE_WITHIN;
+        let (matter, revision) = (change.matter(), *revision);
+        is_in_time.then_some(Ask::Answered { matter, revision })
+    }
+
     fn is_write(&self) -> bool {
         matches!(self.question, Ask::Change { .. })
     }
@@ -123,12 +150,32 @@
         }
     }
 
+    /// A store is told how long an order without a caller's key has waited; that its caller was answered
+    /// is told only of such a one, and only where that was in time.
+    #[test]
+    fn an_order_without_a_key_tells_how_long_it_has_waited() {
+        let ms = Duration::from_millis;
+        let ask = |unnamed_for| {
+            let change = Change::Empty { zone: "a1".to_string() };
+            Ask::Change { key: "k".to_string(), change, unnamed_for }
+        };
+        let outcome = Outcome::Accepted { revision: 3, setup_revision: 2, repeat: false };
+        let errand = Errand::new(ask(Some(ms(40))), ms(5000));
+        let Ask::Change { unnamed_for, .. } = errand.question(ms(5100)) else { panic!("a change") };
+        assert_eq!(unnamed_for, Some(ms(140)));
+        let told = errand.answered(ms(5300), &outcome);
+        assert!(matches!(told, Some(Ask::Answered { revision: 3, .. })), "{told:?}");
+        assert!(errand.answered(ms(5800), &outcome).is_none());
+        assert!(errand.answered(ms(5300), &Outcome::Unknown).is_none());
+        assert!(Errand::new(ask(None), ms(0)).answered(ms(100), &outcome).is_none());
+    }
+
     /// Core machines that are replaced one after the other: the first store has just died, the
     /// second dies with the question in hand, and the third still has time to tell.
     #[test]
     fn two_silent_stores_leave_time_for_the_third() {
         let change = Change::Empty { zone: "a1".to_string() };
-        let question = Ask::Change { key: "k".to_string(), change };
+        let question = Ask::Change { key: "k".to_string(), change, unnamed_for: None };
         let mut now = Duration::ZERO;
         let mut errand = Errand::new(question, now);
         let mut asked = Vec::new();
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -159,6 +159,9 @@
     #[serde(with = "serde_bytes")]
     pub setup: Vec<u8>,
     pub emptied: std::collections::BTreeSet<String>,
+    /// Orders to empty a zone that stand beside its first one (design 6.10).
+    #[serde(default, skip_serializing_if = "std::collections::BTreeMap::is_empty")]
+    pub further_orders: std::collections::BTreeMap<String, u32>,
 }
 
 /// From where to where, in thousandths.
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -2,6 +2,7 @@
 //! Effects are carried out strictly in order: an answer that stands behind a `Save` leaves only
 //! once that save is on the disk.
 
+use crate::orders::{Orders, Verdict};
 use crate::talk::{Ask, Ballot, Change, Digest, Holder, Membership, Meta, Outcome, Refusal, Seats};
 use crate::talk::{GENESIS, Tell, Value, holders, quorum, seat_of};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -120,6 +121,8 @@
         ticket: u64,
         key: String,
         change: Change,
+        /// For a change whose caller gave no key: when the registry got the call.
+        unnamed_since: Option<Duration>,
     },
     Read {
         ticket: u64,
@@ -296,6 +299,11 @@
     ping_at: Duration,
     seat_at: Duration,
     pulsed_at: Duration,
+    /// The time of the step under way.
+    now: Duration,
+    orders: Orders,
+    /// Changes that cannot be told yet from the ones before them (design 6.10).
+    held: VecDeque<Op>,
     behind_since: Option<Duration>,
     fetch_turn: usize,
     failed: bool,
@@ -353,6 +361,10 @@
         for (revision, one) in found.kept {
             kept.entry(revision).or_default().push(one);
         }
+        let mut orders = Orders::default();
+        if let Some(value) = &found.value {
+            orders.see(value, now);
+        }
         Register {
             identity,
             state: found.state,
@@ -375,6 +387,9 @@
             ping_at: now,
             seat_at: now,
             pulsed_at: now,
+            now,
+            orders,
+            held: VecDeque::new(),
             behind_since: None,
             fetch_turn: 0,
             failed: false,
@@ -467,6 +482,7 @@
 
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.now = now;
         match event {
             Event::Pulse => self.pulse(now, &mut effects),
             Event::Asked { ticket, ask } => self.asked(now, ticket, ask, &mut effects),
@@ -524,10 +540,11 @@
                     self.state.promised = ballot;
                     effects.push(Effect::Save(vec![Write::State(self.state.clone())]));
                 }
+                let open = self.value.as_ref().map(|value| self.orders.open(value, now));
                 let value = self.value.as_ref().filter(|_| has != Some(accepted.digest));
                 let before = if value.is_some() { owned(&self.before) } else { Vec::new() };
                 let value = value.map(|value| (**value).clone());
-                let tell = Tell::Promise { from: self.own(), accepted, value, before };
+                let tell = Tell::Promise { from: self.own(), accepted, value, before, open };
                 effects.push(Effect::Answer { ticket, tell });
             }
             Ask::Accept { from, ballot, value, before } => {
@@ -604,13 +621,49 @@
                 let tell = Tell::Membership { from: self.own(), shown };
                 effects.push(Effect::Answer { ticket, tell });
             }
-            Ask::Change { key, change } => {
-                self.enqueue(Op::Change { ticket, key, change }, effects);
+            Ask::Change { key, change, unnamed_for } => {
+                let unnamed_since = unnamed_for.map(|waited| now.saturating_sub(waited));
+                let op = Op::Change { ticket, key, change, unnamed_since };
+                match self.verdict(&op) {
+                    Verdict::TooSoon if self.held.len() < QUEUE_MOST => self.held.push_back(op),
+                    _ => self.enqueue(op, effects),
+                }
+            }
+            Ask::Answered { matter, revision } => {
+                if let Some(value) = &self.value {
+                    self.orders.answered(value, matter, revision, now);
+                }
+                self.release(effects);
+                effects.push(Effect::Answer { ticket, tell: Tell::Noted });
             }
             Ask::Read => self.enqueue(Op::Read { ticket }, effects),
             Ask::History { revision } => self.enqueue(Op::History { ticket, revision }, effects),
         }
-        let _ = now;
+    }
+
+    fn verdict(&mut self, op: &Op) -> Verdict {
+        match (op, &self.value) {
+            (Op::Change { change, unnamed_since, .. }, Some(value)) if self.votes() => {
+                self.orders.judge(value, change, *unnamed_since, self.now)
+            }
+            _ => Verdict::Another,
+        }
+    }
+
+    /// Looks again at orders that could not be told from the ones before them. One that turns out to be
+    /// another order is asked for anew: where its registry died, the caller has sent it again, and that
+    /// may have been the one before.
+    fn release(&mut self, effects: &mut Vec<Effect>) {
+        for op in std::mem::take(&mut self.held) {
+            match self.verdict(&op) {
+                Verdict::TooSoon => self.held.push_back(op),
+                Verdict::SentAgain { .. } => self.enqueue(op, effects),
+                Verdict::Another => {
+                    let why = "it waited for the answer to one like it".to_string();
+                    self.answer(&op, Outcome::NothingDone { why }, effects);
+                }
+            }
+        }
     }
 
     fn enqueue(&mut self, op: Op, effects: &mut Vec<Effect>) {
@@ -666,6 +719,7 @@
             (revision, wanted) = (one.parent_revision, one.parent);
             self.before.insert(0, one);
         }
+        self.orders.see(&value, self.now);
         self.value = Some(value);
         writes.push(Write::State(self.state.clone()));
         self.prune(&mut writes);
@@ -759,6 +813,7 @@
             // It stood still itself: nobody was silent for that.
             self.forget_silence();
         }
+        self.release(effects);
         if self.is_off() {
             return;
         }
@@ -1123,7 +1178,7 @@
             }
             (
                 Phase::Preparing { ballot, promises, best, .. },
-                Some(Tell::Promise { from, accepted, value, before }),
+                Some(Tell::Promise { from, accepted, value, before, open }),
             ) => {
                 // Where this very copy has promised another proposer since, the ballot is lost.
                 let is_own = self.state.promised == *ballot && from == asked;
@@ -1140,6 +1195,9 @@
                         own.map(|value| (value, self.before.clone()))
                     }
                 };
+                if let (Some((value, _)), Some(open)) = (&told, &open) {
+                    self.orders.told(value, open, now);
+                }
                 if is_own && accepted.rank() <= best.0.rank() {
                     promises.insert(from, accepted);
                 } else if is_own && let Some((value, before)) = told {
@@ -1275,7 +1333,8 @@
         if let Some(job) = self.job.take() {
             self.fail(job, why, effects);
         }
-        for op in std::mem::take(&mut self.queue) {
+        let held = std::mem::take(&mut self.held);
+        for op in std::mem::take(&mut self.queue).into_iter().chain(held) {
             self.answer(&op, Outcome::NothingDone { why: why.to_string() }, effects);
         }
         let text = format!("{why}: it goes on as an empty one");
@@ -1583,13 +1642,22 @@
         let (mut last, mut meta) = (Arc::new(value.clone()), *own);
         let mut bytes = 0;
         let mut next = Some(first);
-        while let Some(Op::Change { ticket, key, change }) = next.take() {
-            match changed(&last, &meta, &key, &change) {
+        while let Some(Op::Change { ticket, key, change, unnamed_since }) = next.take() {
+            let verdict = self.orders.judge(&last, &change, unnamed_since, self.now);
+            let is_known = last.keys.iter().any(|known| known.key == key);
+            if verdict == Verdict::TooSoon && !is_known {
+                // The one before it waits in the same round.
+                self.held.push_back(Op::Change { ticket, key, change, unnamed_since });
+                next = self.next_change();
+                continue;
+            }
+            match changed(&last, &meta, &key, &change, verdict) {
                 Err(outcome) if made.is_empty() => {
                     effects.push(Effect::Answer { ticket, tell: Tell::Outcome(outcome) });
                 }
                 Err(outcome) => receipts.push((ticket, outcome)),
                 Ok(mut one) => {
+                    self.orders.take(&key, unnamed_since, self.now);
                     one.together = made.len() as u32;
                     let encoded = one.encode();
                     bytes += encoded.len();
@@ -1605,13 +1673,17 @@
             // As large as the largest so far, the next one must still fit.
             let mean = bytes / made.len().max(1);
             if made.len() < BATCH_MOST && bytes + mean <= BATCH_BYTES_MOST {
-                let waits = self.queue.iter().position(|op| matches!(op, Op::Change { .. }));
-                next = waits.and_then(|at| self.queue.remove(at));
+                next = self.next_change();
             }
         }
         (receipts, made)
     }
 
+    fn next_change(&mut self) -> Option<Op> {
+        let waits = self.queue.iter().position(|op| matches!(op, Op::Change { .. }));
+        waits.and_then(|at| self.queue.remove(at))
+    }
+
     /// Copies that a sweep found behind get the chosen version, under its own ballot.
     fn mend_copies(&mut self, meta: Meta, states: &BTreeMap<u64, Copy>, effects: &mut Vec<Effect>) {
         let Some(value) = self.value.clone() else {
@@ -1670,8 +1742,12 @@
             Op::Batch { receipts } => {
                 // Of those that were proposed nobody can tell; the others made no change.
                 for (ticket, planned) in receipts {
-                    let is_refused =
-                        matches!(planned, Outcome::Conflict { .. } | Outcome::KeyReused { .. });
+                    let is_refused = matches!(
+                        planned,
+                        Outcome::Conflict { .. }
+                            | Outcome::KeyReused { .. }
+                            | Outcome::NothingDone { .. }
+                    );
                     let why = "another change was in the way".to_string();
                     let outcome = match &outcome {
                         Outcome::Unknown if is_refused => Outcome::NothingDone { why },
@@ -1758,6 +1834,7 @@
         setup_version: 0,
         setup: Vec::new(),
         emptied: BTreeSet::new(),
+        further_orders: BTreeMap::new(),
         seats,
         together: 0,
         keys: VecDeque::new(),
@@ -1769,7 +1846,13 @@
 }
 
 /// The value after a change, or what to tell instead of changing anything.
-fn changed(value: &Value, own: &Meta, key: &str, change: &Change) -> Result<Value, Outcome> {
+fn changed(
+    value: &Value,
+    own: &Meta,
+    key: &str,
+    change: &Change,
+    verdict: Verdict,
+) -> Result<Value, Outcome> {
     if let Some(known) = value.keys.iter().find(|known| known.key == key) {
         let (revision, setup_revision) = (known.revision, known.setup_revision);
         return Err(if known.matter == change.matter() {
@@ -1778,6 +1861,9 @@
             Outcome::KeyReused { revision }
         });
     }
+    if let Verdict::SentAgain { revision, setup_revision } = verdict {
+        return Err(Outcome::Accepted { revision, setup_revision, repeat: true });
+    }
     let mut next = child(value, own);
     let is_same = match change {
         // Its author knows what is newer, whatever came in between and however often it is sent.
@@ -1794,8 +1880,18 @@
             next.setup_version = version.unwrap_or(value.setup_version);
             false
         }
-        Change::Empty { zone } => !next.emptied.insert(zone.clone()),
-        Change::Return { zone } => !next.emptied.remove(zone),
+        Change::Empty { zone } if value.orders(zone) >= crate::talk::ORDERS_MOST => {
+            let why = "too many orders to empty this zone stand".to_string();
+            return Err(Outcome::NothingDone { why });
+        }
+        Change::Empty { zone } => {
+            next.set_orders(zone, value.orders(zone) + 1);
+            false
+        }
+        Change::Return { zone } => {
+            next.set_orders(zone, value.orders(zone).saturating_sub(1));
+            value.orders(zone) == 0
+        }
     };
     if is_same {
         let (revision, setup_revision) = (value.revision, value.setup_revision);
--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -63,6 +63,10 @@
     #[serde(with = "serde_bytes")]
     pub setup: Vec<u8>,
     pub emptied: std::collections::BTreeSet<String>,
+    /// Orders to empty a zone that stand beside its first one (design 6.10); left out where there are
+    /// none, so that values written before there was a count read, and digest, as they were.
+    #[serde(default, skip_serializing_if = "std::collections::BTreeMap::is_empty")]
+    pub further_orders: std::collections::BTreeMap<String, u32>,
     pub seats: Seats,
     /// So many versions before this one were proposed together with it, in one round.
     pub together: u32,
@@ -81,6 +85,8 @@
 
 /// A repeat is known among so many of the last writes.
 pub const KEYS_MOST: usize = 256;
+/// Orders to empty one zone that may stand at one time.
+pub const ORDERS_MOST: u32 = 1000;
 /// So many revisions stay readable, as long as they fit.
 pub const HISTORY: usize = 1024;
 /// So many bytes of versions a disk holds before old ones go.
@@ -91,6 +97,26 @@
         vanepath_sibling::wire::encode(self)
     }
 
+    /// So many orders to empty this zone stand.
+    pub fn orders(&self, zone: &str) -> u32 {
+        match self.emptied.contains(zone) {
+            true => self.further_orders.get(zone).map_or(1, |further| further.saturating_add(1)),
+            false => 0,
+        }
+    }
+
+    pub(crate) fn set_orders(&mut self, zone: &str, orders: u32) {
+        self.further_orders.remove(zone);
+        if orders == 0 {
+            self.emptied.remove(zone);
+            return;
+        }
+        self.emptied.insert(zone.to_string());
+        if orders > 1 {
+            self.further_orders.insert(zone.to_string(), orders - 1);
+        }
+    }
+
     pub fn word(&self) -> vanepath_sibling::wire::Word {
         vanepath_sibling::wire::Word {
             revision: self.revision,
@@ -98,6 +124,7 @@
             setup_version: self.setup_version,
             setup: self.setup.clone(),
             emptied: self.emptied.clone(),
+            further_orders: self.further_orders.clone(),
         }
     }
 }
@@ -187,14 +214,23 @@
         from: u64,
         wants_value: bool,
     },
+    /// `unnamed_for`: its caller gave no key (the registry made this one), and the registry has had the
+    /// call for so long (design 6.10). `None`: the key is the caller's.
     Change {
         key: String,
         change: Change,
+        #[serde(default)]
+        unnamed_for: Option<std::time::Duration>,
     },
     Read,
     History {
         revision: u64,
     },
+    /// The caller of the change that made this revision, or was told it, surely has its receipt.
+    Answered {
+        matter: u64,
+        revision: u64,
+    },
 }
 
 #[derive(
@@ -217,6 +253,10 @@
         accepted: Meta,
         value: Option<Value>,
         before: Vec<Value>,
+        /// Of the keys of that value those whose callers may send the same again without a key, with their
+        /// ages in ms (design 6.10); `None`: the teller knows nothing of that.
+        #[serde(default)]
+        open: Option<Vec<(String, u32)>>,
     },
     Accepted {
         from: u64,
@@ -243,6 +283,8 @@
         shown: Box<Membership>,
     },
     Outcome(Outcome),
+    /// Heard; there is nothing to tell.
+    Noted,
 }
 
 /// What a registry hears back.
--- a/store/tests/disk.rs
+++ b/store/tests/disk.rs
@@ -21,6 +21,7 @@
         setup_version: 0,
         setup: format!("setup {revision}").into_bytes(),
         emptied: Default::default(),
+        further_orders: Default::default(),
         seats: Vec::new(),
         together,
         keys: Default::default(),
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -144,7 +144,7 @@
         let before = self.told.len();
         let bytes = key.as_bytes().to_vec();
         let change = Change::Setup { bytes, if_revision: None, version: None };
-        self.ask(index, Ask::Change { key: key.to_string(), change });
+        self.ask(index, Ask::Change { key: key.to_string(), change, unnamed_for: None });
         self.passes(Duration::from_secs(2));
         self.told.get(before).cloned()
     }
@@ -699,7 +699,7 @@
     let before = fleet.told.len();
     let bytes = bytes.as_bytes().to_vec();
     let change = Change::Setup { bytes, if_revision: None, version };
-    fleet.ask(0, Ask::Change { key: key.to_string(), change });
+    fleet.ask(0, Ask::Change { key: key.to_string(), change, unnamed_for: None });
     fleet.passes(Duration::from_secs(1));
     fleet.told[before].clone()
 }
@@ -711,7 +711,7 @@
     let mut fleet = Fleet::of(3);
     fleet.passes(Duration::from_secs(2));
     let change = Change::Empty { zone: "a1".to_string() };
-    fleet.ask(0, Ask::Change { key: "zone".to_string(), change });
+    fleet.ask(0, Ask::Change { key: "zone".to_string(), change, unnamed_for: None });
     let accepted = |outcome: Outcome| match outcome {
         Outcome::Accepted { revision, repeat, .. } => (revision, repeat),
         other => panic!("{other:?}"),
@@ -735,7 +735,7 @@
         let ticket = fleet.tickets.len() as u64 - 1;
         let bytes = format!("{version}").into_bytes();
         let change = Change::Setup { bytes, if_revision: None, version: Some(version) };
-        let ask = Ask::Change { key: format!("s{version}"), change };
+        let ask = Ask::Change { key: format!("s{version}"), change, unnamed_for: None };
         fleet.events.push_back((0, Event::Asked { ticket, ask }));
     }
     let before = fleet.told.len();
@@ -763,7 +763,7 @@
         let ticket = fleet.tickets.len() as u64 - 1;
         let bytes = bytes.as_bytes().to_vec();
         let change = Change::Setup { bytes, if_revision, version: None };
-        let ask = Ask::Change { key: key.to_string(), change };
+        let ask = Ask::Change { key: key.to_string(), change, unnamed_for: None };
         fleet.events.push_back((0, Event::Asked { ticket, ask }));
     };
     for number in 0..20 {
@@ -817,7 +817,7 @@
             let ticket = fleet.tickets.len() as u64 - 1;
             let bytes = key.as_bytes().to_vec();
             let change = Change::Setup { bytes, if_revision: None, version: None };
-            let ask = Ask::Change { key: key.to_string(), change };
+            let ask = Ask::Change { key: key.to_string(), change, unnamed_for: None };
             fleet.events.push_back((0, Event::Asked { ticket, ask }));
         }
         fleet.run();
@@ -851,7 +851,7 @@
         let mut bytes = vec![b'x'; size];
         bytes[..4].copy_from_slice(&number.to_be_bytes());
         let change = Change::Setup { bytes, if_revision: None, version: None };
-        fleet.ask(0, Ask::Change { key: format!("k{number}"), change });
+        fleet.ask(0, Ask::Change { key: format!("k{number}"), change, unnamed_for: None });
         for store in &fleet.stores {
             let held: usize = store.disk.versions.values().map(|value| value.encode().len()).sum();
             assert!(held <= most + size, "{held} bytes at revision {number}");
@@ -966,7 +966,7 @@
     fleet.delays = Box::new(|_, _, tell| matches!(tell, Tell::Accepted { .. }));
     let change = Change::Empty { zone: "a1".to_string() };
     let told = fleet.told.len();
-    fleet.ask(0, Ask::Change { key: "k".to_string(), change });
+    fleet.ask(0, Ask::Change { key: "k".to_string(), change, unnamed_for: None });
     assert_eq!(fleet.late.len(), 2, "two have accepted what was half done");
     let other = child(&fleet, 0, "other");
     fleet.ask(0, accept(other, 1000));
@@ -1000,3 +1000,232 @@
     fleet.passes(Duration::from_secs(10));
     assert!(fleet.stores[1..].iter().all(|store| store.core.is_blank()));
 }
+
+impl Fleet {
+    /// An order without a caller's key, which its registry has had for so long.
+    fn order(&mut self, index: usize, change: Change, waited: u64) -> Outcome {
+        let key = format!("made-{}", self.tickets.len());
+        let unnamed_for = Some(Duration::from_millis(waited));
+        let before = self.told.len();
+        self.ask(index, Ask::Change { key, change, unnamed_for });
+        self.told[before].clone()
+    }
+
+    /// Its registry answered in time, and says so to all stores.
+    fn answered(&mut self, change: &Change, outcome: &Outcome) {
+        let Outcome::Accepted { revision, .. } = outcome else { panic!("{outcome:?}") };
+        let (matter, revision) = (change.matter(), *revision);
+        for index in 0..self.stores.len() {
+            self.ask(index, Ask::Answered { matter, revision });
+        }
+    }
+
+    fn orders(&self, index: usize) -> u32 {
+        self.value(index).orders("a1")
+    }
+}
+
+fn empty() -> Change {
+    Change::Empty { zone: "a1".to_string() }
+}
+
+fn give_back() -> Change {
+    Change::Return { zone: "a1".to_string() }
+}
+
+fn is_repeat(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Accepted { repeat, .. } => *repeat,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Each order to empty a zone is withdrawn for itself, and a withdrawal of none is acknowledged.
+#[test]
+fn a_zone_is_emptied_until_every_order_is_withdrawn() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let is_emptied = |fleet: &Fleet| fleet.value(1).word().emptied.contains("a1");
+    for (change, orders) in [
+        (empty(), 1),
+        (empty(), 2),
+        (empty(), 3),
+        (give_back(), 2),
+        (give_back(), 1),
+        (give_back(), 0),
+        (give_back(), 0),
+        (empty(), 1),
+    ] {
+        let outcome = fleet.order(0, change.clone(), 0);
+        fleet.answered(&change, &outcome);
+        assert_eq!((fleet.orders(0), fleet.orders(1), fleet.orders(2)), (orders, orders, orders));
+        assert_eq!(is_emptied(&fleet), orders > 0);
+        fleet.passes(Duration::from_millis(300));
+    }
+    // By keys: the same one is the same order, another one another.
+    for (key, change, orders) in [
+        ("a", empty(), 2),
+        ("a", empty(), 2),
+        ("b", empty(), 3),
+        ("c", give_back(), 2),
+        ("c", give_back(), 2),
+        ("d", give_back(), 1),
+    ] {
+        fleet.ask(0, Ask::Change { key: key.to_string(), change, unnamed_for: None });
+        assert_eq!(fleet.orders(0), orders, "{key}");
+    }
+}
+
+/// A number of orders has a bound; the one above it does nothing, and says so.
+#[test]
+fn orders_for_one_zone_are_bounded() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let most = vanepath_store::talk::ORDERS_MOST;
+    for number in 0..=most {
+        let (key, change) = (format!("k{number}"), empty());
+        fleet.ask(0, Ask::Change { key, change, unnamed_for: None });
+    }
+    assert_eq!(fleet.orders(0), most);
+    assert!(matches!(fleet.told.last(), Some(Outcome::NothingDone { .. })));
+}
+
+/// Without a clear answer an order is sent again, to whichever store: it counts once. One that never came
+/// into force counts when it is sent again.
+#[test]
+fn an_order_that_is_sent_again_counts_once() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let second = Duration::from_secs(1);
+    assert!(!is_repeat(&fleet.order(0, empty(), 0)));
+    for store in [0, 1, 2, 1] {
+        fleet.passes(second);
+        assert!(is_repeat(&fleet.order(store, empty(), 0)));
+        assert_eq!(fleet.orders(0), 1);
+    }
+    // A store that dies and forgets when it was.
+    fleet.restart(0);
+    fleet.passes(second);
+    let outcome = fleet.order(0, empty(), 0);
+    assert!(is_repeat(&outcome));
+    fleet.answered(&empty(), &outcome);
+    // What a majority knows it hears with their promises.
+    fleet.restart(0);
+    // Answered: the next one is another order.
+    fleet.passes(second);
+    assert!(!is_repeat(&fleet.order(0, empty(), 0)));
+    // Not answered, but nobody sends it again after so long.
+    fleet.passes(9 * second);
+    assert!(!is_repeat(&fleet.order(0, empty(), 0)));
+    assert_eq!(fleet.orders(0), 3);
+    // The same for withdrawals.
+    assert!(!is_repeat(&fleet.order(0, give_back(), 0)));
+    fleet.passes(second);
+    assert!(is_repeat(&fleet.order(2, give_back(), 0)));
+    assert_eq!(fleet.orders(0), 2);
+    // The first sending finds no majority.
+    fleet.passes(9 * second);
+    fleet.loses = Box::new(|_, _, ask| matches!(ask, Ask::Prepare { .. } | Ask::Accept { .. }));
+    let told = fleet.order(0, give_back(), 0);
+    assert!(matches!(told, Outcome::NothingDone { .. }), "{told:?}");
+    fleet.loses = Box::new(|_, _, _| false);
+    fleet.passes(second);
+    assert!(!is_repeat(&fleet.order(1, give_back(), 0)));
+    assert_eq!(fleet.orders(0), 1);
+}
+
+/// Two orders hard upon each other: whether the second one is the first sent again shows once its registry
+/// has told that it answered, or by then should have; until then it waits.
+#[test]
+fn an_order_hard_upon_another_one_waits_for_that_ones_answer() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let wait = |fleet: &mut Fleet, store: usize| {
+        fleet.tickets.push(Asker::Operator);
+        let ticket = fleet.tickets.len() as u64 - 1;
+        let (key, unnamed_for) = (format!("made-{ticket}"), Some(Duration::ZERO));
+        let ask = Ask::Change { key, change: empty(), unnamed_for };
+        fleet.events.push_back((store, Event::Asked { ticket, ask }));
+    };
+    let first = fleet.order(0, empty(), 0);
+    fleet.passes(Duration::from_millis(200));
+    wait(&mut fleet, 0);
+    fleet.passes(Duration::from_millis(200));
+    assert_eq!((fleet.told.len(), fleet.orders(0)), (1, 1), "nobody can tell yet");
+    fleet.answered(&empty(), &first);
+    let asks_anew = |outcome: &Outcome| matches!(outcome, Outcome::NothingDone { .. });
+    assert!(asks_anew(&fleet.told[1]), "a registry that died does not: {:?}", fleet.told[1]);
+    assert_eq!(fleet.orders(0), 1);
+    assert!(!is_repeat(&fleet.order(0, empty(), 100)));
+    assert_eq!(fleet.orders(0), 2);
+    // Its registry is dead: it was the same, at whichever store.
+    fleet.passes(Duration::from_millis(200));
+    for store in 0..3 {
+        wait(&mut fleet, store);
+    }
+    fleet.run();
+    assert_eq!(fleet.told.len(), 3);
+    fleet.passes(Duration::from_millis(500));
+    assert_eq!(fleet.told.len(), 6);
+    assert!(fleet.told[3..].iter().all(is_repeat), "{:?}", fleet.told);
+    assert_eq!(fleet.orders(0), 2);
+    // Both wait for one round.
+    fleet.passes(Duration::from_secs(9));
+    wait(&mut fleet, 0);
+    wait(&mut fleet, 0);
+    fleet.run();
+    assert_eq!((fleet.told.len(), fleet.orders(0)), (7, 3));
+    fleet.answered(&empty(), &fleet.told[6].clone());
+    assert_eq!((fleet.told.len(), fleet.orders(0)), (8, 3));
+    assert!(asks_anew(&fleet.told[7]));
+    assert!(!is_repeat(&fleet.order(0, empty(), 100)));
+    // A disk that is wiped, or fails, leaves none waiting.
+    wait(&mut fleet, 1);
+    fleet.run();
+    assert_eq!((fleet.told.len(), fleet.orders(0)), (9, 4));
+    fleet.events.push_back((1, Event::DiskFailed));
+    fleet.passes(Duration::from_millis(50));
+    assert!(asks_anew(&fleet.told[9]), "{:?}", fleet.told[9]);
+}
+
+/// A sending that was held up at its registry comes into force nowhere once the order, sent again, has.
+#[test]
+fn a_sending_that_was_held_up_is_overtaken() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let told = fleet.order(1, empty(), 0);
+    fleet.answered(&empty(), &told);
+    fleet.passes(Duration::from_millis(500));
+    assert!(is_repeat(&fleet.order(0, empty(), 1600)));
+    assert_eq!(fleet.orders(0), 1);
+    // It counts against a zone that is back, too.
+    let told = fleet.order(0, give_back(), 0);
+    fleet.answered(&give_back(), &told);
+    assert!(is_repeat(&fleet.order(0, empty(), 1700)));
+    assert_eq!(fleet.orders(0), 0);
+    // Held up, but nothing came before it.
+    fleet.passes(Duration::from_secs(3));
+    assert!(!is_repeat(&fleet.order(0, empty(), 1600)));
+    assert_eq!(fleet.orders(0), 1);
+}
+
+/// A value without a count reads and digests as it did before there was one.
+#[test]
+fn a_value_without_a_count_is_in_its_old_form() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let name = b"further_orders";
+    let has_it = |bytes: &[u8]| bytes.windows(name.len()).any(|part| part == name);
+    fleet.ask(0, Ask::Change { key: "a".to_string(), change: empty(), unnamed_for: None });
+    let bytes = fleet.value(0).encode();
+    assert!(!has_it(&bytes));
+    let read: Value = wire::decode(&bytes).unwrap();
+    assert_eq!((read.orders("a1"), read.orders("b1"), read.encode()), (1, 0, bytes));
+    fleet.ask(0, Ask::Change { key: "b".to_string(), change: empty(), unnamed_for: None });
+    let bytes = fleet.value(0).encode();
+    assert!(has_it(&bytes));
+    assert_eq!(wire::decode::<Value>(&bytes).unwrap().orders("a1"), 2);
+    let ask = Ask::Change { key: "c".to_string(), change: give_back(), unnamed_for: None };
+    fleet.ask(0, ask);
+    assert!(!has_it(&fleet.value(0).encode()));
+}
