An empty platform list is believed by nobody, also where no list is known yet

The check judge(none, empty) == Good was wrong: whoever knows no list cannot tell that the others know none.

--- a/registry/src/platform.rs
+++ b/registry/src/platform.rs
@@ -21,7 +21,7 @@
     Good,
     Unreachable,
     Malformed,
-    /// It lists nobody while the last good list did: not believed.
+    /// It lists nobody: not believed. One that knows no list yet may be new, while all others know one.
     Empty,
     /// Its revision is lower than one that was read before.
     Older,
@@ -34,7 +34,7 @@
 ) -> State {
     if read.revision < last.revision {
         State::Older
-    } else if read.servers.is_empty() && !last.servers.is_empty() {
+    } else if read.servers.is_empty() {
         State::Empty
     } else {
         State::Good
--- a/registry/src/platform/tests.rs
+++ b/registry/src/platform/tests.rs
@@ -13,7 +13,9 @@
     assert_eq!(super::judge(&last, &list(6, false)), State::Good);
     assert_eq!(super::judge(&last, &list(4, false)), State::Older);
     assert_eq!(super::judge(&last, &list(6, true)), State::Empty);
-    assert_eq!(super::judge(&list(0, true), &list(1, true)), State::Good);
+    // Whoever knows none yet may be the only one: the others' list has servers.
+    assert_eq!(super::judge(&list(0, true), &list(1, true)), State::Empty);
+    assert_eq!(super::judge(&list(0, true), &list(0, false)), State::Good);
 }
 
 fn server(id: &str) -> vanepath_setup::platform::Server {
