What would be late in every queue is refused at once, to come back

A queue in which all are late serves nobody.

Ruled out: letting only those wait who came back (worse in a model of the fleet); a fixed bound of the queue (aims differ from route to route).

Change: rules have an aim (aimMs; targetMs of the platform). A new request is refused with 503 and Retry-After where each server's answer would be expected later than a part of it. A free slot is never refused, so that usual times that came to be too long correct themselves.

Tests: what_would_be_late_is_refused_at_once (without an aim it fails), a_queue_is_too _crowded_where_it_would_be_late, a_crowd_comes_back_by_and_by.

--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -1039,6 +1039,7 @@
                 let pause = pause.min(Duration::from_millis(50));
                 return self.net.timer(host, pause, Timer::WayChoose(way));
             }
+            Choice::Crowded => return self.end_way(index, way, Err(Refusal::Crowded)),
             _ => return self.end_way(index, way, Err(Refusal::NoServer)),
         };
         let slot = own.table.entries[entry].slot;
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -28,6 +28,7 @@
         RefusedNotReady,
         RefusedNoRoom,
         RefusedNoServer,
+        RefusedCrowded,
         RefusedNoBudget,
         RefusedLate,
         RefusedLost,
@@ -267,6 +268,8 @@
     places: Vec<jzon::JsonValue>,
     detail: String,
     closes: bool,
+    /// What is left of its time.
+    left: Duration,
 }
 
 fn refuse(proxy: &Proxy, refusal: Refusal, verdict: Verdict, more: &More) -> hyper::Response<Body> {
@@ -279,6 +282,7 @@
         Refusal::NotReady => Counter::RefusedNotReady,
         Refusal::NoRoom => Counter::RefusedNoRoom,
         Refusal::NoServer => Counter::RefusedNoServer,
+        Refusal::Crowded => Counter::RefusedCrowded,
         Refusal::NoBudget => Counter::RefusedNoBudget,
         Refusal::Late => Counter::RefusedLate,
         Refusal::Lost => Counter::RefusedLost,
@@ -302,7 +306,7 @@
         headers.insert(verdict, HeaderValue::from_static(told));
     }
     if verdict == Verdict::NotRun
-        && let Some(after) = refusal.retry_after()
+        && let Some(after) = refusal.retry_after(more.left, proxy.random())
         && let Ok(after) = HeaderValue::from_str(&proxy.daemon.settings.dialect.retry_after(after))
     {
         headers.insert(header::RETRY_AFTER, after);
@@ -355,6 +359,7 @@
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .map_or(limit, Duration::from_millis);
     let deadline = received_at + limit.min(own_limit);
+    more.left = limit.min(own_limit);
     let length = hyper::body::Body::size_hint(&incoming).exact();
     if length.is_some_and(|length| length > class.body_most) {
         more.closes = true;
@@ -707,6 +712,7 @@
             tokio::time::sleep(pause.min(Duration::from_millis(50))).await;
             Ok(None)
         }
+        Choice::Crowded => Err(Refusal::Crowded),
         // All that are left were tried, or none is there, or none has its turn in time.
         Choice::Wait(_) | Choice::None => Err(Refusal::NoServer),
     }
--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -32,6 +32,8 @@
     NotReady,
     NoRoom,
     NoServer,
+    /// Every server has a queue in which it would be late.
+    Crowded,
     NoBudget,
     Late,
     Lost,
@@ -164,9 +166,14 @@
         }
     }
 
-    /// When it makes sense to come back.
-    pub fn retry_after(self) -> Option<std::time::Duration> {
+    /// When it makes sense to come back, with so much of its time left. Those whom a crowd sent away
+    /// come back by and by, as the draw has it, and in time to be served.
+    pub fn retry_after(self, left: std::time::Duration, draw: u64) -> Option<std::time::Duration> {
         let after_ms = match self {
+            Refusal::Crowded => {
+                let drawn_ms = 600 + draw % 401;
+                drawn_ms.min(left.as_millis() as u64 / 4)
+            }
             Refusal::NoServer | Refusal::NoRoom => 100,
             Refusal::NotReady => 300,
             Refusal::NoBudget => 500,
@@ -179,9 +186,19 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{Chart, Miss, Next};
+    use super::{Chart, Miss, Next, Refusal};
     use vanepath_setup::model::Kind;
 
+    /// Those whom a crowd sent away come back apart from each other, and with most of their time left.
+    #[test]
+    fn a_crowd_comes_back_by_and_by() {
+        let ms = std::time::Duration::from_millis;
+        let after = |left, draw| Refusal::Crowded.retry_after(ms(left), draw).unwrap();
+        assert_eq!((after(5000, 0), after(5000, 400)), (ms(600), ms(1000)));
+        assert!((0..1000).all(|draw| after(1200, draw) <= ms(300)));
+        assert_eq!(Refusal::NoServer.retry_after(ms(10), 7), Some(ms(100)));
+    }
+
     /// A slow server is left after a third of what remains, then a third of the rest; a filing and the
     /// last go stay.
     #[test]
--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -57,6 +57,19 @@
         (self.load + 1.0) / self.slots
     }
 
+    /// When its answer can be expected, in milliseconds.
+    fn expected_ms(&self, job: &Job) -> f64 {
+        let opened = if self.is_connected { 0.0 } else { self.way_ms };
+        let takes = job.work_ms * self.pace * lateness(self.load + 1.0, self.slots);
+        self.way_ms + opened + takes
+    }
+
+    /// It would stand in a queue here, and its answer come later than `limit_ms`. What finds a free
+    /// slot is never that: it shows how long requests take by now.
+    pub fn is_too_crowded(&self, job: &Job, limit_ms: f64) -> bool {
+        self.load + 1.0 > self.slots && self.expected_ms(job) > limit_ms
+    }
+
     /// What the request costs here, in milliseconds: to itself, to others, and for its bytes.
     pub fn cost(&self, job: &Job) -> f64 {
         let carried = match self.distance {
@@ -102,6 +115,12 @@
     }
 }
 
+/// A request is let into a queue if it can be expected to be answered within such a part of its aim; what
+/// is usual is the mean, and answers spread. One that runs at most once is the dearer one to send away.
+pub fn patience(aim: std::time::Duration, is_once: bool) -> f64 {
+    aim.as_secs_f64() * 1000.0 * if is_once { 0.75 } else { 0.6 }
+}
+
 /// A server with more than that is full: it would turn the request away.
 pub const FILL_MOST: f64 = 4.0;
 
--- a/proxy/src/choice/tests.rs
+++ b/proxy/src/choice/tests.rs
@@ -133,6 +133,21 @@
     assert_eq!(choose(&[slow, Candidate { load: 4.0, ..fast }], &SMALL, 0), Some(2));
 }
 
+/// A queue in which a request would be late is too crowded for it; a free slot never is, however long
+/// requests take, for it shows when they no longer do.
+#[test]
+fn a_queue_is_too_crowded_where_it_would_be_late() {
+    let aim = std::time::Duration::from_millis(600);
+    let (once, repeatable) = (super::patience(aim, true), super::patience(aim, false));
+    assert!(repeatable < once && once < 600.0);
+    let slow = Job { work_ms: 5000.0, ..SMALL };
+    assert!(!candidate(0, 3.0).is_too_crowded(&slow, repeatable));
+    assert!(candidate(0, 4.0).is_too_crowded(&slow, repeatable));
+    assert!(!candidate(0, 4.0).is_too_crowded(&SMALL, repeatable));
+    assert!(candidate(0, 8.0).is_too_crowded(&SMALL, repeatable));
+    assert!(!candidate(0, 6.0).is_too_crowded(&SMALL, once));
+}
+
 /// Neither the draw nor the order of the candidates changes anything but which of equal ones it is.
 #[test]
 fn the_draw_decides_among_equals_only() {
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -331,6 +331,8 @@
     Server(usize, usize),
     /// Only cold servers have room, the first of them from then on.
     Wait(Duration),
+    /// There are servers, and at each of them it would be late for the queue there.
+    Crowded,
     None,
 }
 
@@ -794,10 +796,19 @@
             }
         }
         drop(pools);
+        // A request that a server may have had goes on; one that is new can come back.
+        let limit_ms = rule.aim.filter(|_| want.looks || want.tried.is_empty());
+        let limit_ms = limit_ms.map(|aim| crate::choice::patience(aim, !is_lookup));
+        let mut is_crowded = false;
         for (tier, candidates) in tiers.iter_mut().enumerate() {
-            if want.looks && tier == 2 {
+            if tier == 2 && (want.looks || is_crowded) {
                 break;
             }
+            if let Some(limit_ms) = limit_ms {
+                let before = candidates.len();
+                candidates.retain(|one| !one.is_too_crowded(&job, limit_ms));
+                is_crowded |= candidates.len() < before;
+            }
             for _ in 0..3 {
                 let Some(index) = crate::choice::choose(candidates, &job, random) else {
                     break;
@@ -810,11 +821,12 @@
             if tier == 1
                 && let Some(cold_at) = cold_at
                 && !want.looks
+                && !is_crowded
             {
                 return Choice::Wait(cold_at);
             }
         }
-        Choice::None
+        if is_crowded { Choice::Crowded } else { Choice::None }
     }
 
     /// Looked at without holding all locks: looks again while taking it.
@@ -1161,6 +1173,7 @@
             match self.servers.choose(Duration::from_secs(now_s), &table, &want, 5) {
                 Choice::Server(index, _) => table.entries[index].server.id.clone(),
                 Choice::Wait(at) => format!("wait until {:.1} s", at.as_secs_f64()),
+                Choice::Crowded => "crowded".to_string(),
                 Choice::None => "none".to_string(),
             }
         }
--- a/proxy/tests/crowding.rs
+++ b/proxy/tests/crowding.rs
@@ -88,6 +88,8 @@
     asked: usize,
     in_time: usize,
     turned_away: usize,
+    /// Refused at once by the proxy.
+    refused: usize,
     elsewhere: usize,
 }
 
@@ -104,8 +106,10 @@
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Fleet {
-        let setup = Arc::new(vanepath_setup::model::parse(SETUP.as_bytes()).unwrap());
+    /// With an aim in its rule, `aim`.
+    fn new(seed: u64, aim: &str) -> Fleet {
+        let text = SETUP.replace(r#""service": "s"}"#, &format!(r#""service": "s"{aim}}}"#));
+        let setup = Arc::new(vanepath_setup::model::parse(text.as_bytes()).unwrap());
         let address = |number: usize| std::net::SocketAddr::from(([127, 0, 0, 1], number as u16));
         let servers = (0..ZONES.len() * SERVERS_A_ZONE).map(|number| {
             let zone = ZONES[zone_of(number)];
@@ -154,6 +158,7 @@
             asked: 0,
             in_time: 0,
             turned_away: 0,
+            refused: 0,
             elsewhere: 0,
         }
     }
@@ -223,8 +228,9 @@
             tried: &[],
             looks: false,
         };
-        // All full: nobody serves it.
+        // Too full, or all full: nobody serves it.
         let Choice::Server(index, _) = servers.choose(now, &table, &want, self.draw.next()) else {
+            self.refused += 1;
             return;
         };
         let slot = table.entries[index].slot;
@@ -311,8 +317,8 @@
 
     fn show(&self) -> String {
         format!(
-            "{} of {} in time, {} turned away, {} in another zone",
-            self.in_time, self.asked, self.turned_away, self.elsewhere
+            "{} of {} in time, {} refused, {} turned away, {} in another zone",
+            self.in_time, self.asked, self.refused, self.turned_away, self.elsewhere
         )
     }
 }
@@ -322,7 +328,7 @@
 #[test]
 fn a_region_asked_for_too_much_leaves_its_last_slots_and_goes_where_room_is() {
     for seed in [1, 2, 3] {
-        let fleet = Fleet::new(seed).run([250.0, 150.0, 60.0, 60.0], false);
+        let fleet = Fleet::new(seed, "").run([250.0, 150.0, 60.0, 60.0], false);
         assert!(fleet.in_time() > 0.95, "seed {seed}: {}", fleet.show());
         assert!(fleet.turned_away * 100 < fleet.asked, "seed {seed}: {}", fleet.show());
     }
@@ -332,15 +338,28 @@
 #[test]
 fn servers_that_turn_slow_get_little_until_they_are_well() {
     for seed in [1, 2, 3] {
-        let fleet = Fleet::new(seed).run([130.0, 130.0, 130.0, 130.0], true);
+        let fleet = Fleet::new(seed, "").run([130.0, 130.0, 130.0, 130.0], true);
         assert!(fleet.in_time() > 0.93, "seed {seed}: {}", fleet.show());
     }
 }
 
+/// Asked for twice what its servers do well, a fleet refuses at once what would be late, and nearly all
+/// that it takes is in time; without an aim most of it is late.
+#[test]
+fn what_would_be_late_is_refused_at_once() {
+    for seed in [1, 2, 3] {
+        let fleet = Fleet::new(seed, r#", "aimMs": 600"#).run([310.0, 310.0, 310.0, 310.0], false);
+        let taken = fleet.asked - fleet.refused;
+        assert!(fleet.in_time * 100 > taken * 85, "seed {seed}: {}", fleet.show());
+        // What the servers do with every slot in use is 48 x 1.875 / 150 ms = 600 a second.
+        assert!(fleet.in_time as f64 > 12.0 * 400.0, "seed {seed}: {}", fleet.show());
+    }
+}
+
 /// With little to do, nearly all stays in its zone.
 #[test]
 fn a_calm_fleet_stays_near() {
-    let fleet = Fleet::new(1).run([50.0, 50.0, 50.0, 50.0], false);
+    let fleet = Fleet::new(1, "").run([50.0, 50.0, 50.0, 50.0], false);
     assert!(fleet.in_time() > 0.99, "{}", fleet.show());
     assert!(fleet.elsewhere * 50 < fleet.asked, "{}", fleet.show());
 }
--- a/setup/src/model.rs
+++ b/setup/src/model.rs
@@ -106,6 +106,9 @@
     pub attempts_most: u32,
     /// Instead of the class's.
     pub deadline: Option<std::time::Duration>,
+    /// Answers that come later are worth less: a request is refused at once, for the client to come back,
+    /// rather than put into a queue in which it would be late (design 8.7).
+    pub aim: Option<std::time::Duration>,
 }
 
 /// Unless a rule says otherwise.
@@ -509,6 +512,7 @@
         "literalPrefix",
         "attempts",
         "deadlineMs",
+        "aimMs",
     ];
     let at = |key: &str| format!("{path}.{key}");
     let empty = jzon::object::Object::new();
@@ -531,6 +535,7 @@
         reader.boolean(&literal_path, object.get("literalPrefix")).unwrap_or(false);
     let attempts = reader.whole(&at("attempts"), object.get("attempts"), 1, 64);
     let deadline_ms = reader.whole(&at("deadlineMs"), object.get("deadlineMs"), 100, 600_000);
+    let aim_ms = reader.whole(&at("aimMs"), object.get("aimMs"), 1, 600_000);
 
     let mut methods = Vec::new();
     let mut host = None;
@@ -650,6 +655,7 @@
         split,
         attempts_most: attempts.map_or(ATTEMPTS_MOST, |attempts| attempts as u32),
         deadline: deadline_ms.map(std::time::Duration::from_millis),
+        aim: aim_ms.map(std::time::Duration::from_millis),
     });
 }
 
