A zone of which nothing is known is as full as the others, not nearly empty

Change: what is not known is the mean of the service's zones that told lately. Test: a_zone_that_comes_back_is_as_full_as_the_others.

--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -746,6 +746,8 @@
         let service = &table.setup.services[want.service];
         let job = self.job(&class.name, &service.name, class.bulk);
         let pools = self.pools.lock().expect("no panic under this lock");
+        let of_service = pools.iter().filter(|one| one.0.0 == service.name).map(|one| &one.1);
+        let usual = crate::usual::usual_fill(now, of_service);
         for index in &table.by_service[want.service] {
             let entry = &table.entries[*index];
             let server = &entry.server;
@@ -783,7 +785,7 @@
                 let distance = if is_own { Distance::Own } else { distance };
                 let slots = f64::from(server.slots);
                 let pool = &pools[quick.pool].1;
-                let load = quick.load(now, distance, pool.fill(now) * slots);
+                let load = quick.load(now, distance, pool.fill(now, usual) * slots);
                 let way_ms = pool.way_ms(distance);
                 let (index, pace) = (*index, quick.pace(now, load, job.work_ms, way_ms));
                 let is_connected = quick.is_connected(now, !is_lookup);
--- a/proxy/src/usual.rs
+++ b/proxy/src/usual.rs
@@ -110,16 +110,20 @@
 impl Pool {
     /// One of them told of so many requests of others for each of its slots.
     pub fn told(&mut self, now: Duration, others: f64) {
-        self.fill = self.fill(now);
+        self.fill = self.fill(now, FILL);
         self.fill_at = now;
         self.fill += FILL_PART * (others.min(1.5) - self.fill);
     }
 
-    /// How full they are with others' requests, where nothing newer is known of the one.
-    pub fn fill(&self, now: Duration) -> f64 {
+    /// How full they are with others' requests, where nothing newer is known of the one; `usual` where
+    /// nothing is known of the zone.
+    pub fn fill(&self, now: Duration, usual: f64) -> f64 {
+        usual + (self.fill - usual) * self.freshness(now)
+    }
+
+    fn freshness(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.fill_at).as_secs_f64();
-        let fresh = (1.0 - age / FILL_HOLDS.as_secs_f64()).max(0.0);
-        FILL + (self.fill - FILL) * fresh
+        (1.0 - age / FILL_HOLDS.as_secs_f64()).max(0.0)
     }
 
     /// A connection there came up in that time: the least is the way, the rest is what was in it.
@@ -140,5 +144,16 @@
     }
 }
 
+/// How full a service's servers are in the mean of the zones that told lately: what is to be expected
+/// of one that did not. A zone that comes back would draw everybody at once if it were taken for empty.
+pub fn usual_fill<'p>(now: Duration, pools: impl Iterator<Item = &'p Pool>) -> f64 {
+    // One guess beside them, of little weight.
+    let (sum, weight) = pools.fold((FILL * 0.2, 0.2), |(sum, weight), pool| {
+        let fresh = pool.freshness(now);
+        (sum + fresh * pool.fill, weight + fresh)
+    });
+    sum / weight
+}
+
 #[cfg(test)]
 mod tests;
--- a/proxy/src/usual/tests.rs
+++ b/proxy/src/usual/tests.rs
@@ -61,12 +61,26 @@
 #[test]
 fn a_zone_is_as_full_as_its_servers_told_until_that_is_old() {
     let mut pool = Pool::default();
-    let unknown = pool.fill(ms(0));
     for count in 0..30 {
         pool.told(ms(count * 10), 0.9);
     }
-    assert!((0.85..=0.9).contains(&pool.fill(ms(300))), "{}", pool.fill(ms(300)));
-    assert_eq!(pool.fill(ms(9000)), unknown);
+    assert!((0.85..=0.9).contains(&pool.fill(ms(300), 0.3)), "{}", pool.fill(ms(300), 0.3));
+    assert_eq!(pool.fill(ms(9000), 0.3), 0.3);
+}
+
+/// A zone of which nothing is known is taken to be like the others, not empty.
+#[test]
+fn a_zone_that_comes_back_is_as_full_as_the_others() {
+    let unknown = super::usual_fill(ms(0), [].iter());
+    let mut pools = vec![Pool::default(); 3];
+    for pool in &mut pools[..2] {
+        (0..30).for_each(|count| pool.told(ms(5000 + count * 10), 1.2));
+    }
+    let usual = super::usual_fill(ms(5300), pools.iter());
+    assert!(usual > 1.0 && unknown < 0.4, "{usual} {unknown}");
+    assert!(pools[2].fill(ms(5300), usual) > 1.0);
+    // Long after, the guess.
+    assert!((super::usual_fill(ms(60_000), pools.iter()) - unknown).abs() < 0.01);
 }
 
 #[test]
