--- a/checker/src/lib.rs
+++ b/checker/src/lib.rs
@@ -19,6 +19,8 @@
     /// Zone and region of each live proxy.
     pub proxies: Vec<(String, String)>,
     pub emptied: Vec<String>,
+    /// Daemons that go by an older word than the same name did before (design 5.8).
+    pub behind: Vec<String>,
     /// The setup in force, byte for byte, if there is one.
     pub in_force: Option<Vec<u8>>,
 }
@@ -47,6 +49,10 @@
     let mut find = |weight: Weight, path: String, message: String| {
         findings.push(Finding { weight, path, message });
     };
+    for name in &fleet.behind {
+        let message = "goes by an older word than it did before: see its status, 'floor'";
+        find(Weight::Warning, format!("daemon {name}"), message.to_string());
+    }
     let none = Viewpoint::default();
     let serves = |service: usize, server: &Server| {
         setup.services[service].selector.matches(&server.server, none)
@@ -263,6 +269,9 @@
     for zone in status["emptied"].as_array()? {
         fleet.emptied.push(text(zone)?);
     }
+    for name in status["behindFloor"].members() {
+        fleet.behind.push(text(name)?);
+    }
     for daemon in status["daemons"].as_array()? {
         let is_proxy = daemon["role"].as_str() == Some("proxy");
         if is_proxy && daemon["ready"].as_bool() == Some(true) {
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -12,6 +12,7 @@
         Some("measure") => measure(),
         Some("replay") => replay(&arguments[1..]),
         Some("scale") => scale(&arguments[1..]),
+        Some("starts") => starts(&arguments[1..]),
         Some("--version") => {
             println!("vanepath-fleet {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -23,7 +24,9 @@
                  replay    the requests of a HAR file against a fleet; --help says more\n\
                  measure   processor time that a proxy adds to a request, against going direct\n\
                  scale     what the cores cost at several sizes up to the design's; --help says more\n\
-                 simulate  days of a fleet with faults, in simulated time; --help says more"
+                 simulate  days of a fleet with faults, in simulated time; --help says more\n\
+                 starts    time from the start of a daemon until it takes work, in simulated time; \
+                 --help says more"
             );
             Ok(())
         }
@@ -322,6 +325,68 @@
     Ok(())
 }
 
+/// How long daemons take from their start until they take work (design 5.8).
+fn starts(arguments: &[String]) -> miette::Result<()> {
+    use vanepath_fleet::sim::{breaks::Break, starts};
+    let mut options = getopts::Options::new();
+    options.optflag("h", "help", "show this and end");
+    options.optopt("", "seeds", "first and last seed, as in 1-8 (default)", "A-B");
+    options.optopt("", "stores", "core machines (default 3)", "N");
+    options.optflag("", "without-floor", "daemons go by whatever they are told first");
+    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage("Usage: vanepath-fleet starts [options]"));
+        return Ok(());
+    }
+    let seeds = matches.opt_str("seeds").unwrap_or("1-8".to_string());
+    let (first, last) = seeds
+        .split_once('-')
+        .and_then(|(first, last)| Some((first.parse::<u64>().ok()?, last.parse::<u64>().ok()?)))
+        .ok_or_else(|| miette::miette!("--seeds: two numbers, as in 1-8"))?;
+    let stores = matches.opt_str("stores").and_then(|text| text.parse().ok()).unwrap_or(3);
+    let breaks = matches.opt_present("without-floor").then_some(Break::NoFloor);
+    let mut work = Vec::new();
+    for deployment in [Deployment::Raiocerto, Deployment::Guild] {
+        for scene in starts::Scene::iter() {
+            work.extend((first..=last).map(|seed| (deployment, scene, seed)));
+        }
+    }
+    type Rows = std::collections::BTreeMap<(String, starts::Scene, String), Vec<Option<Duration>>>;
+    let rows = std::sync::Mutex::new(Rows::new());
+    let threads = vanepath_fleet::sim::cores().min(3);
+    vanepath_fleet::sim::on_threads(threads, work.len(), |index| {
+        let (deployment, scene, seed) = work[index];
+        let plan = Plan { breaks, stores, ..Plan::new(deployment, &[]) };
+        let all = starts::measure(seed, scene, &plan);
+        let mut rows = rows.lock().expect("no panic under this lock");
+        for start in all {
+            let key = (format!("{deployment:?}"), scene, start.role.to_string());
+            rows.entry(key).or_default().push(start.took);
+        }
+    });
+    println!(
+        "deployment  scene         role      starts   median ms  9 of 10 ms   worst ms   never"
+    );
+    for ((deployment, scene, role), all) in rows.into_inner().expect("no panic under this lock") {
+        let mut took: Vec<Duration> = all.iter().flatten().copied().collect();
+        took.sort_unstable();
+        let at = |part: usize| match took.len() {
+            0 => "-".to_string(),
+            count => took[(count - 1) * part / 100].as_millis().to_string(),
+        };
+        println!(
+            "{deployment:11} {:13} {role:9} {:6} {:>11} {:>11} {:>10} {:7}",
+            scene.to_string(),
+            all.len(),
+            at(50),
+            at(90),
+            at(100),
+            all.len() - took.len()
+        );
+    }
+    Ok(())
+}
+
 /// Runs days over a range of seeds and prints what the judges found.
 fn simulate(arguments: &[String]) -> miette::Result<()> {
     let mut options = getopts::Options::new();
--- a/fleet/src/scale/hollow.rs
+++ b/fleet/src/scale/hollow.rs
@@ -144,6 +144,11 @@
                     let at = now + self.delay(whom, to);
                     self.push(at, to, What::Answer { from: whom, bytes });
                 }
+                // Its stores have no disks: none holds more than the word that they are told.
+                Effect::AskFloor { address } => {
+                    let event = Event::Floor { address, revision: Some(0) };
+                    self.step(now, whom, event);
+                }
                 Effect::Changed | Effect::Noted(_) => {}
             }
         }
--- a/fleet/src/sim/breaks.rs
+++ b/fleet/src/sim/breaks.rs
@@ -50,6 +50,8 @@
     TakesInvalid,
     /// Directories give no receipts after the last fault.
     DirectoriesStayDown,
+    /// Who starts goes by whatever it is told first.
+    NoFloor,
 }
 
 /// Where a daemon can be killed in the middle of what it does. Points are counted as they are passed
--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -114,6 +114,8 @@
     pub notes: Vec<(Duration, String)>,
     /// The revision in force by time, over all lives: for the judge.
     pub revisions: Vec<(Duration, u32, u64)>,
+    /// What it routed by, or offered, by time, life and revision, over all lives: for the judge.
+    pub in_force: Vec<(Duration, u32, u64)>,
     pub is_well: bool,
     /// When its process was down, and until when.
     pub downs: Vec<(Duration, Option<Duration>)>,
@@ -288,6 +290,7 @@
             seeds: Vec::new(),
             notes: Vec::new(),
             revisions: Vec::new(),
+            in_force: Vec::new(),
             is_well: false,
             downs: Vec::new(),
         });
@@ -329,6 +332,10 @@
         daemon.news = news::News::new(daemon.card.clone(), seeds, life, now);
         daemon.news.step(now, news::Event::Plan(Arc::new(hints.plan)));
         daemon.view = Arc::default();
+        if self.breaks == Some(Break::NoFloor) {
+            let address = daemon.card.sibling_address;
+            daemon.news.step(now, news::Event::Floor { address, revision: Some(0) });
+        }
         if self.breaks == Some(Break::StartsStale)
             && let Some(first) = &self.first_word
             && daemon.card.role == wire::Role::Proxy
@@ -469,6 +476,9 @@
                 }
                 self.step_news(index, news::Event::Asked { ticket: call, pull });
             }
+            Body::Ask(Ask::Floor) if self.daemons[index].card.role != wire::Role::Store => {
+                self.net.reply(call, Body::Reset);
+            }
             Body::Ask(ask) => {
                 let event = register::Event::Asked { ticket: call, ask };
                 self.store_event(index, event);
@@ -505,6 +515,13 @@
                 };
                 self.store_event(index, register::Event::Told { call, tell });
             }
+            (Purpose::Floor { address }, Some(index)) => {
+                let revision = match body {
+                    Some(Body::Tell(Tell::Floor(revision))) => revision,
+                    _ => None,
+                };
+                self.step_news(index, news::Event::Floor { address, revision });
+            }
             (Purpose::Errand { errand }, Some(index)) => {
                 let tell = match body {
                     Some(Body::Tell(tell)) => Some(tell),
@@ -561,6 +578,12 @@
                     }
                     self.net.reply(ticket, Body::News(news));
                 }
+                news::Effect::AskFloor { address } => {
+                    let limit = vanepath_sibling::floor::LIMIT;
+                    let purpose = Purpose::Floor { address };
+                    let body = Body::Ask(Ask::Floor);
+                    self.net.ask(host, Net::host_at(address), limit, body, purpose);
+                }
                 news::Effect::Changed => changed = true,
                 news::Effect::Noted(what) => {
                     let name = self.daemons[index].card.name.clone();
@@ -594,6 +617,15 @@
             if daemon.revisions.last().is_none_or(|last| (last.1, last.2) != (life, revision)) {
                 daemon.revisions.push((self.net.now, life, revision));
             }
+            // A store routes nothing: what it tells others counts.
+            let is_store = daemon.card.role == wire::Role::Store;
+            let goes_by =
+                daemon.view.floor.is_some() && (is_store || daemon.view.is_fresh) && revision > 0;
+            let is_new =
+                daemon.in_force.last().is_none_or(|last| (last.1, last.2) != (life, revision));
+            if goes_by && is_new {
+                daemon.in_force.push((self.net.now, life, revision));
+            }
             let name = daemon.card.name.clone();
             for note in notes {
                 self.note(|| format!("{name}: {note}"));
@@ -660,6 +692,7 @@
             ready: summary.votes,
             revision,
             blank: summary.blank,
+            settled: summary.settled,
             disk: Some(summary.disk()),
             ..wire::Report::default()
         };
--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -850,7 +850,7 @@
         }
     }
 
-    fn is_fit(&self, index: usize) -> bool {
+    pub(super) fn is_fit(&self, index: usize) -> bool {
         let now = self.net.local(self.daemons[index].host);
         let Duty::Proxy(proxy) = &self.daemons[index].duty else { return false };
         let view = &self.daemons[index].view;
@@ -920,6 +920,9 @@
         if !self.is_fit(index) {
             let Duty::Proxy(proxy) = &self.daemons[index].duty else { return };
             let Some(own) = proxy.ways.get(&way) else { return };
+            if self.daemons[index].view.is_stuck {
+                return self.end_way(index, way, Err(Refusal::BelowFloor));
+            }
             if now.saturating_sub(own.received_at) >= news::HOLD {
                 return self.end_way(index, way, Err(Refusal::NotReady));
             }
--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -77,6 +77,9 @@
     /// The callers of one zone send three times as much, for 40 s. Servers work on one request at a
     /// time then and tell the demand that they are under.
     Surge,
+    /// Daemons of every role start anew, singly, in turn and all at once, amid a storm of setups, while a
+    /// registry lags behind, one stands still, and a proxy starts where only the one that lags is heard.
+    RestartsInStorm,
 }
 
 #[derive(Clone, Debug)]
@@ -228,8 +231,8 @@
     pub faults: Vec<Fault>,
 }
 
-/// One whole day from one seed.
-pub fn run(seed: u64, plan: &Plan) -> Run {
+/// The fleet of a plan, its callers and its operators, as the day begins.
+pub fn open(seed: u64, plan: &Plan) -> Sim {
     let shape = shape_of(plan.deployment);
     let delays = match plan.deployment {
         Deployment::Raiocerto => Delays {
@@ -327,6 +330,12 @@
         let operator = sim.operator;
         sim.net.timer(operator, plan.operator_every, Timer::NextOperation);
     }
+    sim
+}
+
+/// One whole day from one seed.
+pub fn run(seed: u64, plan: &Plan) -> Run {
+    let mut sim = open(seed, plan);
     let mut over = BEGIN;
     for (index, fault) in plan.faults.iter().enumerate() {
         let start = if plan.overlap {
@@ -437,7 +446,7 @@
     sim.platform = Arc::new(list);
 }
 
-fn put(sim: &mut Sim, if_revision: Option<u64>) -> usize {
+pub(super) fn put(sim: &mut Sim, if_revision: Option<u64>) -> usize {
     let tag = sim.operations.len();
     let bytes = tagged(&sim.world.setup_text.clone(), tag);
     let key = format!("key-{tag}");
@@ -554,7 +563,14 @@
         // Nothing, what is two wide faults of itself, and what leaves hardly enough of any kind: all
         // servers cold can do so much together and no more.
         .filter(|fault| {
-            ![Fault::None, Fault::SwapAllCoreThenKillAll, Fault::AllServersCold].contains(fault)
+            ![
+                Fault::None,
+                Fault::SwapAllCoreThenKillAll,
+                Fault::AllServersCold,
+                // Several at one time by itself.
+                Fault::RestartsInStorm,
+            ]
+            .contains(fault)
         })
         .collect();
     let mut chosen: Vec<Fault> = Vec::new();
@@ -573,13 +589,13 @@
     chosen
 }
 
-fn at(sim: &mut Sim, when: Duration, act: Act) {
+pub(super) fn at(sim: &mut Sim, when: Duration, act: Act) {
     sim.script.push(act);
     let number = sim.script.len() - 1;
     sim.net.at(when, Event::Script(number));
 }
 
-fn of_role(sim: &Sim, role: Role) -> Vec<usize> {
+pub(super) fn of_role(sim: &Sim, role: Role) -> Vec<usize> {
     (0..sim.daemons.len())
         .filter(|index| sim.daemons[*index].card.role == role)
         .filter(|index| !sim.world.retired.contains(index))
@@ -840,6 +856,56 @@
             }
             return start + ms(3000);
         }
+        Fault::RestartsInStorm => {
+            let storm = 20_000;
+            for _ in 0..50 {
+                let later = ms(sim.net.random.draw() % storm);
+                at(sim, start + later, Act::Put);
+            }
+            let restart = |sim: &mut Sim, who: usize, when: Duration| {
+                let power = sim.net.random.chance(0.5);
+                kill(sim, who, when, when + ms(400), power);
+            };
+            // It hears of nothing new, and tells proxies what it has.
+            let lags = registries[seat];
+            let others: Vec<usize> = core.iter().copied().filter(|one| *one != lags).collect();
+            let between = |sim: &mut Sim, who: usize, others: &[usize], from, to, one_way: bool| {
+                let (left, right) = (vec![sim.daemons[who].host], hosts(sim, others));
+                let (first, second) = (left.clone(), right.clone());
+                at(sim, from, Act::Cut { left, right, one_way });
+                at(sim, to, Act::Uncut { left: first, right: second, one_way });
+            };
+            let one_way = sim.net.random.chance(0.3);
+            let part: Vec<usize> = others.iter().chain(&proxies).copied().collect();
+            let (lag_from, lag_to) = (start + ms(2000), start + ms(11_000));
+            // Proxies still ask it; it asks nobody and is told by nobody.
+            between(sim, lags, &others, lag_from, lag_to, false);
+            if one_way {
+                between(sim, lags, &part, lag_from, lag_from + ms(2000), true);
+            }
+            let sleeps = registries[(seat + 1) % registries.len()];
+            at(sim, start + ms(4000), Act::Freeze(sleeps));
+            at(sim, start + ms(7000), Act::Wake(sleeps));
+            // One proxy starts where it hears of that registry alone.
+            let apart = proxies[0];
+            let rest: Vec<usize> =
+                all.iter().copied().filter(|one| *one != lags && *one != apart).collect();
+            between(sim, apart, &rest, start + ms(5000), start + ms(10_000), false);
+            restart(sim, apart, start + ms(6000));
+            let mut when = start + ms(2500);
+            for who in proxies.iter().skip(1) {
+                restart(sim, *who, when);
+                when += ms(700);
+            }
+            when = when.max(start + ms(12_000));
+            for who in registries.iter().chain(&stores) {
+                restart(sim, *who, when);
+                when += ms(900);
+            }
+            at(sim, when + ms(1500), Act::CrashAll);
+            at(sim, when + ms(2000), Act::StartAll);
+            return when + ms(2000);
+        }
         Fault::CoreMachineDies => {
             for who in machine {
                 kill(sim, who, start, end, true);
--- a/fleet/src/sim/judge.rs
+++ b/fleet/src/sim/judge.rs
@@ -405,6 +405,24 @@
             }
         }
     }
+    // What any life of a name went by or offered binds all later ones (design 5.8).
+    for daemon in &sim.daemons {
+        let mut highest = (0, 0);
+        for (at, life, revision) in &daemon.in_force {
+            if *revision < highest.1 && *life != highest.0 {
+                judgement.faults.push(format!(
+                    "{} goes by revision {revision} in life {life} at {}, and went by {} in life {}",
+                    daemon.card.name,
+                    second(*at),
+                    highest.1,
+                    highest.0
+                ));
+            }
+            if *revision >= highest.1 {
+                highest = (*life, *revision);
+            }
+        }
+    }
     // How long setups took, for the record; whether too long, `reach` judges.
     for operation in &sim.operations {
         let (Some(Outcome::Accepted { revision, repeat: false, .. }), Some(ended_at)) =
--- a/fleet/src/sim/mod.rs
+++ b/fleet/src/sim/mod.rs
@@ -8,6 +8,7 @@
 pub mod judge;
 pub mod net;
 pub mod reach;
+pub mod starts;
 
 /// Does `count` pieces of work by their numbers on so many threads; days know nothing of each other.
 pub fn on_threads(threads: usize, count: usize, work: impl Fn(usize) + Sync) {
--- a/fleet/src/sim/net.rs
+++ b/fleet/src/sim/net.rs
@@ -81,6 +81,9 @@
     Store {
         call: u64,
     },
+    Floor {
+        address: std::net::SocketAddr,
+    },
     Errand {
         errand: usize,
     },
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -60,7 +60,9 @@
 /// Several faults on one day, some at the heels of others.
 #[test]
 fn mixed_days() {
-    let faults: Vec<Fault> = Fault::iter().collect();
+    // The one that is several at a time has days of its own; so these are the days that they were.
+    let faults: Vec<Fault> =
+        Fault::iter().filter(|fault| *fault != Fault::RestartsInStorm).collect();
     let mut work = Vec::new();
     for seed in 101..=116 {
         let mut random = vanepath_fleet::sim::Random::new(seed);
@@ -118,6 +120,19 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// Daemons of every role start anew amid a storm of setups, while others lag, stand still and are cut off:
+/// none goes by an older word than any earlier life of it, and no lookup is lost for that.
+#[test]
+fn who_starts_anew_never_goes_by_an_older_word() {
+    let mut work = Vec::new();
+    for seed in 1..=8 {
+        work.push((seed, Deployment::Raiocerto, vec![Fault::RestartsInStorm]));
+        work.push((seed, Deployment::Guild, vec![Fault::RestartsInStorm]));
+    }
+    let found = days(OPERATOR, work);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 /// Every accepted setup is still read back when all three disks are new.
 #[test]
 fn a_long_history_outlives_every_disk() {
@@ -327,6 +342,7 @@
         (Break::LateWord, Fault::BoundsMove, "could have been known"),
         (Break::IgnoresLeaving, Fault::PlatformLies, "got work"),
         (Break::DirectoriesStayDown, Fault::None, "directory polls served after the last fault"),
+        (Break::NoFloor, Fault::RestartsInStorm, ", and went by"),
     ];
     let blind = std::sync::Mutex::new(Vec::new());
     on_threads(cores(), cases.len(), |index| {
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -26,6 +26,7 @@
         RefusedTooLarge,
         RefusedMisplaced,
         RefusedNotReady,
+        RefusedBelowFloor,
         RefusedNoRoom,
         RefusedNoServer,
         RefusedNoBudget,
@@ -274,6 +275,7 @@
         Refusal::TooLarge => Counter::RefusedTooLarge,
         Refusal::Misplaced => Counter::RefusedMisplaced,
         Refusal::NotReady => Counter::RefusedNotReady,
+        Refusal::BelowFloor => Counter::RefusedBelowFloor,
         Refusal::NoRoom => Counter::RefusedNoRoom,
         Refusal::NoServer => Counter::RefusedNoServer,
         Refusal::NoBudget => Counter::RefusedNoBudget,
@@ -527,6 +529,9 @@
             && proxy.servers.is_fit(proxy.now(), view.is_fresh, crate::servers::revision_of(&view))
     };
     while !is_fit() {
+        if proxy.daemon.table.load().is_stuck {
+            return Err(Refusal::BelowFloor);
+        }
         if proxy.now().saturating_sub(received_at) >= vanepath_sibling::news::HOLD {
             return Err(Refusal::NotReady);
         }
--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -30,6 +30,8 @@
     TooLarge,
     Misplaced,
     NotReady,
+    /// Just started, it cannot learn what its earlier life went by, and others take work (design 5.8).
+    BelowFloor,
     NoRoom,
     NoServer,
     NoBudget,
@@ -157,7 +159,7 @@
             Refusal::Unmatched => hyper::StatusCode::NOT_FOUND,
             Refusal::HeadTooLarge => hyper::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::TooLarge => hyper::StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::Misplaced => hyper::StatusCode::MISDIRECTED_REQUEST,
+            Refusal::Misplaced | Refusal::BelowFloor => hyper::StatusCode::MISDIRECTED_REQUEST,
             _ if verdict == Verdict::NotRun => hyper::StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Late => hyper::StatusCode::GATEWAY_TIMEOUT,
             _ => hyper::StatusCode::BAD_GATEWAY,
@@ -168,7 +170,7 @@
     pub fn retry_after(self) -> Option<std::time::Duration> {
         let after_ms = match self {
             Refusal::NoServer | Refusal::NoRoom => 100,
-            Refusal::NotReady => 300,
+            Refusal::NotReady | Refusal::BelowFloor => 300,
             Refusal::NoBudget => 500,
             Refusal::Late => 1000,
             _ => return None,
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -433,6 +433,7 @@
         "name": proxy.daemon.settings.name.as_str(),
         "ready": ready,
         "fresh": view.is_fresh,
+        "floor": view.show_floor(),
         "leaving": proxy.is_leaving.load(Ordering::Relaxed),
         "revision": view.word.revision,
         "setupRevision": view.word.setup_revision,
--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -416,7 +416,13 @@
         .live
         .iter()
         .map(|(card, report)| {
+            // What it ever told as in force there, in any of its lives (design 5.8).
+            let is_own = card.name == daemon.card.name;
+            let own = is_own.then(|| view.in_force());
+            let floor = own.or(view.floors.get(&card.name).copied()).unwrap_or(0);
             jzon::object! {
+                "floor": floor,
+                "behind": report.revision < floor,
                 "name": card.name.as_str(),
                 "role": card.role.to_string(),
                 "region": card.region.as_str(),
@@ -466,12 +472,22 @@
             card.role != wire::Role::Proxy || report.revision >= view.word.revision
         })
         .count();
+    let is_behind =
+        |card: &wire::Card, now: u64| view.floors.get(&card.name).is_some_and(|one| now < *one);
+    let behind: Vec<jzon::JsonValue> = view
+        .live
+        .iter()
+        .filter(|(card, report)| is_behind(card, report.revision))
+        .map(|(card, _)| card.name.as_str().into())
+        .collect();
     let platform = registry.platform.lock().expect("no panic under this lock").to_string();
     let value = jzon::object! {
         "name": daemon.settings.name.as_str(),
         "revision": view.word.revision,
         "setupRevision": view.word.setup_revision,
         "inForceEverywhere": in_force == view.live.len(),
+        "behindFloor": behind,
+        "floor": view.show_floor(),
         "emptied": emptied,
         "epoch": view.plan.epoch,
         "holder": view.plan.holder.as_str(),
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -57,6 +57,14 @@
     /// Not live any more, as last heard of: dead, or cut off from here.
     pub lost: Vec<(wire::Card, wire::Report)>,
     pub is_fresh: bool,
+    /// How this life came to go by a word (design 5.8); `None`: it goes by none yet.
+    pub floor: Option<crate::floor::Met>,
+    /// What it has to reach before that, as far as it is known.
+    pub floor_wanted: Option<u64>,
+    /// It has waited for that in vain: what comes is turned away at once (design 5.8).
+    pub is_stuck: bool,
+    /// The highest revision that each name told as in force there, over all its lives.
+    pub floors: Arc<std::collections::HashMap<String, u64>>,
     /// No sibling has replied for a while: others may know more.
     pub is_alone: bool,
     /// How the operator's documents read here.
@@ -66,7 +74,34 @@
 impl View {
     /// Whether what time alone changes is still as it was when this view was made.
     pub fn is_up_to_date(&self, core: &news::News, now: Duration) -> bool {
-        self.is_fresh == core.is_fresh(now) && self.is_alone == core.is_alone(now)
+        self.is_fresh == is_fresh(core, now)
+            && self.is_alone == core.is_alone(now)
+            && self.floor_wanted == core.floor().wanted()
+            && self.is_stuck == core.is_stuck(now)
+    }
+
+    /// The revision in force here; 0: none in this life so far (design 5.8).
+    pub fn in_force(&self) -> u64 {
+        self.floor.as_ref().map_or(0, |_| self.word.revision)
+    }
+
+    /// What this life began with, for a daemon's status.
+    pub fn show_floor(&self) -> jzon::JsonValue {
+        match &self.floor {
+            Some(met) => jzon::object! {
+                "met": true,
+                "floor": met.floor,
+                "by": met.by.to_string(),
+                "from": met.from.as_str(),
+                "waitedMs": met.waited.as_millis() as u64,
+            },
+            None => jzon::object! {
+                "met": false,
+                "stuck": self.is_stuck,
+                "floor": self.floor_wanted,
+                "has": self.word.revision,
+            },
+        }
     }
 
     /// What the news amount to now, and the changes worth a line.
@@ -99,6 +134,23 @@
         for (old, _) in before.live.iter().filter(|(old, _)| !are.contains(&old.name)) {
             notes.push(format!("{} {} in zone {} is not live", old.role, old.name, old.zone));
         }
+        if let (None, Some(met)) = (&before.floor, core.floor().met()) {
+            notes.push(format!(
+                "goes by revision {}: the floor is {} by {} ({}), after {} ms",
+                word.revision,
+                met.floor,
+                met.by,
+                met.from,
+                met.waited.as_millis()
+            ));
+        }
+        if core.is_stuck(now) && !before.is_stuck {
+            let wanted = core.floor().wanted().map_or("not known".into(), |one| one.to_string());
+            notes.push(format!(
+                "below its floor: it has revision {}, the floor is {wanted}; it takes no work",
+                word.revision
+            ));
+        }
         let view = View {
             word,
             setup,
@@ -106,7 +158,15 @@
             plan: core.plan.clone(),
             live,
             lost: core.lost(now).map(|(card, report)| (card.clone(), report.clone())).collect(),
-            is_fresh: core.is_fresh(now),
+            is_fresh: is_fresh(core, now),
+            floor: core.floor().met().cloned(),
+            floor_wanted: core.floor().wanted(),
+            is_stuck: core.is_stuck(now),
+            floors: if *before.floors == *core.floors() {
+                before.floors.clone()
+            } else {
+                Arc::new(core.floors().clone())
+            },
             is_alone: core.is_alone(now),
             dialect: before.dialect,
         };
@@ -123,6 +183,11 @@
     }
 }
 
+/// What is known is of now, and not below what an earlier life went by.
+fn is_fresh(core: &news::News, now: Duration) -> bool {
+    core.is_fresh(now) && core.floor().met().is_some()
+}
+
 #[derive(xtra::Actor)]
 pub struct NewsActor {
     core: news::News,
@@ -174,6 +239,21 @@
                         let _ = waiting.send(news);
                     }
                 }
+                news::Effect::AskFloor { address } => {
+                    self.tally.one(link::Counter::FloorAsks);
+                    let links = self.links.clone();
+                    let own = own.clone();
+                    tokio::spawn(async move {
+                        let limit = crate::floor::LIMIT;
+                        let asked = links.call(address, &wire::Request::Floor, limit, true).await;
+                        let revision = match asked {
+                            Ok(wire::Reply::Floor(revision)) => revision,
+                            _ => None,
+                        };
+                        let told = news::Event::Floor { address, revision };
+                        let _ = own.send(Tell(told)).await;
+                    });
+                }
                 news::Effect::Changed => changed = true,
                 news::Effect::Noted(what) => {
                     if what.contains("freeze") {
@@ -190,6 +270,12 @@
 
     fn publish(&mut self) {
         let before = self.table.load_full();
+        if let (None, Some(met)) = (&before.floor, self.core.floor().met()) {
+            self.tally.one(match met.by {
+                crate::floor::By::Majority => link::Counter::FloorsByMajority,
+                crate::floor::By::Witnesses => link::Counter::FloorsByWitnesses,
+            });
+        }
         let (view, notes) = View::of(&self.core, &before, self.clock.now());
         for note in notes {
             log::info!("{note}");
@@ -263,7 +349,9 @@
 
 /// Answers the requests that belong to a daemon's own slice.
 pub type StoreHandler = Arc<
-    dyn Fn(Vec<u8>) -> std::pin::Pin<Box<dyn Future<Output = wire::Reply> + Send>> + Send + Sync,
+    dyn Fn(wire::Request) -> std::pin::Pin<Box<dyn Future<Output = wire::Reply> + Send>>
+        + Send
+        + Sync,
 >;
 
 impl Daemon {
@@ -462,8 +550,8 @@
                         Err(_) => wire::Reply::NoDuty,
                     }
                 }
-                wire::Request::Store(bytes) => match store_handler {
-                    Some(handler) => handler(bytes.into_vec()).await,
+                request => match store_handler {
+                    Some(handler) => handler(request).await,
                     None => wire::Reply::NoDuty,
                 },
             }
@@ -613,7 +701,7 @@
             let status =
                 if ready { hyper::StatusCode::OK } else { hyper::StatusCode::SERVICE_UNAVAILABLE };
             let view = daemon.table.load();
-            Some(json(status, &jzon::object! { "ready": ready, "revision": view.word.revision }))
+            Some(json(status, &jzon::object! { "ready": ready, "revision": view.in_force() }))
         }
         "/v1/metrics" => {
             let mut all = jzon::JsonValue::new_object();
--- a/sibling/src/lib.rs
+++ b/sibling/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sibling traffic and news: how the system's own daemons know each other (design 5).
 
 pub mod daemon;
+pub mod floor;
 pub mod kin;
 pub mod link;
 pub mod news;
--- a/sibling/src/link.rs
+++ b/sibling/src/link.rs
@@ -19,6 +19,9 @@
         SiblingsTurnedAway,
         SiblingConnectionsTaken,
         Freezes,
+        FloorAsks,
+        FloorsByMajority,
+        FloorsByWitnesses,
     }
 }
 
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -117,6 +117,8 @@
     resend: bool,
     /// It does not wait: just started or awake, it wants all that there is.
     is_first: bool,
+    /// It goes by no word yet and wants the floor (design 5.8).
+    seeks_floor: bool,
     /// The count of loud changes at which nothing was loud for it.
     looked: u64,
 }
@@ -160,6 +162,11 @@
     Plan(Arc<wire::Plan>),
     /// The settings name other seeds from now on.
     Seeds(Vec<std::net::SocketAddr>),
+    /// A store that was asked for the floor replied, or did not (design 5.8).
+    Floor {
+        address: std::net::SocketAddr,
+        revision: Option<u64>,
+    },
 }
 
 #[derive(Debug)]
@@ -172,6 +179,10 @@
         ticket: u64,
         news: wire::News,
     },
+    /// Asks a store for the floor.
+    AskFloor {
+        address: std::net::SocketAddr,
+    },
     /// Something that readers of the table care about is new.
     Changed,
     /// Counted and logged by the shell.
@@ -222,6 +233,12 @@
     awake_since: Duration,
     /// When a pull last came back.
     good_at: Duration,
+    /// What this life has to have before it goes by a word, or tells of one (design 5.8).
+    floor: crate::floor::Floor,
+    /// The highest revision that each name ever told as in force there, over all its lives.
+    floors: std::collections::HashMap<String, u64>,
+    /// The highest of them, and of what others said of it.
+    highest: u64,
 }
 
 impl News {
@@ -267,6 +284,9 @@
             fresh_registry: false,
             awake_since: now,
             good_at: now,
+            floor: crate::floor::Floor::new(now),
+            floors: std::collections::HashMap::new(),
+            highest: 0,
         }
     }
 
@@ -297,6 +317,30 @@
             || awake > ALONE_WAIT
     }
 
+    /// How this life came to go by a word; `None`: it does not yet.
+    pub fn floor(&self) -> &crate::floor::Floor {
+        &self.floor
+    }
+
+    /// It has waited for its floor in vain, and others take work: what comes does better there.
+    pub fn is_stuck(&self, now: Duration) -> bool {
+        let is_other = |card: &wire::Card| card.name != self.own.name;
+        self.floor.is_stuck(now)
+            && self.live(now).any(|(card, report)| {
+                card.role == wire::Role::Proxy && report.ready && is_other(card)
+            })
+    }
+
+    /// The highest revision that each name told as in force there, over all its lives.
+    pub fn floors(&self) -> &std::collections::HashMap<String, u64> {
+        &self.floors
+    }
+
+    /// The revision that is in force here; 0: none in this life so far.
+    fn in_force(&self) -> u64 {
+        self.floor.met().map_or(0, |_| self.word.revision)
+    }
+
     /// No pull has come back for so long that others may know more by now.
     pub fn is_alone(&self, now: Duration) -> bool {
         now.saturating_sub(self.good_at) > ALONE_AFTER
@@ -338,7 +382,9 @@
             Event::Left { ticket } => self.left(ticket),
             Event::Refused { address } => self.refused(now, address, &mut effects),
             Event::Told { address, news } => self.told(now, address, news, &mut effects),
-            Event::Report(report) => {
+            Event::Report(mut report) => {
+                // Nothing is in force here before the floor is met.
+                report.revision = report.revision.min(self.in_force());
                 if report != self.report {
                     self.report = report;
                     self.mark.edition += 1;
@@ -353,13 +399,27 @@
                     self.mark.detail += 1;
                 }
             }
-            Event::Word(word) => self.hear_word(word, &mut effects),
+            Event::Word(word) => {
+                // A store's own, seen with a majority since it started (design 6.2).
+                if self.own.role == wire::Role::Store {
+                    self.floor.replied(now, &self.own.name, Some(word.revision));
+                }
+                self.hear_word(word, &mut effects);
+            }
             Event::Platform(list) => self.hear_platform(list, &mut effects),
             Event::Plan(plan) => self.hear_plan(plan, &mut effects),
             Event::Seeds(mut seeds) => {
                 seeds.retain(|seed| *seed != self.own.sibling_address);
                 self.seeds = seeds;
             }
+            Event::Floor { address, revision } => {
+                let teller = self.name_at(address);
+                self.floor.replied(now, &teller, revision);
+            }
+        }
+        self.look_at_floor(now, &mut effects);
+        if self.floor.met().is_none() {
+            self.seek_floor(now, &mut effects);
         }
         // Nothing loud and no time passed: nobody is waiting for this.
         if is_pulse || self.loud != self.told_loud {
@@ -369,6 +429,62 @@
         effects
     }
 
+    /// The name of the daemon at an address, or else the address.
+    fn name_at(&self, address: std::net::SocketAddr) -> String {
+        let source = self.sources.iter().find(|one| one.card.sibling_address == address);
+        source.map_or_else(|| address.to_string(), |source| source.card.name.clone())
+    }
+
+    fn look_at_floor(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if self.floor.met().is_some() {
+            return;
+        }
+        if self.floor.look(now, self.word.revision, self.has_witnesses(now)) {
+            // What was held back is told from here on.
+            self.loud += 1;
+            effects.push(Effect::Changed);
+        }
+    }
+
+    /// Who hears of few of those that it knows of may be cut off with them, and they may lag. More than
+    /// half of all daemons are enough, or of those of its own region, which told each other what they
+    /// went by before the region was cut off.
+    fn has_witnesses(&self, now: Duration) -> bool {
+        let live = self.live(now).count();
+        if live > self.lost(now).count() {
+            return true;
+        }
+        let is_near = |card: &wire::Card| card.region == self.own.region;
+        let near = self.live(now).filter(|(card, _)| is_near(card)).count();
+        near > 1 && near > self.lost(now).filter(|(card, _)| is_near(card)).count()
+    }
+
+    /// Asks for the floor: stores that vote, in the order in which they propose, and the nearest. A store
+    /// finds it by itself, as it asks the others what is chosen; one that has no seat asks a little
+    /// later.
+    fn seek_floor(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let finds_itself = self.own.role == wire::Role::Store && self.floor.is_early(now);
+        if finds_itself {
+            return;
+        }
+        let mut stores: Vec<(Option<u8>, &wire::Card)> = self
+            .live(now)
+            .filter(|(card, report)| {
+                let is_other = card.name != self.own.name;
+                is_other && card.role == wire::Role::Store && report.ready && !report.leaving
+            })
+            .map(|(card, report)| (report.disk.and_then(|one| one.seat), card))
+            .collect();
+        stores.sort_unstable_by_key(|(seat, card)| (*seat, card.sibling_address));
+        let others: Vec<crate::kin::Known<'_>> = stores.iter().map(|one| known(one.1)).collect();
+        let nearest = crate::kin::nearest_store(&known(&self.own), &others);
+        let nearest = nearest.map(|index| stores[index].1.sibling_address);
+        let stores: Vec<std::net::SocketAddr> =
+            stores.iter().map(|one| one.1.sibling_address).collect();
+        let due = self.floor.due(now, &stores, nearest);
+        effects.extend(due.into_iter().map(|address| Effect::AskFloor { address }));
+    }
+
     /// Its connection ended while it waited: it may be dead, so it is asked itself at once.
     fn left(&mut self, ticket: u64) {
         if let Some(parked) = self.parked.iter().find(|parked| parked.ticket == ticket) {
@@ -439,6 +555,7 @@
             self.fresh_since = None;
             self.fresh_registry = false;
             self.awake_since = now;
+            self.floor.wake(now);
             effects.push(Effect::Noted("woke from a freeze"));
             effects.push(Effect::Changed);
         }
@@ -567,6 +684,19 @@
             // Beats count again, or do not any more: everyone is told anew what is known here.
             self.lines.values_mut().for_each(|line| line.is_known = false);
         }
+        if self.own.role == wire::Role::Registry {
+            // A store that nobody pulls from may be the one that chose it.
+            let later = live.iter().filter(|one| {
+                one.card.role == wire::Role::Store && one.report.revision > self.word.revision
+            });
+            wanted.extend(later.map(|source| source.card.sibling_address));
+        }
+        let is_below = self.floor.wanted().is_some_and(|floor| floor > self.word.revision);
+        if self.floor.met().is_none() && is_below {
+            // Whoever has the word that the floor is of: the registries may all be behind.
+            let core = live.iter().filter(|one| one.card.role != wire::Role::Proxy);
+            wanted.extend(core.map(|source| source.card.sibling_address));
+        }
         if self.fresh_since.is_none() {
             // Just awake: its few siblings may all be gone by now, so everyone is asked once.
             let asked = live.iter().filter(|one| !is_served || one.card.role != wire::Role::Proxy);
@@ -688,6 +818,15 @@
             if let Some(word) = news.word {
                 self.hear_word(Arc::new(word), effects);
             }
+            if !resend {
+                // One that says nothing of it is of an earlier version, and told what it has.
+                let floor = news.floor.unwrap_or(self.word.revision);
+                if self.floor.met().is_none() {
+                    let teller = self.name_at(address);
+                    self.floor.hear(&teller, floor);
+                }
+                self.highest = self.highest.max(news.floor.unwrap_or(0));
+            }
             if let Some(list) = news.platform {
                 if self.wants_list && list.revision == self.platform.revision {
                     // Of one revision two lists are in force: whoever has asked takes the teller's.
@@ -779,6 +918,16 @@
             }
             return;
         }
+        if let Some(report) = &delta.report
+            && report.revision > 0
+        {
+            self.highest = self.highest.max(report.revision);
+            if let Some(floor) = self.floors.get_mut(&delta.name) {
+                *floor = report.revision.max(*floor);
+            } else if self.floors.len() < SOURCES_MOST {
+                self.floors.insert(delta.name.clone(), report.revision);
+            }
+        }
         let age = Duration::from_millis(u64::from(delta.age_ms));
         if age >= FORGOTTEN_AFTER {
             return;
@@ -875,6 +1024,7 @@
     fn asked(&mut self, now: Duration, ticket: u64, pull: wire::Pull, effects: &mut Vec<Effect>) {
         let asker = pull.own.name.clone();
         let life = pull.own.mark.life;
+        let seeks_floor = pull.own.report.as_ref().is_some_and(|report| report.revision == 0);
         self.hear(now, pull.own, true, effects);
         let wait = Duration::from_millis(u64::from(pull.wait_ms)).min(WAIT * 4);
         self.parked.retain(|parked| parked.asker != asker || parked.ticket == ticket);
@@ -898,6 +1048,7 @@
             silent: pull.silent,
             resend,
             is_first: pull.wait_ms == 0,
+            seeks_floor,
             looked: 0,
         };
         if resend || now >= parked.until || self.is_loud(&parked) {
@@ -944,7 +1095,7 @@
         let is_silent_new =
             parked.light && judges && parked.silent != digest_of(&self.silent_for(parked));
         is_silent_new
-            || self.word.revision > parked.word
+            || self.in_force() > parked.word
             || self.platform.revision > parked.platform
             || (self.plan.epoch, self.plan.counter) > parked.plan
             || louder(&self.own.name, self.short, &self.mark)
@@ -1038,7 +1189,7 @@
         let list_delta = list_delta.map(|base| self.platform.since(base));
         wire::News {
             deltas,
-            word: (self.word.revision > parked.word).then(|| (*self.word).clone()),
+            word: (self.in_force() > parked.word).then(|| (*self.word).clone()),
             platform: (is_list_new && list_delta.is_none()).then(|| (*self.platform).clone()),
             platform_delta: list_delta,
             plan: ((self.plan.epoch, self.plan.counter) > parked.plan)
@@ -1046,6 +1197,7 @@
             silent: (parked.light && self.own.role == wire::Role::Registry)
                 .then(|| self.silent_for(parked)),
             resend: false,
+            floor: parked.seeks_floor.then(|| self.highest.max(self.in_force())),
         }
     }
 }
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -246,6 +246,10 @@
     pub silent: Option<Vec<u32>>,
     /// The teller does not know what this asker has: it is to send its vector.
     pub resend: bool,
+    /// For an asker that goes by no word yet: the highest revision that the teller knows as in force
+    /// with anyone (design 5.8).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub floor: Option<u64>,
 }
 
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
@@ -253,6 +257,8 @@
     Pull(Pull),
     /// For the store's own slice, which reads it.
     Store(serde_bytes::ByteBuf),
+    /// The highest revision that a majority of stores holds, asked of them from now on (design 5.8).
+    Floor,
 }
 
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
@@ -261,6 +267,8 @@
     Store(serde_bytes::ByteBuf),
     /// This daemon has no such duty.
     NoDuty,
+    /// `None`: this store cannot tell.
+    Floor(Option<u64>),
 }
 
 /// The first frame each way: a sibling of another fleet, or of another name, is turned away.
--- /dev/null
+++ b/sibling/tests/floor.rs
@@ -0,0 +1,286 @@
+//! The floor, rule by rule (design 5.8): what a daemon that started must have before it goes by a word.
+
+use std::sync::Arc;
+use std::time::Duration;
+use vanepath_sibling::daemon::View;
+use vanepath_sibling::floor::{By, Floor, NEXT_AFTER, WITNESS_WAIT};
+use vanepath_sibling::news::{Effect, Event, News};
+use vanepath_sibling::wire::{self, Role};
+
+const START: Duration = Duration::from_secs(100);
+
+fn ms(count: u64) -> Duration {
+    START + Duration::from_millis(count)
+}
+
+fn address(port: u16) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn card(name: &str, role: Role, port: u16) -> wire::Card {
+    wire::Card {
+        name: name.to_string(),
+        role,
+        region: "a".to_string(),
+        zone: "a1".to_string(),
+        address: address(port),
+        sibling_address: address(port),
+    }
+}
+
+fn delta(name: &str, role: Role, port: u16, report: wire::Report) -> wire::Delta {
+    wire::Delta {
+        name: name.to_string(),
+        mark: wire::Mark { life: 5, counter: report.revision + 1, edition: 1, detail: 0 },
+        age_ms: 0,
+        card: Some(card(name, role, port)),
+        report: Some(report),
+        detail: None,
+    }
+}
+
+fn word(revision: u64) -> wire::Word {
+    wire::Word { revision, ..wire::Word::default() }
+}
+
+fn ready(revision: u64) -> wire::Report {
+    wire::Report { ready: true, revision, ..wire::Report::default() }
+}
+
+fn proxy(seeds: Vec<std::net::SocketAddr>) -> News {
+    News::new(card("p", Role::Proxy, 1), seeds, 1, START)
+}
+
+fn view(news: &News, now: Duration) -> View {
+    View::of(news, &View::default(), now).0
+}
+
+/// A registry at port 2 replies with a word and with the highest revision that it knows as in force.
+fn reply(news: &mut News, now: Duration, revision: u64, floor: u64) -> Vec<Effect> {
+    news.step(now, Event::Pulse);
+    let told = wire::News {
+        deltas: vec![delta("r", Role::Registry, 2, ready(revision))],
+        word: Some(word(revision)),
+        floor: Some(floor),
+        ..wire::News::default()
+    };
+    news.step(now, Event::Told { address: address(2), news: Some(Box::new(told)) })
+}
+
+/// The report that it tells others, by the answer to a sibling's pull.
+fn told_by(news: &mut News, now: Duration, asker_revision: u64) -> wire::News {
+    let pull = wire::Pull {
+        vector: Some(Vec::new()),
+        word: 0,
+        platform: 0,
+        plan: (0, 0),
+        own: delta("q", Role::Proxy, 9, ready(asker_revision)),
+        wait_ms: 0,
+        wants_detail: false,
+        light: false,
+        silent: 0,
+    };
+    let effects = news.step(now, Event::Asked { ticket: 1, pull });
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        Effect::Answer { news, .. } => Some(news),
+        _ => None,
+    });
+    answer.expect("it does not wait")
+}
+
+/// A ready registry that lags makes nobody go by its word: that takes what a majority of stores holds.
+#[test]
+fn a_lagging_registry_is_not_enough() {
+    let mut news = proxy(vec![address(2)]);
+    reply(&mut news, ms(10), 3, 3);
+    assert!(news.is_fresh(ms(10)), "the news are of now");
+    assert!(!view(&news, ms(10)).is_fresh, "and the word may be old");
+    assert_eq!(view(&news, ms(10)).in_force(), 0);
+    news.step(ms(20), Event::Floor { address: address(3), revision: Some(5) });
+    assert!(!view(&news, ms(20)).is_fresh, "it has 3 of 5");
+    reply(&mut news, ms(30), 5, 5);
+    let view = view(&news, ms(30));
+    assert!(view.is_fresh);
+    assert_eq!(view.in_force(), 5);
+    let met = view.floor.unwrap();
+    assert_eq!((met.floor, met.by, met.waited), (5, By::Majority, Duration::from_millis(30)));
+}
+
+/// What is held back is neither offered nor told as in force; later it is both.
+#[test]
+fn nothing_is_offered_or_told_before_the_floor_is_met() {
+    let mut news = proxy(vec![address(2)]);
+    reply(&mut news, ms(10), 3, 3);
+    news.step(ms(10), Event::Report(ready(3)));
+    let told = told_by(&mut news, ms(20), 0);
+    assert!(told.word.is_none());
+    let own = |told: &wire::News| {
+        let own = told.deltas.iter().find(|delta| delta.name == "p").unwrap();
+        own.report.as_ref().unwrap().revision
+    };
+    assert_eq!(own(&told), 0);
+    news.step(ms(30), Event::Floor { address: address(3), revision: Some(3) });
+    news.step(ms(30), Event::Report(ready(3)));
+    let told = told_by(&mut news, ms(40), 0);
+    assert_eq!((told.word.unwrap().revision, told.floor), (3, Some(3)));
+}
+
+/// Whoever heard what a name went by, or what anyone did, tells it to those who go by nothing yet.
+#[test]
+fn a_witness_tells_what_was_in_force() {
+    let mut witness = News::new(card("r", Role::Registry, 2), Vec::new(), 1, START);
+    told_by(&mut witness, ms(10), 7);
+    let told = told_by(&mut witness, ms(20), 7);
+    assert_eq!(told.floor, None, "it goes by a word already");
+    // The next life of that name.
+    let told = told_by(&mut witness, ms(30), 0);
+    assert_eq!(told.floor, Some(7), "a lower report does not take it back");
+    assert_eq!(witness.floors().get("q"), Some(&7));
+}
+
+/// Without a majority of stores a daemon waits two seconds and goes by no less than any witness told.
+#[test]
+fn without_a_majority_the_highest_witness_counts() {
+    let mut news = proxy(vec![address(2)]);
+    reply(&mut news, ms(10), 3, 7);
+    let late = WITNESS_WAIT.as_millis() as u64 + 50;
+    for at in (50..late).step_by(50) {
+        news.step(ms(at), Event::Pulse);
+    }
+    reply(&mut news, ms(late), 3, 3);
+    assert!(!view(&news, ms(late)).is_fresh, "one witness knows of 7");
+    assert_eq!(view(&news, ms(late)).floor_wanted, Some(7));
+    reply(&mut news, ms(late + 50), 7, 7);
+    let met = view(&news, ms(late + 50)).floor.unwrap();
+    assert_eq!((met.floor, met.by, met.from.as_str()), (7, By::Witnesses, "r"));
+}
+
+/// Who hears of no more than half of those it knows of may be cut off together with them: it waits.
+#[test]
+fn a_cut_off_part_is_no_witness() {
+    let mut news = proxy(vec![address(2)]);
+    news.step(START, Event::Pulse);
+    let mut deltas: Vec<wire::Delta> = (0..3_u16)
+        .map(|index| {
+            let lost = delta(&format!("q{index}"), Role::Proxy, 20 + index, ready(3));
+            wire::Delta { age_ms: 60_000, ..lost }
+        })
+        .collect();
+    deltas.push(delta("r", Role::Registry, 2, ready(3)));
+    let told = wire::News { deltas, word: Some(word(3)), floor: Some(3), ..Default::default() };
+    news.step(ms(10), Event::Told { address: address(2), news: Some(Box::new(told)) });
+    for at in (50..2950).step_by(50) {
+        news.step(ms(at), Event::Pulse);
+    }
+    assert!(view(&news, ms(2900)).floor.is_none(), "two of five");
+}
+
+/// A store's own word was seen with a majority since it started; what siblings told it was not.
+#[test]
+fn a_store_finds_the_floor_by_itself() {
+    let mut news = News::new(card("s", Role::Store, 1), vec![address(2)], 1, START);
+    let effects = reply(&mut news, ms(10), 3, 3);
+    assert!(!effects.iter().any(|effect| matches!(effect, Effect::AskFloor { .. })));
+    assert!(told_by(&mut news, ms(20), 0).word.is_none());
+    news.step(ms(30), Event::Word(Arc::new(word(4))));
+    assert_eq!(told_by(&mut news, ms(40), 0).word.unwrap().revision, 4);
+}
+
+/// Once any store that votes is known of, the first in the order of seats is asked, and the nearest beside
+/// it; then the next one while none can tell.
+#[test]
+fn stores_are_asked_in_the_order_of_their_seats() {
+    let asked = |effects: &[Effect]| -> Vec<u16> {
+        let asks = effects.iter().filter_map(|effect| match effect {
+            Effect::AskFloor { address } => Some(address.port()),
+            _ => None,
+        });
+        asks.collect()
+    };
+    let mut news = proxy(vec![address(2)]);
+    assert_eq!(asked(&news.step(START, Event::Pulse)), [0_u16; 0], "none is known of");
+    let store = |name: &str, port: u16, seat: u8, votes: bool, zone: &str| {
+        let disk = Some(wire::Disk { seat: Some(seat), ..wire::Disk::default() });
+        let report = wire::Report { disk, ..wire::Report { ready: votes, ..ready(0) } };
+        let told = delta(name, Role::Store, port, report);
+        let card = wire::Card { zone: zone.to_string(), ..told.card.clone().unwrap() };
+        wire::Delta { card: Some(card), ..told }
+    };
+    let deltas = vec![
+        store("s1", 11, 1, true, "a1"),
+        store("s0", 10, 0, true, "b1"),
+        store("s2", 12, 2, false, "a1"),
+    ];
+    let told = wire::News { deltas, ..wire::News::default() };
+    let told = Event::Told { address: address(2), news: Some(Box::new(told)) };
+    assert_eq!(asked(&news.step(ms(10), told)), [10, 11], "with the reply that tells of them");
+    let mut ports = Vec::new();
+    for at in (50..1000).step_by(50) {
+        ports.extend(asked(&news.step(ms(at), Event::Pulse)));
+    }
+    assert_eq!(ports, [11, 10, 11], "one each {NEXT_AFTER:?}");
+    // One that cannot tell holds up the next by a little only.
+    news.step(ms(1000), Event::Floor { address: address(11), revision: None });
+    let soon: Vec<u16> =
+        (1050..1150).step_by(50).flat_map(|at| asked(&news.step(ms(at), Event::Pulse))).collect();
+    assert_eq!(soon, [10]);
+    news.step(ms(1150), Event::Floor { address: address(10), revision: Some(0) });
+    let after: Vec<u16> =
+        (1200..3000).step_by(50).flat_map(|at| asked(&news.step(ms(at), Event::Pulse))).collect();
+    assert!(after.is_empty(), "it has what it asked for: {after:?}");
+}
+
+/// A region that is cut off as a whole remembers what its daemons went by: more than half of it are
+/// witnesses enough, though most of the fleet is out of reach.
+#[test]
+fn more_than_half_of_its_own_region_are_witnesses() {
+    let far = |index: u16| {
+        let lost = delta(&format!("q{index}"), Role::Proxy, 20 + index, ready(3));
+        let card = wire::Card { region: "b".to_string(), ..lost.card.clone().unwrap() };
+        wire::Delta { age_ms: 60_000, card: Some(card), ..lost }
+    };
+    let near_lost = |index: u16| {
+        let lost = delta(&format!("n{index}"), Role::Proxy, 40 + index, ready(3));
+        wire::Delta { age_ms: 60_000, ..lost }
+    };
+    for (lost_near, waits_on) in [(1, false), (2, true)] {
+        let mut news = proxy(vec![address(2)]);
+        news.step(START, Event::Pulse);
+        let mut deltas: Vec<wire::Delta> = (0..6).map(far).collect();
+        deltas.extend((0..lost_near).map(near_lost));
+        deltas.push(delta("r", Role::Registry, 2, ready(3)));
+        let told = wire::News { deltas, word: Some(word(3)), floor: Some(3), ..Default::default() };
+        news.step(ms(10), Event::Told { address: address(2), news: Some(Box::new(told)) });
+        for at in (50..2150).step_by(50) {
+            assert!(at > 2000 || view(&news, ms(at)).floor.is_none(), "two seconds first");
+            news.step(ms(at), Event::Pulse);
+        }
+        let met = view(&news, ms(2150)).floor;
+        assert_eq!(met.is_none(), waits_on, "{lost_near} of the region lost: {met:?}");
+    }
+}
+
+/// A freeze takes away no word, and who slept before it had a floor counts its witnesses anew.
+#[test]
+fn a_freeze_before_the_floor_begins_the_wait_anew() {
+    let mut floor = Floor::new(START);
+    floor.hear("r", 3);
+    floor.wake(ms(9000));
+    assert!(!floor.look(ms(9100), 3, true));
+    assert!(floor.look(ms(11_050), 3, true));
+    floor.wake(ms(20_000));
+    assert!(floor.met().is_some());
+}
+
+/// The first majority's word is the floor: what is accepted meanwhile does not push it up for good.
+#[test]
+fn a_storm_of_changes_does_not_move_the_floor() {
+    let mut floor = Floor::new(START);
+    floor.replied(ms(10), "s0", Some(5));
+    floor.replied(ms(20), "s1", Some(9));
+    floor.hear("r", 12);
+    assert_eq!(floor.wanted(), Some(5));
+    assert!(!floor.look(ms(30), 4, true));
+    assert!(floor.look(ms(40), 5, true));
+    assert!(!floor.look(ms(50), 6, true), "said once");
+}
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -124,6 +124,10 @@
     Read {
         ticket: u64,
     },
+    /// What is chosen, for all who asked before the round began (design 5.8).
+    Floor {
+        tickets: Vec<u64>,
+    },
     History {
         ticket: u64,
         revision: u64,
@@ -608,6 +612,17 @@
                 self.enqueue(Op::Change { ticket, key, change }, effects);
             }
             Ask::Read => self.enqueue(Op::Read { ticket }, effects),
+            Ask::Floor => {
+                // One round tells all that wait for one.
+                let waiting = self.queue.iter_mut().find_map(|op| match op {
+                    Op::Floor { tickets } => Some(tickets),
+                    _ => None,
+                });
+                match waiting {
+                    Some(tickets) => tickets.push(ticket),
+                    None => self.enqueue(Op::Floor { tickets: vec![ticket] }, effects),
+                }
+            }
             Ask::History { revision } => self.enqueue(Op::History { ticket, revision }, effects),
         }
         let _ = now;
@@ -1030,7 +1045,9 @@
                     }
                     self.query(&mut job, effects);
                 }
-                Op::Read { .. } | Op::Sweep | Op::Genesis { .. } => self.query(&mut job, effects),
+                Op::Read { .. } | Op::Floor { .. } | Op::Sweep | Op::Genesis { .. } => {
+                    self.query(&mut job, effects)
+                }
                 // It may be back since, or another empty disk wants the seat.
                 Op::Seat(vacancy) if !self.vacancies(now).contains(vacancy) => continue,
                 Op::Change { .. } | Op::Batch { .. } | Op::Seat(_) => {
@@ -1344,6 +1361,10 @@
                         // The first store mends; two would only outbid each other.
                         return;
                     }
+                    if matches!(job.op, Op::Floor { .. }) && !self.is_first(now) {
+                        // Likewise: whoever asks asks again, and the first store as well.
+                        return self.fail(job, "the first store is settling it", effects);
+                    }
                     self.prepare(&mut job, effects);
                     self.job = Some(job);
                 }
@@ -1508,9 +1529,11 @@
                         return;
                     }
                     match self.queue.pop_front() {
-                        Some(op @ Op::Seat(_)) => {
+                        Some(op @ (Op::Seat(_) | Op::Floor { .. })) => {
                             // Whoever has to accept it is asked for a promise first: a table that
                             // too few can accept would stand in the way of all that comes after it.
+                            // A floor takes a round that began after it was asked for: under this
+                            // ballot another one may have chosen more by then.
                             self.queue.push_front(op);
                             return;
                         }
@@ -1548,6 +1571,7 @@
                 }
                 Op::Seat(vacancy) => seated(&value, &own, vacancy).into_iter().collect(),
                 Op::Read { .. }
+                | Op::Floor { .. }
                 | Op::History { .. }
                 | Op::Sweep
                 | Op::Genesis { .. }
@@ -1639,6 +1663,13 @@
                     effects.push(Effect::Answer { ticket, tell: Tell::Outcome(outcome) });
                 }
             }
+            Op::Floor { tickets } => {
+                // What was just seen as chosen is what this copy holds.
+                let revision = self.value.as_ref().map(|value| value.revision);
+                for ticket in tickets {
+                    effects.push(Effect::Answer { ticket, tell: Tell::Floor(revision) });
+                }
+            }
             Op::History { ticket, revision } => self.answer_history(ticket, revision, effects),
             _ => {}
         }
@@ -1681,6 +1712,11 @@
                     effects.push(Effect::Answer { ticket: *ticket, tell });
                 }
             }
+            Op::Floor { tickets } => {
+                for ticket in tickets {
+                    effects.push(Effect::Answer { ticket: *ticket, tell: Tell::Floor(None) });
+                }
+            }
             Op::Sweep | Op::Seat(_) | Op::Genesis { .. } => {}
         }
     }
--- a/store/src/shell.rs
+++ b/store/src/shell.rs
@@ -184,10 +184,15 @@
     // The handler is there before the actor is: the daemon's links start first.
     let slot: Arc<std::sync::OnceLock<xtra::Address<StoreActor>>> = Arc::default();
     let handler_slot = slot.clone();
-    let handler: daemon::StoreHandler = Arc::new(move |bytes: Vec<u8>| {
+    let handler: daemon::StoreHandler = Arc::new(move |request: wire::Request| {
         let slot = handler_slot.clone();
         Box::pin(async move {
-            let Some(ask) = wire::decode::<Ask>(&bytes) else {
+            let ask = match request {
+                wire::Request::Store(bytes) => wire::decode::<Ask>(&bytes),
+                wire::Request::Floor => Some(Ask::Floor),
+                wire::Request::Pull(_) => None,
+            };
+            let Some(ask) = ask else {
                 return wire::Reply::NoDuty;
             };
             let Some(actor) = slot.get() else {
@@ -196,6 +201,7 @@
             let (sender, receiver) = tokio::sync::oneshot::channel();
             let _ = actor.send(Asked(ask, sender)).await;
             match receiver.await {
+                Ok(Tell::Floor(revision)) => wire::Reply::Floor(revision),
                 Ok(tell) => wire::Reply::Store(wire::encode(&tell).into()),
                 Err(_) => wire::Reply::NoDuty,
             }
@@ -345,6 +351,7 @@
         .collect();
     let status = jzon::object! {
         "name": daemon.settings.name.as_str(),
+        "floor": daemon.table.load().show_floor(),
         "seat": summary.seat,
         "incarnation": format!("{:016x}", summary.incarnation),
         "votes": summary.votes,
--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -195,6 +195,8 @@
     History {
         revision: u64,
     },
+    /// The highest revision chosen so far, by a round that begins after this was asked (design 5.8).
+    Floor,
 }
 
 #[derive(
@@ -243,6 +245,8 @@
         shown: Box<Membership>,
     },
     Outcome(Outcome),
+    /// `None`: it cannot tell.
+    Floor(Option<u64>),
 }
 
 /// What a registry hears back.
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -1000,3 +1000,106 @@
     fleet.passes(Duration::from_secs(10));
     assert!(fleet.stores[1..].iter().all(|store| store.core.is_blank()));
 }
+
+/// What stores said of the floor, in order.
+fn floors(fleet: &Fleet) -> Vec<Option<u64>> {
+    let told = fleet.said.iter().filter_map(|tell| match tell {
+        Tell::Floor(revision) => Some(*revision),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// A majority tells the floor, whichever store is asked; a minority cannot (design 5.8).
+#[test]
+fn the_floor_takes_a_majority() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    fleet.stores[0].is_up = false;
+    assert_eq!(revision(fleet.put(1, "b")), 2);
+    fleet.ask(1, Ask::Floor);
+    fleet.ask(2, Ask::Floor);
+    fleet.stores[1].is_up = false;
+    fleet.ask(2, Ask::Floor);
+    assert_eq!(floors(&fleet), [Some(2), Some(2), None]);
+    // Its disk holds 1; it asks, and brings itself up before it tells.
+    fleet.restart(0);
+    fleet.passes(Duration::from_millis(50));
+    fleet.ask(0, Ask::Floor);
+    // Its own first sweep is under way, and a floor takes a round that begins after it was asked for.
+    fleet.passes(Duration::from_millis(50));
+    assert_eq!(floors(&fleet)[3..], [Some(2)]);
+}
+
+/// All who wait are told by one round, and nothing is written for it.
+#[test]
+fn one_round_tells_all_who_wait_for_the_floor() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    let queries = std::rc::Rc::new(std::cell::Cell::new(0));
+    let counted = queries.clone();
+    fleet.loses = Box::new(move |_, _, ask| {
+        assert!(matches!(ask, Ask::Query | Ask::Alive), "{ask:?}");
+        counted.set(counted.get() + u32::from(matches!(ask, Ask::Query)));
+        false
+    });
+    for _ in 0..640 {
+        fleet.tickets.push(Asker::Operator);
+        let ticket = fleet.tickets.len() as u64 - 1;
+        fleet.events.push_back((0, Event::Asked { ticket, ask: Ask::Floor }));
+    }
+    fleet.run();
+    assert_eq!(floors(&fleet), [Some(1); 640]);
+    assert!(queries.get() <= 4, "{} queries", queries.get());
+}
+
+/// A store whose round is under way learns late that it was accepted. Another one chose more since: a floor
+/// that was asked for after that is not what the old round shows.
+#[test]
+fn a_floor_does_not_ride_on_an_older_round() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    fleet.delays = Box::new(|_, asker, tell| asker == 0 && matches!(tell, Tell::Accepted { .. }));
+    let change = Change::Setup { bytes: b"b".to_vec(), if_revision: None, version: None };
+    fleet.ask(0, Ask::Change { key: "b".into(), change });
+    assert!(!fleet.late.is_empty());
+    // The first store is not heard of for a while, by anyone.
+    fleet.loses = Box::new(|from, to, _| from == 0 || to == 0);
+    let later = revision(fleet.put(1, "c"));
+    assert_eq!(later, 3, "it builds on what the others hold");
+    fleet.loses = Box::new(|_, _, _| false);
+    fleet.delays = Box::new(|_, _, _| false);
+    fleet.ask(0, Ask::Floor);
+    let late = std::mem::take(&mut fleet.late);
+    fleet.events.extend(late);
+    fleet.run();
+    fleet.passes(Duration::from_secs(2));
+    let told = floors(&fleet);
+    assert!(told.iter().all(|one| one.is_none_or(|one| one >= later)), "{told:?}");
+    assert_eq!(told.last(), Some(&Some(later)));
+}
+
+/// A store that is not first outbids nobody for a floor: it says that it cannot tell.
+#[test]
+fn only_the_first_store_settles_for_a_floor() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    // Half done: only the third copy has it.
+    fleet.loses =
+        Box::new(|from, to, ask| matches!(ask, Ask::Accept { .. }) && !(from == 0 && to == 2));
+    fleet.mutes = Box::new(|_, asker, tell| asker == 0 && matches!(tell, Tell::Accepted { .. }));
+    let change = Change::Setup { bytes: b"b".to_vec(), if_revision: None, version: None };
+    fleet.ask(0, Ask::Change { key: "b".into(), change });
+    fleet.mutes = Box::new(|_, _, _| false);
+    fleet.loses = Box::new(|from, _, ask| {
+        assert!(from == 0 || matches!(ask, Ask::Query | Ask::Alive), "{from}: {ask:?}");
+        false
+    });
+    fleet.ask(1, Ask::Floor);
+    fleet.ask(0, Ask::Floor);
+    assert_eq!(floors(&fleet), [None, Some(2)]);
+}
