--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -143,6 +143,29 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// The floor holds nobody up for long (design 5.8): whatever is gone or cut off, and with all daemons at one
+/// time. Figures: docs/measurements.md, "From start to ready".
+#[test]
+fn who_starts_takes_work_soon() {
+    use vanepath_fleet::sim::starts::{Scene, measure};
+    let mut late = Vec::new();
+    for deployment in [Deployment::Raiocerto, Deployment::Guild] {
+        for scene in Scene::iter() {
+            // Witnesses are waited for where no majority of stores is in reach.
+            let most = if scene == Scene::RegionCut { 2200 } else { 1000 };
+            for seed in 1..=2 {
+                for start in measure(seed, scene, &Plan::new(deployment, &[])) {
+                    if start.took.is_none_or(|took| took > Duration::from_millis(most)) {
+                        let (role, took) = (start.role, start.took);
+                        late.push(format!("{deployment:?} {scene} {seed} {role}: {took:?}"));
+                    }
+                }
+            }
+        }
+    }
+    assert!(late.is_empty(), "{}", late.join("\n"));
+}
+
 /// Every accepted setup is still read back when all three disks are new.
 #[test]
 fn a_long_history_outlives_every_disk() {
