--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -231,6 +231,8 @@
         matter: u64,
         revision: u64,
     },
+    /// The highest revision chosen so far, by a round that begins after this was asked (design 5.8).
+    Floor,
 }
 
 #[derive(
@@ -285,6 +287,8 @@
     Outcome(Outcome),
     /// Heard; there is nothing to tell.
     Noted,
+    /// `None`: it cannot tell.
+    Floor(Option<u64>),
 }
 
 /// What a registry hears back.
