Pools and usual work are found by name, not by walking all of them

Cause: at the design size (270 services in 16 zones) each request walked up to 4,320 pools and each new server as many; seen by reading. Change: by service, then by zone or class; names are bounded. Behaviour is the same: pools_and_classes_are_found_by_their_names, proxy's tests green.

--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -3,7 +3,7 @@
 
 use crate::choice::{Candidate, Distance, Job};
 use crate::liveness::{ColdRate, Failure, Liveness, Phase};
-use crate::usual::{Pace, Pool, Usual};
+use crate::usual::{Pace, Pools, Usuals};
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_sibling::daemon::View;
@@ -283,9 +283,9 @@
     /// may go on with the connections on which it did not.
     pub proves_answers: bool,
     /// By service and zone.
-    pools: std::sync::Mutex<Vec<((String, String), Pool)>>,
+    pools: std::sync::Mutex<Pools>,
     /// By class and service.
-    usual: std::sync::Mutex<std::collections::HashMap<(String, String), Usual>>,
+    usual: std::sync::Mutex<Usuals>,
 }
 
 impl<C> Default for Servers<C> {
@@ -746,8 +746,7 @@
         let service = &table.setup.services[want.service];
         let job = self.job(&class.name, &service.name, class.bulk);
         let pools = self.pools.lock().expect("no panic under this lock");
-        let of_service = pools.iter().filter(|one| one.0.0 == service.name).map(|one| &one.1);
-        let usual = crate::usual::usual_fill(now, of_service);
+        let usual = pools.usual_fill(now, &service.name);
         for index in &table.by_service[want.service] {
             let entry = &table.entries[*index];
             let server = &entry.server;
@@ -784,7 +783,7 @@
                 let is_own = distance == Distance::Zone && quick.is_own;
                 let distance = if is_own { Distance::Own } else { distance };
                 let slots = f64::from(server.slots);
-                let pool = &pools[quick.pool].1;
+                let pool = pools.at(quick.pool);
                 let load = quick.load(now, distance, pool.fill(now, usual) * slots);
                 let way_ms = pool.way_ms(distance);
                 let (index, pace) = (*index, quick.pace(now, load, job.work_ms, way_ms));
@@ -977,7 +976,7 @@
         });
         if let Some((pool, others)) = others {
             let mut pools = self.pools.lock().expect("no panic under this lock");
-            pools[pool].1.told(now, others);
+            pools.at_mut(pool).told(now, others);
         }
     }
 
@@ -985,24 +984,19 @@
     fn pool(&self, setup: &vanepath_setup::model::Setup, services: &[usize], zone: &str) -> usize {
         let service = services.first().map_or("", |index| setup.services[*index].name.as_str());
         let mut pools = self.pools.lock().expect("no panic under this lock");
-        let is_it = |one: &((String, String), Pool)| one.0.0 == service && one.0.1 == zone;
-        pools.iter().position(is_it).unwrap_or_else(|| {
-            pools.push(((service.to_string(), zone.to_string()), Pool::default()));
-            pools.len() - 1
-        })
+        pools.index(service, zone)
     }
 
     /// What requests of this class usually are at this service.
     fn job(&self, class: &str, service: &str, is_bulk: bool) -> Job {
-        let usual = self.usual.lock().expect("no panic under this lock");
-        let known = usual.get(&(class.to_string(), service.to_string()));
-        known.copied().unwrap_or_else(|| Usual::new(is_bulk)).job()
+        self.usual.lock().expect("no panic under this lock").job(class, service, is_bulk)
     }
 
     /// A connection to this server came up in that time.
     pub fn connected(&self, slot: usize, took: Duration) {
         if let Some(pool) = self.with(slot, |quick| quick.pool) {
-            self.pools.lock().expect("no panic under this lock")[pool].1.connected(took);
+            let mut pools = self.pools.lock().expect("no panic under this lock");
+            pools.at_mut(pool).connected(took);
         }
     }
 
@@ -1021,16 +1015,12 @@
         let Some(pool) = self.with(slot, |quick| quick.pool) else { return };
         let way_ms = {
             let pools = self.pools.lock().expect("no panic under this lock");
-            pools[pool].1.way_ms(Distance::Own)
+            pools.at(pool).way_ms(Distance::Own)
         };
         let took_ms = (took.as_secs_f64() * 1000.0 - way_ms).max(1.0) / lateness;
         let work_ms = {
             let mut usual = self.usual.lock().expect("no panic under this lock");
-            if usual.len() > USUAL_MOST {
-                usual.clear();
-            }
-            let key = (class.to_string(), service.to_string());
-            let usual = usual.entry(key).or_insert_with(|| Usual::new(is_bulk));
+            let usual = usual.of(class, service, is_bulk);
             usual.answered(took_ms, kilobytes);
             usual.job().work_ms
         };
@@ -1050,9 +1040,6 @@
     pub kilobytes: Option<f64>,
 }
 
-/// Names come and go with setups.
-const USUAL_MOST: usize = 8192;
-
 impl<C> Quick<C> {
     /// What it told of its demand is old, and nothing of ours is there to tell more: one request
     /// will find out.
--- a/proxy/src/usual.rs
+++ b/proxy/src/usual.rs
@@ -144,6 +144,73 @@
     }
 }
 
+/// All pools of a proxy, found by service and zone.
+#[derive(Debug, Default)]
+pub struct Pools {
+    all: Vec<Pool>,
+    by_service: std::collections::HashMap<String, std::collections::HashMap<String, usize>>,
+}
+
+impl Pools {
+    /// The pool of these servers; a new one if it is the first.
+    pub fn index(&mut self, service: &str, zone: &str) -> usize {
+        if let Some(index) = self.by_service.get(service).and_then(|zones| zones.get(zone)) {
+            return *index;
+        }
+        let zones = self.by_service.entry(service.to_string()).or_default();
+        zones.insert(zone.to_string(), self.all.len());
+        self.all.push(Pool::default());
+        self.all.len() - 1
+    }
+
+    pub fn at(&self, index: usize) -> &Pool {
+        &self.all[index]
+    }
+
+    pub fn at_mut(&mut self, index: usize) -> &mut Pool {
+        &mut self.all[index]
+    }
+
+    /// How full this service's servers are usually.
+    pub fn usual_fill(&self, now: Duration, service: &str) -> f64 {
+        let zones = self.by_service.get(service).into_iter().flat_map(|zones| zones.values());
+        usual_fill(now, zones.map(|index| &self.all[*index]))
+    }
+}
+
+/// Of classes at services; as many names as this at the most, for they come and go with setups.
+const USUAL_MOST: usize = 4096;
+
+#[derive(Debug, Default)]
+pub struct Usuals {
+    by_service: std::collections::HashMap<String, std::collections::HashMap<String, Usual>>,
+}
+
+impl Usuals {
+    /// What requests of this class usually are at this service.
+    pub fn job(&self, class: &str, service: &str, is_bulk: bool) -> Job {
+        let known = self.by_service.get(service).and_then(|classes| classes.get(class));
+        known.copied().unwrap_or_else(|| Usual::new(is_bulk)).job()
+    }
+
+    pub fn of(&mut self, class: &str, service: &str, is_bulk: bool) -> &mut Usual {
+        if !self.by_service.contains_key(service) {
+            if self.by_service.len() >= USUAL_MOST {
+                self.by_service.clear();
+            }
+            self.by_service.insert(service.to_string(), Default::default());
+        }
+        let classes = self.by_service.get_mut(service).expect("just put there");
+        if !classes.contains_key(class) {
+            if classes.len() >= USUAL_MOST {
+                classes.clear();
+            }
+            classes.insert(class.to_string(), Usual::new(is_bulk));
+        }
+        classes.get_mut(class).expect("just put there")
+    }
+}
+
 /// How full a service's servers are in the mean of the zones that told lately: what is to be expected
 /// of one that did not. A zone that comes back would draw everybody at once if it were taken for empty.
 pub fn usual_fill<'p>(now: Duration, pools: impl Iterator<Item = &'p Pool>) -> f64 {
--- a/proxy/src/usual/tests.rs
+++ b/proxy/src/usual/tests.rs
@@ -1,4 +1,4 @@
-use super::{Pace, Pool, Usual};
+use super::{Pace, Pool, Pools, Usual, Usuals};
 use crate::choice::Distance;
 use std::time::Duration;
 
@@ -92,3 +92,19 @@
     }
     assert!((24.0..27.0).contains(&pool.way_ms(Distance::Far)), "{}", pool.way_ms(Distance::Far));
 }
+
+#[test]
+fn pools_and_classes_are_found_by_their_names() {
+    let mut pools = Pools::default();
+    let first = pools.index("s", "a1");
+    assert_ne!(pools.index("s", "b1"), first);
+    assert_ne!(pools.index("t", "a1"), first);
+    assert_eq!(pools.index("s", "a1"), first);
+    (0..30).for_each(|count| pools.at_mut(first).told(ms(9000 + count), 1.2));
+    assert!(pools.usual_fill(ms(9030), "s") > 0.9 && pools.usual_fill(ms(9030), "t") < 0.4);
+
+    let mut usuals = Usuals::default();
+    usuals.of("c", "s", false).answered(40.0, None);
+    let work_ms = |class, service| usuals.job(class, service, false).work_ms;
+    assert_eq!((work_ms("c", "s"), work_ms("c", "t"), work_ms("d", "s")), (40.0, 100.0, 100.0));
+}
