A resting connection's two rules stand once, where the choice and the request share them

Read-through: the choice by cost had written again what take_idle and a request that runs once ask of a resting connection, and lateness what load reckons.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -951,10 +951,7 @@
                 self.proxy.servers.put_idle(slot, idle);
                 break;
             }
-            // Where every request names its server, a filing takes no connection that its server
-            // may be about to close.
-            let rested = now.saturating_sub(idle.quiet_since);
-            if kind == Kind::Once && !is_greeted && rested > idle.kept_for / 2 {
+            if kind == Kind::Once && !is_greeted && !idle.is_kept_for_once(now) {
                 continue;
             }
             if is_greeted
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -44,6 +44,23 @@
     pub is_used: bool,
 }
 
+impl<C> Idle<C> {
+    fn rested(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.quiet_since)
+    }
+
+    /// Whether its server surely keeps it still.
+    fn is_kept(&self, now: Duration) -> bool {
+        let rested = self.rested(now);
+        rested < IDLE_MOST && rested + KEPT_MARGIN < self.kept_for
+    }
+
+    /// Likewise by what runs at most once, which takes none that its server may be about to close.
+    pub fn is_kept_for_once(&self, now: Duration) -> bool {
+        self.rested(now) <= self.kept_for / 2
+    }
+}
+
 /// What changes with every request.
 pub struct Quick<C> {
     pub liveness: Liveness,
@@ -875,10 +892,7 @@
         is_usable: impl Fn(&Idle<C>) -> bool,
     ) -> Option<Idle<C>> {
         self.with(slot, |quick| {
-            quick.idle.retain(|idle| {
-                let rested = now.saturating_sub(idle.quiet_since);
-                rested < IDLE_MOST && rested + KEPT_MARGIN < idle.kept_for
-            });
+            quick.idle.retain(|idle| idle.is_kept(now));
             let found = quick
                 .idle
                 .iter()
@@ -1004,7 +1018,7 @@
     /// How much later a request is answered for what is with this server now, itself included.
     pub fn lateness(&self, now: Duration, slot: usize) -> f64 {
         let lateness = self.with(slot, |quick| {
-            let load = quick.in_hand.max(1) as f64 + quick.freshness(now) * quick.others;
+            let load = quick.load(now, Distance::Own, 0.0).max(1.0);
             crate::choice::lateness(load, f64::from(quick.slots.max(1)))
         });
         lateness.unwrap_or(1.0)
@@ -1058,17 +1072,11 @@
         self.pace.times_owing(now, owed_ms / usual_ms)
     }
 
-    /// Whether a connection rests here that this request could use: what runs once takes none that its
-    /// server may be about to close.
+    /// Whether a connection rests here that this request could use.
     fn is_connected(&self, now: Duration, is_once: bool) -> bool {
         self.idle.iter().any(|idle| {
-            let rested = now.saturating_sub(idle.quiet_since);
-            let is_kept = if is_once {
-                rested <= idle.kept_for / 2
-            } else {
-                rested < IDLE_MOST && rested + KEPT_MARGIN < idle.kept_for
-            };
-            rested >= QUIET && is_kept
+            let is_kept = if is_once { idle.is_kept_for_once(now) } else { idle.is_kept(now) };
+            idle.rested(now) >= QUIET && is_kept
         })
     }
 
