--- /dev/null
+++ b/sibling/tests/common/mod.rs
@@ -0,0 +1,16 @@
+//! What several tests of siblings begin with.
+
+use vanepath_sibling::wire;
+
+/// Of a daemon in zone a1 of region a.
+pub fn card(name: &str, role: wire::Role, port: u16) -> wire::Card {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    wire::Card {
+        name: name.to_string(),
+        role,
+        region: "a".to_string(),
+        zone: "a1".to_string(),
+        address,
+        sibling_address: address,
+    }
+}
--- a/sibling/tests/details.rs
+++ b/sibling/tests/details.rs
@@ -1,23 +1,14 @@
 //! Which details a registry's answer holds (design 5.3).
 
+mod common;
+
+use common::card;
 use std::time::Duration;
 use vanepath_sibling::news::{Effect, Event, News};
 use vanepath_sibling::wire;
 
 const NOW: Duration = Duration::from_secs(100);
 
-fn card(name: &str, role: wire::Role, port: u16) -> wire::Card {
-    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
-    wire::Card {
-        name: name.to_string(),
-        role,
-        region: "a".to_string(),
-        zone: "a1".to_string(),
-        address,
-        sibling_address: address,
-    }
-}
-
 fn detail(sights: usize, demand_milli: u32) -> wire::Detail {
     let sight = |index: usize| wire::Sight {
         server: format!("server-{index}"),
--- a/sibling/tests/floor.rs
+++ b/sibling/tests/floor.rs
@@ -1,5 +1,8 @@
 //! The floor, rule by rule (design 5.8): what a daemon that started must have before it goes by a word.
 
+mod common;
+
+use common::card;
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_sibling::daemon::View;
@@ -17,17 +20,6 @@
     std::net::SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn card(name: &str, role: Role, port: u16) -> wire::Card {
-    wire::Card {
-        name: name.to_string(),
-        role,
-        region: "a".to_string(),
-        zone: "a1".to_string(),
-        address: address(port),
-        sibling_address: address(port),
-    }
-}
-
 fn delta(name: &str, role: Role, port: u16, report: wire::Report) -> wire::Delta {
     wire::Delta {
         name: name.to_string(),
--- a/sibling/tests/light.rs
+++ b/sibling/tests/light.rs
@@ -1,5 +1,8 @@
 //! Daemons that registries serve (design 5.3): who is live for them, and what makes them fresh.
 
+mod common;
+
+use common::card;
 use std::net::SocketAddr;
 use std::time::Duration;
 use vanepath_sibling::news::{Effect, Event, News};
@@ -9,18 +12,6 @@
     Duration::from_millis(millis)
 }
 
-fn card(name: &str, role: wire::Role, port: u16) -> wire::Card {
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
-    wire::Card {
-        name: name.to_string(),
-        role,
-        region: "a".to_string(),
-        zone: "a1".to_string(),
-        address,
-        sibling_address: address,
-    }
-}
-
 fn delta(name: &str, role: wire::Role, port: u16, report: wire::Report) -> wire::Delta {
     wire::Delta {
         name: name.to_string(),
