One loop waits at a gate, for what is read and for what is written

Read-through: Tail::poll_gate and pass_gate were the same loop, once by hand. The hand- made one holds a future of the other now.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -1016,7 +1016,6 @@
 /// Reads frames until the body is whole or too much to hold, large answers through their gate. Safe to
 /// drop between frames.
 async fn hold(proxy: &Proxy, reply: &mut Reply, is_bulk: bool) -> Result<(), ()> {
-    let gate = proxy.gate_in.as_ref().filter(|_| is_bulk);
     let mut held = 0;
     while let Some(rest) = &mut reply.rest {
         match rest.frame().await {
@@ -1029,8 +1028,8 @@
                 if held > HELD_MOST {
                     return Ok(());
                 }
-                if let Some(gate) = gate {
-                    pass_gate(proxy, gate, length).await;
+                if is_bulk {
+                    pass_gate(proxy, &proxy.gate_in, length).await;
                 }
             }
         }
@@ -1038,8 +1037,13 @@
     Ok(())
 }
 
-/// Waits until so many bytes may have been read.
-async fn pass_gate(proxy: &Proxy, gate: &std::sync::Mutex<crate::gate::Gate>, bytes: usize) {
+/// Waits until so many bytes of large answers may go through, where there is a gate.
+async fn pass_gate(
+    proxy: &Proxy,
+    gate: &Option<std::sync::Mutex<crate::gate::Gate>>,
+    bytes: usize,
+) {
+    let Some(gate) = gate else { return };
     loop {
         let now = proxy.now();
         let passed = gate.lock().expect("no panic under this lock").pass(now, bytes);
@@ -1152,29 +1156,20 @@
     slots: Option<(InHand, Option<Held>)>,
     /// Held to the large answers' part of the link (design 8.10).
     gated: bool,
-    pause: Option<std::pin::Pin<Box<tokio::time::Sleep>>>,
+    pause: Option<std::pin::Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
 
 impl Tail {
-    /// Whether the next piece may be written; else the task is woken when to ask again.
+    /// Whether the next piece may be written; else the task is woken when it may.
     fn poll_gate(&mut self, context: &mut std::task::Context<'_>) -> std::task::Poll<()> {
-        loop {
-            if let Some(pause) = &mut self.pause {
-                std::task::ready!(pause.as_mut().poll(context));
-                self.pause = None;
-            }
-            let Some(gate) = &self.proxy.gate else { return std::task::Poll::Ready(()) };
-            let now = self.proxy.now();
-            let passed =
-                gate.lock().expect("no panic under this lock").pass(now, crate::gate::PIECE);
-            match passed {
-                Ok(()) => return std::task::Poll::Ready(()),
-                Err(until) => {
-                    let pause = until.saturating_sub(now);
-                    self.pause = Some(Box::pin(tokio::time::sleep(pause)));
-                }
-            }
-        }
+        let proxy = &self.proxy;
+        let pause = self.pause.get_or_insert_with(|| {
+            let proxy = proxy.clone();
+            Box::pin(async move { pass_gate(&proxy, &proxy.gate, crate::gate::PIECE).await })
+        });
+        std::task::ready!(pause.as_mut().poll(context));
+        self.pause = None;
+        std::task::Poll::Ready(())
     }
 
     fn is_over(&self) -> bool {
