Large answers take of their gate what they write, and only once it is there

Cause: each time the body was asked for, whether anything was there or not, it took 8 KiB of the gate, and as much for a frame of 1 KiB: large answers that come by and by went far below their part of a narrow link. Seen by reading, in the read-through.

Ruled out: the gate itself (its own tests; it counts the bytes that it is told).

Change: a body of its own (proxy/src/paced.rs) reads a frame first, then passes the gate with the length of each piece.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -1120,7 +1120,7 @@
         .headers
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    let tail = Tail {
+    let mut tail = Tail {
         proxy: proxy.clone(),
         read: reply.read,
         rest: reply.rest,
@@ -1131,15 +1131,23 @@
         is_other_zone: reply.is_other_zone,
         length,
         slots: Some((in_hand, held)),
-        gated,
-        pause: None,
     };
-    let mut tail = tail;
     if tail.rest.is_none() {
         // Whole already: the server and the class are free, whatever the caller's speed.
         tail.whole();
     }
-    hyper::Response::from_parts(head, tail.boxed_unsync())
+    let body = match gated {
+        false => tail.boxed_unsync(),
+        true => {
+            let proxy = proxy.clone();
+            let pass = move |bytes| -> crate::paced::Passing {
+                let proxy = proxy.clone();
+                Box::pin(async move { pass_gate(&proxy, &proxy.gate, bytes).await })
+            };
+            crate::paced::Paced::new(tail, pass).boxed_unsync()
+        }
+    };
+    hyper::Response::from_parts(head, body)
 }
 
 /// The body of a receipt on its way to the caller.
@@ -1154,44 +1162,13 @@
     is_other_zone: bool,
     length: Option<u64>,
     slots: Option<(InHand, Option<Held>)>,
-    /// Held to the large answers' part of the link (design 8.10).
-    gated: bool,
-    pause: Option<std::pin::Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
 
 impl Tail {
-    /// Whether the next piece may be written; else the task is woken when it may.
-    fn poll_gate(&mut self, context: &mut std::task::Context<'_>) -> std::task::Poll<()> {
-        let proxy = &self.proxy;
-        let pause = self.pause.get_or_insert_with(|| {
-            let proxy = proxy.clone();
-            Box::pin(async move { pass_gate(&proxy, &proxy.gate, crate::gate::PIECE).await })
-        });
-        std::task::ready!(pause.as_mut().poll(context));
-        self.pause = None;
-        std::task::Poll::Ready(())
-    }
-
     fn is_over(&self) -> bool {
         self.rest.is_none() && self.read.is_empty()
     }
 
-    /// A piece of a frame; what is over comes next.
-    fn piece(
-        &mut self,
-        frame: hyper::body::Frame<bytes::Bytes>,
-    ) -> hyper::body::Frame<bytes::Bytes> {
-        match frame.into_data() {
-            Ok(mut data) if data.len() > crate::gate::PIECE => {
-                let rest = data.split_off(crate::gate::PIECE);
-                self.read.push_front(hyper::body::Frame::data(rest));
-                hyper::body::Frame::data(data)
-            }
-            Ok(data) => hyper::body::Frame::data(data),
-            Err(frame) => frame,
-        }
-    }
-
     /// The whole receipt is in: the connection may rest and then be used again.
     fn whole(&mut self) {
         self.rest = None;
@@ -1213,9 +1190,6 @@
         mut self: std::pin::Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<hyper::body::Frame<bytes::Bytes>, BodyError>>> {
-        if self.gated && !self.is_over() {
-            std::task::ready!(self.poll_gate(context));
-        }
         let frame = match self.read.pop_front() {
             Some(frame) => Some(Ok(frame)),
             None => match &mut self.rest {
@@ -1239,10 +1213,6 @@
                 }
             },
         };
-        let frame = match frame {
-            Some(Ok(frame)) if self.gated => Some(Ok(self.piece(frame))),
-            frame => frame,
-        };
         if let Some(Ok(frame)) = &frame
             && self.is_other_zone
         {
