Usual work leaves out the load that was only supposed, as the choice counts it

Change: the load there is what the choice supposed. Test: pools_and_classes_are_found_by_ their_names has the fill.

--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -1017,9 +1017,12 @@
 
     /// How much later a request is answered for what is with this server now, itself included.
     pub fn lateness(&self, now: Duration, slot: usize) -> f64 {
+        let pools = self.pools.lock().expect("no panic under this lock");
         let lateness = self.with(slot, |quick| {
-            let load = quick.load(now, Distance::Own, 0.0).max(1.0);
-            crate::choice::lateness(load, f64::from(quick.slots.max(1)))
+            let slots = f64::from(quick.slots.max(1));
+            let distance = if quick.is_own { Distance::Own } else { Distance::Zone };
+            let load = quick.load(now, distance, pools.fill(now, quick.pool) * slots);
+            crate::choice::lateness(load.max(1.0), slots)
         });
         lateness.unwrap_or(1.0)
     }
--- a/proxy/src/usual.rs
+++ b/proxy/src/usual.rs
@@ -147,7 +147,8 @@
 /// All pools of a proxy, found by service and zone.
 #[derive(Debug, Default)]
 pub struct Pools {
-    all: Vec<Pool>,
+    /// With the names of their services.
+    all: Vec<(String, Pool)>,
     by_service: std::collections::HashMap<String, std::collections::HashMap<String, usize>>,
 }
 
@@ -159,22 +160,28 @@
         }
         let zones = self.by_service.entry(service.to_string()).or_default();
         zones.insert(zone.to_string(), self.all.len());
-        self.all.push(Pool::default());
+        self.all.push((service.to_string(), Pool::default()));
         self.all.len() - 1
     }
 
     pub fn at(&self, index: usize) -> &Pool {
-        &self.all[index]
+        &self.all[index].1
     }
 
     pub fn at_mut(&mut self, index: usize) -> &mut Pool {
-        &mut self.all[index]
+        &mut self.all[index].1
+    }
+
+    /// How full these servers are with others' requests, as far as that is known.
+    pub fn fill(&self, now: Duration, index: usize) -> f64 {
+        let (service, pool) = &self.all[index];
+        pool.fill(now, self.usual_fill(now, service))
     }
 
     /// How full this service's servers are usually.
     pub fn usual_fill(&self, now: Duration, service: &str) -> f64 {
         let zones = self.by_service.get(service).into_iter().flat_map(|zones| zones.values());
-        usual_fill(now, zones.map(|index| &self.all[*index]))
+        usual_fill(now, zones.map(|index| self.at(*index)))
     }
 }
 
--- a/proxy/src/usual/tests.rs
+++ b/proxy/src/usual/tests.rs
@@ -103,6 +103,10 @@
     (0..30).for_each(|count| pools.at_mut(first).told(ms(9000 + count), 1.2));
     assert!(pools.usual_fill(ms(9030), "s") > 0.9 && pools.usual_fill(ms(9030), "t") < 0.4);
 
+    // What is not known of a zone is the service's mean.
+    let other = pools.index("s", "b1");
+    assert!(pools.fill(ms(9030), other) > 0.9 && pools.fill(ms(90_000), other) < 0.4);
+
     let mut usuals = Usuals::default();
     usuals.of("c", "s", false).answered(40.0, None);
     let work_ms = |class, service| usuals.job(class, service, false).work_ms;
