--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -20,8 +20,6 @@
     pub distance: Distance,
     /// Requests that are with it, those of other proxies estimated.
     pub load: f64,
-    /// So many of them are only supposed, from what is usual: it told nothing lately.
-    pub supposed: f64,
     pub slots: f64,
     /// How long it takes for its work, as a multiple of what is usual in the service.
     pub pace: f64,
@@ -67,14 +65,17 @@
         (self.load + 1.0) / self.slots
     }
 
+    /// When its answer can be expected, in milliseconds.
+    fn expected_ms(&self, job: &Job) -> f64 {
+        let opened = if self.is_connected { 0.0 } else { self.way_ms };
+        let takes = job.work_ms * self.pace * lateness(self.load + 1.0, self.slots);
+        self.way_ms + opened + takes
+    }
+
     /// It would stand in a queue here, and its answer come later than `limit_ms`. What finds a free
-    /// slot is never that: it shows how long requests take by now. Where the load is only supposed, half
-    /// of its slots have the benefit of the doubt, for some of many servers are emptier than the mean.
+    /// slot is never that: it shows how long requests take by now.
     pub fn is_too_crowded(&self, job: &Job, limit_ms: f64) -> bool {
-        let load = self.load - self.supposed.min(self.slots / 2.0) + 1.0;
-        let opened = if self.is_connected { 0.0 } else { self.way_ms };
-        let takes = job.work_ms * self.pace * lateness(load, self.slots);
-        load > self.slots && self.way_ms + opened + takes > limit_ms
+        self.load + 1.0 > self.slots && self.expected_ms(job) > limit_ms
     }
 
     /// What the request costs here, in milliseconds: to itself, to others, and for its bytes.
--- a/proxy/src/choice/tests.rs
+++ b/proxy/src/choice/tests.rs
@@ -22,7 +22,6 @@
                 distance: [Distance::Own, Distance::Zone, Distance::Region, Distance::Far]
                     [self.below(4) as usize],
                 load: self.below(80) as f64 / 4.0,
-                supposed: 0.0,
                 slots: (1 + self.below(6)) as f64,
                 pace: 0.5 + self.below(10) as f64 / 5.0,
                 way_ms: (1 + self.below(60)) as f64,
@@ -98,7 +97,6 @@
         index,
         distance: Distance::Zone,
         load,
-        supposed: 0.0,
         slots: 4.0,
         pace: 1.0,
         way_ms: 1.0,
@@ -148,10 +146,6 @@
     assert!(!candidate(0, 4.0).is_too_crowded(&SMALL, repeatable));
     assert!(candidate(0, 8.0).is_too_crowded(&SMALL, repeatable));
     assert!(!candidate(0, 6.0).is_too_crowded(&SMALL, once));
-    // What is only supposed may be less: but not by more than half of the slots.
-    let supposed = |load| Candidate { supposed: load, ..candidate(0, load) };
-    assert!(!supposed(4.5).is_too_crowded(&slow, repeatable));
-    assert!(supposed(5.5).is_too_crowded(&slow, repeatable));
 }
 
 /// Neither the draw nor the order of the candidates changes anything but which of equal ones it is.
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -802,24 +802,13 @@
                 let distance = if is_own { Distance::Own } else { distance };
                 let slots = f64::from(server.slots);
                 let pool = pools.at(quick.pool);
-                let supposed = quick.supposed(now, distance, pool.fill(now, usual) * slots);
-                let load = quick.told_load(now) + supposed;
+                let load = quick.load(now, distance, pool.fill(now, usual) * slots);
                 let way_ms = pool.way_ms(distance);
                 let (index, pace) = (*index, quick.pace(now, load, job.work_ms, way_ms));
                 let is_connected = opens_anyway || quick.is_connected(now, !is_lookup);
-                Some((
-                    tier,
-                    Candidate {
-                        index,
-                        distance,
-                        load,
-                        supposed,
-                        slots,
-                        pace,
-                        way_ms,
-                        is_connected,
-                    },
-                ))
+                let candidate =
+                    Candidate { index, distance, load, slots, pace, way_ms, is_connected };
+                Some((tier, candidate))
             });
             if let Some(Some((tier, candidate))) = found {
                 tiers[tier].push(candidate);
@@ -1032,8 +1021,7 @@
         let lateness = self.with(slot, |quick| {
             let slots = f64::from(quick.slots.max(1));
             let distance = if quick.is_own { Distance::Own } else { Distance::Zone };
-            let supposed = quick.supposed(now, distance, pools.fill(now, quick.pool) * slots);
-            let load = quick.told_load(now) + supposed;
+            let load = quick.load(now, distance, pools.fill(now, quick.pool) * slots);
             crate::choice::lateness(load.max(1.0), slots)
         });
         lateness.unwrap_or(1.0)
@@ -1095,16 +1083,12 @@
         })
     }
 
-    /// The requests that are with it, others' as it told them.
-    fn told_load(&self, now: Duration) -> f64 {
-        self.in_hand as f64 + self.freshness(now) * self.others
-    }
-
-    /// Others' requests beside those: as what it told grows old, none where this proxy's part is, and
-    /// `usual` elsewhere.
-    fn supposed(&self, now: Duration, distance: Distance, usual: f64) -> f64 {
+    /// The requests that are with it. Others' are as it told them; as that grows old, none where this
+    /// proxy's part is, and `usual` elsewhere.
+    fn load(&self, now: Duration, distance: Distance, usual: f64) -> f64 {
+        let fresh = self.freshness(now);
         let unknown = if distance == Distance::Own { 0.0 } else { usual };
-        (1.0 - self.freshness(now)) * unknown
+        self.in_hand as f64 + fresh * self.others + (1.0 - fresh) * unknown
     }
 
     /// How much what it told last counts still, from 1 to 0.
