A request is refused for a crowd that stands, and waits in one that comes and goes

Change: patience is the whole aim while few find a crowd, and shrinks to the part of before as half of the latest requests find one. Tests: a_crowd_stands_where_half_of_all_ find_one; what_would_be_late_is_refused_at_once holds as it was.

--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -123,10 +123,12 @@
     }
 }
 
-/// A request is let into a queue if it can be expected to be answered within such a part of its aim; what
-/// is usual is the mean, and answers spread. One that runs at most once is the dearer one to send away.
-pub fn patience(aim: std::time::Duration, is_once: bool) -> f64 {
-    aim.as_secs_f64() * 1000.0 * if is_once { 0.75 } else { 0.6 }
+/// A request is let into a queue if it can be expected to be answered within such a part of its aim: all
+/// of it while queues come and go (`calm` 1), less where a crowd stands (0), for what is usual is the mean,
+/// and answers spread. One that runs at most once is the dearer one to send away.
+pub fn patience_ms(aim: std::time::Duration, is_once: bool, calm: f64) -> f64 {
+    let part = if is_once { 0.75 } else { 0.6 };
+    aim.as_secs_f64() * 1000.0 * (part + (1.0 - part) * calm)
 }
 
 /// A server with more than that is full: it would turn the request away.
--- a/proxy/src/choice/tests.rs
+++ b/proxy/src/choice/tests.rs
@@ -138,8 +138,10 @@
 #[test]
 fn a_queue_is_too_crowded_where_it_would_be_late() {
     let aim = std::time::Duration::from_millis(600);
-    let (once, repeatable) = (super::patience(aim, true), super::patience(aim, false));
+    let patience = |is_once, calm| super::patience_ms(aim, is_once, calm);
+    let (once, repeatable) = (patience(true, 0.0), patience(false, 0.0));
     assert!(repeatable < once && once < 600.0);
+    assert_eq!((patience(true, 1.0), patience(false, 1.0)), (600.0, 600.0));
     let slow = Job { work_ms: 5000.0, ..SMALL };
     assert!(!candidate(0, 3.0).is_too_crowded(&slow, repeatable));
     assert!(candidate(0, 4.0).is_too_crowded(&slow, repeatable));
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -817,7 +817,17 @@
         drop(pools);
         // A request that a server may have had goes on; one that is new can come back.
         let limit_ms = rule.aim.filter(|_| want.looks || want.tried.is_empty());
-        let limit_ms = limit_ms.map(|aim| crate::choice::patience(aim, !is_lookup));
+        let limit_ms = limit_ms.map(|aim| {
+            let patience_ms = |calm| crate::choice::patience_ms(aim, !is_lookup, calm);
+            let mut usual = self.usual.lock().expect("no panic under this lock");
+            let usual = usual.of(&class.name, &service.name, class.bulk);
+            if !want.looks {
+                let limit_ms = patience_ms(0.0);
+                let mut all = tiers[0].iter().chain(&tiers[1]);
+                usual.looked(all.all(|one| one.is_too_crowded(&job, limit_ms)));
+            }
+            patience_ms(usual.calm())
+        });
         let mut is_crowded = false;
         for (tier, candidates) in tiers.iter_mut().enumerate() {
             if tier == 2 && (want.looks || is_crowded) {
--- a/proxy/src/usual.rs
+++ b/proxy/src/usual.rs
@@ -11,23 +11,41 @@
 /// How much one answer counts at the least.
 const JOB_PART: f64 = 0.02;
 
+/// How much one request counts of those that found a crowd, and from which part of them on it stands.
+const CROWD_PART: f64 = 0.05;
+const CROWD_STANDS: f64 = 0.5;
+
 /// Of the requests of one class at one service.
 #[derive(Clone, Copy, Debug)]
 pub struct Usual {
     job: Job,
     answers: f64,
+    /// The part of the latest requests that found a crowd at every server.
+    crowd: f64,
 }
 
 impl Usual {
     pub fn new(is_bulk: bool) -> Usual {
         let kilobytes = if is_bulk { KILOBYTES_BULK } else { KILOBYTES };
-        Usual { job: Job { work_ms: WORK_MS, kilobytes }, answers: 0.0 }
+        Usual { job: Job { work_ms: WORK_MS, kilobytes }, answers: 0.0, crowd: 0.0 }
     }
 
     pub fn job(&self) -> Job {
         self.job
     }
 
+    /// A request looked for a server, and at each it would have stood in a queue for longer than it has
+    /// patience in a crowd, or not.
+    pub fn looked(&mut self, found_crowd: bool) {
+        self.crowd += CROWD_PART * (f64::from(u8::from(found_crowd)) - self.crowd);
+    }
+
+    /// From 1, while few find a crowd and queues come and go, to 0, where half of all find one and it
+    /// stands.
+    pub fn calm(&self) -> f64 {
+        (1.0 - self.crowd / CROWD_STANDS).max(0.0)
+    }
+
     /// An answer that took so long, what its server was full with taken out.
     pub fn answered(&mut self, took_ms: f64, kilobytes: Option<f64>) {
         self.answers += 1.0;
--- a/proxy/src/usual/tests.rs
+++ b/proxy/src/usual/tests.rs
@@ -21,6 +21,19 @@
     assert_eq!(usual.job().kilobytes.round(), 90.0);
 }
 
+/// A few who find a crowd change little; where half of all find one it stands, until it is gone.
+#[test]
+fn a_crowd_stands_where_half_of_all_find_one() {
+    let mut usual = Usual::new(false);
+    assert_eq!(usual.calm(), 1.0);
+    (0..200).for_each(|count| usual.looked(count % 5 == 0));
+    assert!((0.4..0.8).contains(&usual.calm()), "{}", usual.calm());
+    (0..200).for_each(|count| usual.looked(count % 3 > 0));
+    assert_eq!(usual.calm(), 0.0);
+    (0..200).for_each(|_| usual.looked(false));
+    assert!(usual.calm() > 0.99);
+}
+
 #[test]
 fn a_slow_server_is_known_after_a_few_answers_and_forgotten_when_it_gets_none() {
     let mut pace = Pace::default();
