Callers knock before they leave a slow proxy, and good answers take no further try

And the caller library took a further try for every answer, good ones too, so that its budget was never full; the simulator's shell did not, for it said the rule anew.

Ruled out: asking the budget alone (a caller has more lookups at a proxy that lost power than tries, and would wait in vain for the rest).

Change: who doubts a proxy opens a new connection there first. Nobody opens: left at once. Somebody does: leaving takes a further try. Both rules stand in the steering core now (goes_on, may_leave) and the simulator runs them.

--- a/caller/src/client.rs
+++ b/caller/src/client.rs
@@ -69,6 +69,8 @@
 /// For a directory's receipt: with three that died lately the next one is still asked in time for an
 /// emptied zone to be left.
 pub const POLL_LIMIT: Duration = Duration::from_millis(600);
+/// Who does not open within that is not there.
+pub const REACH_LIMIT: Duration = Duration::from_secs(1);
 /// So often a lookup that waits looks whether its proxy is silent to everyone.
 pub const TRY_LIMIT: Duration = Duration::from_secs(3);
 
@@ -85,6 +87,17 @@
     body: bytes::Bytes,
 }
 
+/// A new connection, if somebody opens within a second.
+async fn reach(address: SocketAddr) -> Option<tokio::net::TcpStream> {
+    let connecting = tokio::net::TcpStream::connect(address);
+    tokio::time::timeout(REACH_LIMIT, connecting).await.ok()?.ok()
+}
+
+/// Whether anybody is there at all.
+async fn knock(address: SocketAddr) -> bool {
+    reach(address).await.is_some()
+}
+
 /// The addresses that a 421 names.
 fn named(body: &[u8]) -> Vec<SocketAddr> {
     let value = std::str::from_utf8(body).ok().and_then(|text| jzon::parse(text).ok());
@@ -179,8 +192,7 @@
         if may_use_open && let Some(sender) = self.connect(address).await {
             return Some(sender);
         }
-        let connecting = tokio::net::TcpStream::connect(address);
-        let stream = tokio::time::timeout(Duration::from_secs(1), connecting).await.ok()?.ok()?;
+        let stream = reach(address).await?;
         let _ = stream.set_nodelay(true);
         let io = hyper_util::rt::TokioIo::new(stream);
         let (sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
@@ -238,15 +250,9 @@
             let is_done = match &last {
                 Outcome::Receipt { status, .. } => {
                     drops += u32::from(*status == 503);
-                    let may_try = *status == 421 || {
-                        let mut steering = self.steering.lock().expect("no panic under this lock");
-                        steering.take_try(self.now())
-                    };
-                    // What no other place would answer otherwise is passed on as it is.
-                    verdict == Verdict::Ran
-                        || ![421, 502, 503, 504].contains(status)
-                        || drops >= DROPS_MOST
-                        || !may_try
+                    let may_go_on = !(is_once && may_have_run) && drops < DROPS_MOST;
+                    let mut steering = self.steering.lock().expect("no panic under this lock");
+                    !may_go_on || !steering.goes_on(self.now(), *status, verdict)
                 }
                 _ => false,
             };
@@ -290,12 +296,23 @@
             if let Ok(sent) = tokio::time::timeout(TRY_LIMIT, &mut sending).await {
                 break Ok(sent);
             }
-            let now = self.now();
-            let is_doubted =
-                self.steering.lock().expect("no panic under this lock").is_doubted(now, &address);
-            if now - sent_at >= self.limit || (may_leave && is_doubted) {
+            if self.now() - sent_at >= self.limit {
                 break Err(());
             }
+            let is_doubted = || {
+                let steering = self.steering.lock().expect("no panic under this lock");
+                steering.is_doubted(self.now(), &address)
+            };
+            if may_leave && is_doubted() {
+                let is_there = tokio::select! {
+                    sent = &mut sending => break Ok(sent),
+                    is_there = knock(address) => is_there,
+                };
+                let mut steering = self.steering.lock().expect("no panic under this lock");
+                if steering.may_leave(self.now(), &address, is_there) {
+                    break Err(());
+                }
+            }
         };
         let receipt = match sent {
             Ok(Ok(receipt)) => receipt,
--- a/caller/src/steering.rs
+++ b/caller/src/steering.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use vanepath_setup::Verdict;
 
 pub const TTL_MOST: Duration = Duration::from_secs(5);
 /// After a failed poll the next directory is asked so soon.
@@ -246,8 +247,22 @@
         }
     }
 
+    /// Whether a request goes on to the next address after this answer. What no other place would answer
+    /// otherwise is passed on as it is and takes no try; who is only sent elsewhere (421) takes none either.
+    pub fn goes_on(&mut self, now: Duration, status: u16, verdict: Verdict) -> bool {
+        let may_help = verdict != Verdict::Ran && [421, 502, 503, 504].contains(&status);
+        may_help && (status == 421 || self.take_try(now))
+    }
+
+    /// Whether a lookup may leave an address that it doubts, after it knocked there with a new connection
+    /// (`is_there`: somebody opened). One that is gone is left at once. One that is there may only be
+    /// slow, and leaving it has the same work done twice: that takes a further try.
+    pub fn may_leave(&mut self, now: Duration, address: &SocketAddr, is_there: bool) -> bool {
+        self.is_doubted(now, address) && (!is_there || self.take_try(now))
+    }
+
     /// Takes a further try, if one is left.
-    pub fn take_try(&mut self, now: Duration) -> bool {
+    fn take_try(&mut self, now: Duration) -> bool {
         let (left, at) = self.tries;
         let grown = left + TRIES_A_SECOND * now.saturating_sub(at).as_secs_f64();
         let may = grown >= 1.0;
@@ -326,102 +341,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::{Receipt, RuleOrder, Steering};
-    use std::time::Duration;
-
-    fn receipt(revision: u64) -> Receipt {
-        let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
-        Receipt {
-            ttl: Duration::from_secs(2),
-            reload: format!("/v1/steer?state={revision}"),
-            revision,
-            directories: Vec::new(),
-            priority: vec!["a".into(), "b".into()],
-            places: vec![
-                ("a".into(), vec![address(1), address(2)]),
-                ("b".into(), vec![address(3)]),
-            ],
-            rules: vec![RuleOrder {
-                name: "r".into(),
-                methods: vec!["POST".into()],
-                host: None,
-                path_prefix: "/f".into(),
-                once: true,
-                places: vec!["b".into(), "a".into()],
-            }],
-        }
-    }
-
-    fn ports(steering: &mut Steering, now_s: u64, method: &str, path: &str) -> Vec<u16> {
-        let order = steering.order(Duration::from_secs(now_s), method, "h", path);
-        order.iter().map(|address| address.port()).collect()
-    }
-
-    /// What a 421 names comes next, each address once, and only what the receipt in force lists.
-    #[test]
-    fn who_is_sent_elsewhere_goes_there_next() {
-        let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
-        let mut steering = Steering::new(vec![address(8)], "/v1/steer".into(), 0);
-        let now = Duration::from_secs(1);
-        steering.start_poll(now);
-        steering.polled(now, Some(receipt(5)));
-        let ports = |order: &[std::net::SocketAddr]| -> Vec<u16> {
-            order.iter().map(|address| address.port()).collect()
-        };
-        let mut order = vec![address(1), address(2), address(3)];
-        steering.misplaced(now, &mut order, 1, &[address(3), address(1), address(77)]);
-        assert_eq!(ports(&order), [1, 3]);
-        assert!(steering.start_poll(now).is_some(), "its receipt is an old one");
-        // Nobody new is named: the rest of the order is tried all the same.
-        let mut order = vec![address(1), address(2), address(3)];
-        steering.misplaced(now, &mut order, 1, &[address(1)]);
-        assert_eq!(ports(&order), [1, 2, 3]);
-    }
-
-    #[test]
-    fn the_routine_of_the_source() {
-        let directory = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
-        let directories = vec![directory(8), directory(9)];
-        let mut steering = Steering::new(directories, "/v1/steer".into(), 0);
-        let now = Duration::from_secs;
-        assert_eq!(steering.start_poll(now(0)), Some((directory(8), "/v1/steer".into())));
-        assert_eq!(steering.start_poll(now(0)), None, "one poll at a time");
-        // A directory that does not reply: the next one is asked.
-        steering.polled(now(0), None);
-        assert_eq!(steering.start_poll(now(1)), Some((directory(9), "/v1/steer".into())));
-        steering.polled(now(1), Some(receipt(5)));
-        assert_eq!(ports(&mut steering, 1, "GET", "/x"), [1, 2, 3]);
-        assert_eq!(ports(&mut steering, 1, "POST", "/f/1")[0], 3);
-        assert!(steering.is_once("POST", "h", "/f/1"));
-        assert!(steering.is_listed(&directory(3)) && !steering.is_listed(&directory(4)));
-        // Penalised: the next of the place, then the next place, and back after a while.
-        steering.penalise(now(1), directory(1));
-        assert_eq!(ports(&mut steering, 1, "GET", "/x"), [2, 3, 1]);
-        steering.penalise(now(1), directory(2));
-        assert_eq!(ports(&mut steering, 1, "GET", "/x")[0], 3);
-        assert_eq!(steering.switches, 1);
-        assert_eq!(ports(&mut steering, 5, "GET", "/x")[0], 1);
-        // The echo goes out; an older receipt is not taken; with no reply the last one is kept.
-        assert_eq!(steering.start_poll(now(5)).unwrap().1, "/v1/steer?state=5");
-        steering.polled(now(5), Some(receipt(4)));
-        assert_eq!(steering.receipt().unwrap().revision, 5);
-        // One that owes a reply for too long is doubted until it gives a sign.
-        steering.sent(now(5), directory(1));
-        assert_eq!(ports(&mut steering, 5, "GET", "/x")[0], 1);
-        assert_eq!(ports(&mut steering, 6, "GET", "/x"), [2, 3, 1]);
-        steering.sent(now(6), directory(1));
-        steering.heard(now(6), directory(1), true);
-        assert_eq!(ports(&mut steering, 6, "GET", "/x")[0], 1);
-        steering.heard(now(6), directory(1), true);
-        // A filing goes over an open connection only close after a sign, a lookup always.
-        assert!(steering.may_use_open(now(6), &directory(1), true));
-        assert!(!steering.may_use_open(now(7), &directory(1), true));
-        assert!(steering.may_use_open(now(7), &directory(1), false));
-        assert!(!steering.may_use_open(now(6), &directory(3), true), "never heard of");
-        steering.heard(now(6), directory(1), false);
-        assert!(!steering.may_use_open(now(6), &directory(1), true), "it broke");
-        steering.polled(now(6), None);
-        assert_eq!(ports(&mut steering, 600, "GET", "/x")[0], 1);
-    }
-}
+mod tests;
--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -328,9 +328,26 @@
                 let caller = self.world.requests[request].caller;
                 let (now, address) = (self.net.now, Net::address_of(target));
                 if self.world.callers[caller].steering.is_doubted(now, &address) {
+                    // It knocks first.
+                    let is_there = self.net.hosts[target].powered && !self.net.is_cut(host, target);
+                    let pause = match is_there {
+                        true => 2 * self.net.delays.caller,
+                        false => vanepath_caller::client::REACH_LIMIT,
+                    };
+                    let what = Timer::Knocked { request, target, call, is_there };
+                    self.net.timer(host, pause, what);
+                } else {
+                    self.net.timer(host, vanepath_caller::client::TRY_LIMIT, what);
+                }
+            }
+            Timer::Knocked { request, target, call, is_there } if self.net.call(call).is_some() => {
+                let caller = self.world.requests[request].caller;
+                let (now, address) = (self.net.now, Net::address_of(target));
+                if self.world.callers[caller].steering.may_leave(now, &address, is_there) {
                     self.net.forget(call);
                     self.carried(request, target, None, false);
                 } else {
+                    let what = Timer::Leave { request, target, call };
                     self.net.timer(host, vanepath_caller::client::TRY_LIMIT, what);
                 }
             }
@@ -494,15 +511,11 @@
                 request.verdict = verdict;
                 request.status = status;
                 request.may_have_run |= verdict != Verdict::NotRun;
-                let is_done = verdict == Verdict::Ran
-                    || ![421, 502, 503, 504].contains(&status)
-                    || self.breaks == Some(Break::LookupsGiveUp);
                 request.drops += u32::from(status == 503);
-                let is_done = is_done || (status != 421 && !caller.steering.take_try(now));
-                if is_done
-                    || (request.is_once && request.may_have_run)
-                    || request.drops >= vanepath_caller::client::DROPS_MOST
-                {
+                let may_go_on = !(request.is_once && request.may_have_run)
+                    && request.drops < vanepath_caller::client::DROPS_MOST
+                    && self.breaks != Some(Break::LookupsGiveUp);
+                if !may_go_on || !caller.steering.goes_on(now, status, verdict) {
                     return self.end_request(number);
                 }
                 if status == 421 {
--- a/fleet/src/sim/net.rs
+++ b/fleet/src/sim/net.rs
@@ -167,6 +167,13 @@
         target: HostId,
         call: CallId,
     },
+    /// A new connection to that proxy came up, or nobody opened.
+    Knocked {
+        request: usize,
+        target: HostId,
+        call: CallId,
+        is_there: bool,
+    },
     NextOperation,
     WayReady(usize),
     WayChoose(usize),
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -74,19 +74,27 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
-/// A surge that makes servers slow, beside a zone that is cut off, and beside downloads that take seconds.
+/// A surge that makes servers slow, beside a zone that is cut off.
 /// Found what is listed in docs/proof.md.
 #[test]
 fn what_comes_beside_a_surge() {
-    use Fault::{Downloads, KillRegistry, ServerKilled, Surge, ZoneCut};
-    let work = vec![
-        (113, Deployment::Guild, vec![ServerKilled, Surge, ZoneCut]),
-        (110, Deployment::Raiocerto, vec![Downloads, KillRegistry, Surge]),
-    ];
+    use Fault::{ServerKilled, Surge, ZoneCut};
+    let work = vec![(113, Deployment::Guild, vec![ServerKilled, Surge, ZoneCut])];
     let found = days(OPERATOR, work);
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// A surge beside downloads that take seconds: callers that left slow proxies without asking their budget
+/// had 586 of 2,621 requests done twice in ten seconds of the first of these days.
+#[test]
+fn downloads_beside_a_surge() {
+    use Fault::{Downloads, KillRegistry, Surge};
+    let work =
+        (110..=113).map(|seed| (seed, Deployment::Raiocerto, vec![Downloads, KillRegistry, Surge]));
+    let found = days(OPERATOR, work.collect());
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 /// Two and three faults at one time, no more of them wide than the users' worlds have to survive.
 #[test]
 fn overlapping_faults() {
