--- a/fleet/src/scale/cores.rs
+++ b/fleet/src/scale/cores.rs
@@ -191,7 +191,7 @@
                 zone: &own.zone,
                 region: &own.region,
                 tried: &[],
-                looks: false,
+                looks: None,
             };
             let random = vanepath_setup::stable_hash(&[&turn.to_string()]);
             if let vanepath_proxy::servers::Choice::Server(index, _) =
@@ -251,7 +251,7 @@
                 zone: "a1",
                 region: "a",
                 tried: &[],
-                looks: false,
+                looks: None,
             };
             let random = vanepath_setup::stable_hash(&[&turn.to_string()]);
             if let vanepath_proxy::servers::Choice::Server(index, _) =
--- a/proxy/src/budget.rs
+++ b/proxy/src/budget.rs
@@ -6,6 +6,19 @@
 /// took is not known at once.
 const MARGIN: f64 = 0.75;
 
+/// Of the budget, so much is there for requests whose server is only slow: what it took from them
+/// would be missed where a server is gone.
+const SLOW_PART: f64 = 0.5;
+
+/// What a further go is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// The server takes long and answers others meanwhile: it may still answer this one.
+    Slow,
+    /// Nothing comes of the last go.
+    Lost,
+}
+
 /// A budget for each service, by name: names outlive a change of the setup.
 pub struct Budgets {
     retries: vanepath_setup::settings::Retries,
@@ -30,13 +43,13 @@
     }
 
     /// Whether one more further go may be made; if so it is counted.
-    pub fn take_go(&mut self, now: Duration, service: &str, live_proxies: usize) -> bool {
-        self.of(service).take_go(now, live_proxies)
+    pub fn take_go(&mut self, now: Duration, service: &str, live: usize, need: Need) -> bool {
+        self.of(service).take_go(now, live, need)
     }
 
     /// Whether one more would be within the budget.
-    pub fn may_go(&mut self, now: Duration, service: &str, live_proxies: usize) -> bool {
-        self.of(service).may_go(now, live_proxies)
+    pub fn may_go(&mut self, now: Duration, service: &str, live: usize, need: Need) -> bool {
+        self.of(service).may_go(now, live, need)
     }
 }
 
@@ -83,14 +96,14 @@
     }
 
     /// Whether one more further go may be made; if so it is counted.
-    pub fn take_go(&mut self, now: Duration, live_proxies: usize) -> bool {
-        let may = self.may_go(now, live_proxies);
+    pub fn take_go(&mut self, now: Duration, live_proxies: usize, need: Need) -> bool {
+        let may = self.may_go(now, live_proxies, need);
         self.slot(now).2 += u64::from(may);
         may
     }
 
     /// Whether one more would be within the budget.
-    pub fn may_go(&mut self, now: Duration, live_proxies: usize) -> bool {
+    pub fn may_go(&mut self, now: Duration, live_proxies: usize, need: Need) -> bool {
         self.slot(now);
         let second = now.as_secs();
         let within = self.slots.iter().filter(|slot| slot.0 + self.window_s >= second);
@@ -99,7 +112,12 @@
         let taken: u64 =
             within.filter(|slot| slot.0 + self.window_s > second).map(|slot| slot.1).sum();
         let floor = (self.floor / live_proxies.max(1) as f64).max(1.0);
-        (goes as f64) + 1.0 <= self.part * taken as f64 + floor
+        let all = self.part * taken as f64 + floor;
+        let most = match need {
+            Need::Lost => all,
+            Need::Slow => SLOW_PART * all,
+        };
+        (goes as f64) + 1.0 <= most
     }
 }
 
