--- a/fleet/src/scale/cores.rs
+++ b/fleet/src/scale/cores.rs
@@ -192,7 +192,6 @@
                 region: &own.region,
                 tried: &[],
                 looks: None,
-                late: None,
             };
             let random = vanepath_setup::stable_hash(&[&turn.to_string()]);
             if let vanepath_proxy::servers::Choice::Server(index, _) =
@@ -253,7 +252,6 @@
                 region: "a",
                 tried: &[],
                 looks: None,
-                late: None,
             };
             let random = vanepath_setup::stable_hash(&[&turn.to_string()]);
             if let vanepath_proxy::servers::Choice::Server(index, _) =
--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -1047,7 +1047,6 @@
             region: &region,
             tried: &own.tried,
             looks: None,
-            late: None,
         };
         let choice = proxy.servers.choose(now, &own.table, &want, self.net.random.draw());
         let (entry, _service) = match choice {
@@ -1057,13 +1056,6 @@
                 let pause = pause.min(Duration::from_millis(50));
                 return self.net.timer(host, pause, Timer::WayChoose(way));
             }
-            Choice::GiveWay => {
-                return self.net.timer(
-                    host,
-                    vanepath_proxy::servers::GIVE_WAY,
-                    Timer::WayChoose(way),
-                );
-            }
             Choice::Crowded => return self.end_way(index, way, Err(Refusal::Crowded)),
             _ => return self.end_way(index, way, Err(Refusal::NoServer)),
         };
@@ -1189,7 +1181,6 @@
             region: &card.region,
             tried: &own.tried,
             looks: Some(need),
-            late: None,
         };
         let has_other =
             matches!(proxy.servers.choose(now, &own.table, &want, 0), Choice::Server(..));
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -5,7 +5,6 @@
 use crate::chart::{Chart, Miss, Next, Refusal, State};
 use crate::classes::{Classes, Entry as Entered, Slot};
 use crate::liveness::Failure;
-use crate::longest::Late;
 use crate::servers::{Choice, Idle, Servers, Want};
 use http_body_util::BodyExt;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -87,7 +86,6 @@
     pub is_news: AtomicBool,
     pub live_proxies: std::sync::atomic::AtomicUsize,
     pub takings: std::sync::Mutex<crate::takings::Takings>,
-    longest: std::sync::Mutex<crate::longest::Longest>,
     /// For large answers, where the link is narrow.
     gate: Option<std::sync::Mutex<crate::gate::Gate>>,
     /// The same for what is read of them.
@@ -115,7 +113,6 @@
             is_news: AtomicBool::new(false),
             live_proxies: std::sync::atomic::AtomicUsize::new(1),
             takings: Default::default(),
-            longest: Default::default(),
             gate: gate(),
             gate_in: gate(),
             random: AtomicU64::new(daemon::random()),
@@ -366,11 +363,6 @@
         .map_or(limit, Duration::from_millis);
     let deadline = received_at + limit.min(own_limit);
     more.left = limit.min(own_limit);
-    let late = {
-        let facts = &table.setup.rules[rule];
-        let mut longest = proxy.longest.lock().expect("no panic under this lock");
-        longest.heard(received_at, &facts.name, own_limit, deadline, facts.aim)
-    };
     let length = hyper::body::Body::size_hint(&incoming).exact();
     if length.is_some_and(|length| length > class.body_most) {
         more.closes = true;
@@ -403,9 +395,7 @@
             }
             table = latest;
             let service = service_of(&table, rule, &drawn);
-            if let Some(found) =
-                choose(proxy, &table, rule, service, &tried, deadline, late).await?
-            {
+            if let Some(found) = choose(proxy, &table, rule, service, &tried, deadline).await? {
                 break found;
             }
         };
@@ -709,7 +699,6 @@
     service: usize,
     tried: &[usize],
     deadline: Duration,
-    late: Option<Late>,
 ) -> Result<Option<(usize, usize)>, Refusal> {
     let now = proxy.now();
     if now >= deadline {
@@ -726,7 +715,6 @@
             region: &proxy.daemon.settings.region,
             tried,
             looks: None,
-            late,
         };
         proxy.servers.choose(now, table, &want, proxy.random())
     };
@@ -737,10 +725,6 @@
             tokio::time::sleep(pause.min(Duration::from_millis(50))).await;
             Ok(None)
         }
-        Choice::GiveWay => {
-            tokio::time::sleep(crate::servers::GIVE_WAY).await;
-            Ok(None)
-        }
         Choice::Crowded => Err(Refusal::Crowded),
         // All that are left were tried, or none is there, or none has its turn in time.
         Choice::Wait(_) | Choice::None => Err(Refusal::NoServer),
@@ -786,7 +770,6 @@
             region: &proxy.daemon.settings.region,
             tried: self.tried,
             looks: Some(need),
-            late: None,
         };
         let live = proxy.live_proxies.load(Ordering::Relaxed);
         let has_other =
--- a/proxy/src/choice.rs
+++ b/proxy/src/choice.rs
@@ -20,8 +20,6 @@
     pub distance: Distance,
     /// Requests that are with it, those of other proxies estimated.
     pub load: f64,
-    /// The same, where what is not known is taken for full.
-    pub load_most: f64,
     pub slots: f64,
     /// How long it takes for its work, as a multiple of what is usual in the service.
     pub pace: f64,
@@ -58,8 +56,6 @@
 const LAST_SLOT: f64 = 2.8;
 /// The same of a whole queue as long as its slots.
 const QUEUE: f64 = 3.0;
-/// Up to so many parts of its slots a server has room left over.
-const LEFT_OVER: f64 = 0.7;
 /// How much longer a request takes with all slots in use.
 const FULL_TAKES: f64 = 1.6;
 
@@ -82,11 +78,6 @@
         self.load + 1.0 > self.slots && self.expected_ms(job) > limit_ms
     }
 
-    /// What is late already goes only where room is known to be left over.
-    pub fn has_known_room(&self) -> bool {
-        self.load_most + 1.0 <= LEFT_OVER * self.slots
-    }
-
     /// What the request costs here, in milliseconds: to itself, to others, and for its bytes.
     pub fn cost(&self, job: &Job) -> f64 {
         let carried = match self.distance {
--- a/proxy/src/choice/tests.rs
+++ b/proxy/src/choice/tests.rs
@@ -22,7 +22,6 @@
                 distance: [Distance::Own, Distance::Zone, Distance::Region, Distance::Far]
                     [self.below(4) as usize],
                 load: self.below(80) as f64 / 4.0,
-                load_most: 0.0,
                 slots: (1 + self.below(6)) as f64,
                 pace: 0.5 + self.below(10) as f64 / 5.0,
                 way_ms: (1 + self.below(60)) as f64,
@@ -98,7 +97,6 @@
         index,
         distance: Distance::Zone,
         load,
-        load_most: load,
         slots: 4.0,
         pace: 1.0,
         way_ms: 1.0,
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -4,7 +4,6 @@
 use crate::budget::Need;
 use crate::choice::{Candidate, Distance, Job};
 use crate::liveness::{ColdRate, Failure, Liveness, Phase};
-use crate::longest::Late;
 use crate::usual::{Pace, Pools, Usuals};
 use std::sync::Arc;
 use std::time::Duration;
@@ -289,8 +288,6 @@
 /// where a server has less than that part of it.
 const PILED: u64 = 16;
 const PILED_TIMES: u64 = 4;
-/// What gives way looks again so much later.
-pub const GIVE_WAY: Duration = Duration::from_millis(80);
 /// A server that told so much demand may be slow for that alone.
 const BUSY: u32 = 900;
 const SHARDS: usize = 16;
@@ -337,8 +334,6 @@
     /// Only look whether one is there: with room, if the one that has the request is only slow; one that
     /// does not look dead, if nothing comes from that one.
     pub looks: Option<Need>,
-    /// It is late already (design 8.11).
-    pub late: Option<Late>,
 }
 
 /// The rounds of a choice.
@@ -357,8 +352,6 @@
     Server(usize, usize),
     /// Only cold servers have room, the first of them from then on.
     Wait(Duration),
-    /// It is late already, and those that are not have every free slot: look again a little later.
-    GiveWay,
     /// There are servers, and at each of them it would be late for the queue there.
     Crowded,
     None,
@@ -819,20 +812,11 @@
                 let slots = f64::from(server.slots);
                 let pool = pools.at(quick.pool);
                 let load = quick.load(now, distance, pool.fill(now, usual) * slots);
-                let load_most = quick.load(now, distance, slots);
                 let way_ms = pool.way_ms(distance);
                 let (index, pace) = (*index, quick.pace(now, load, job.work_ms, way_ms));
                 let is_connected = opens_anyway || quick.is_connected(now, !is_lookup);
-                let candidate = Candidate {
-                    index,
-                    distance,
-                    load,
-                    load_most,
-                    slots,
-                    pace,
-                    way_ms,
-                    is_connected,
-                };
+                let candidate =
+                    Candidate { index, distance, load, slots, pace, way_ms, is_connected };
                 Some((tier, candidate))
             });
             if let Some(Some((tier, candidate))) = found {
@@ -840,15 +824,6 @@
             }
         }
         drop(pools);
-        // What is late already waits until a slot is free, while there is time.
-        let gives_way = want.late.is_some_and(|late| late.gives_way(now));
-        if gives_way && want.looks.is_none() && want.tried.is_empty() {
-            let well = &mut tiers[0];
-            if !well.is_empty() && !well.iter().any(Candidate::has_known_room) {
-                return Choice::GiveWay;
-            }
-            well.retain(Candidate::has_known_room);
-        }
         // A request that a server may have had goes on; one that is new can come back.
         let may_be_late = match want.looks {
             Some(need) => need == Need::Lost,
@@ -864,14 +839,7 @@
                 let mut all = tiers[0].iter().chain(&tiers[1]);
                 usual.looked(all.all(|one| one.is_too_crowded(&job, limit_ms)));
             }
-            // What is late has what is left of its time.
-            match want.late {
-                None => patience_ms(usual.calm()),
-                Some(late) => {
-                    let left = late.deadline.saturating_sub(now);
-                    crate::choice::patience_ms(left, !is_lookup, 0.0)
-                }
-            }
+            patience_ms(usual.calm())
         });
         let mut is_crowded = false;
         for (tier, candidates) in tiers.iter_mut().enumerate() {
--- a/proxy/src/servers/tests.rs
+++ b/proxy/src/servers/tests.rs
@@ -67,12 +67,10 @@
             region: "a",
             tried: &[],
             looks,
-            late: None,
         };
         match self.servers.choose(Duration::from_secs(now_s), &table, &want, 5) {
             Choice::Server(index, _) => table.entries[index].server.id.clone(),
             Choice::Wait(at) => format!("wait until {:.1} s", at.as_secs_f64()),
-            Choice::GiveWay => "give way".to_string(),
             Choice::Crowded => "crowded".to_string(),
             Choice::None => "none".to_string(),
         }
--- a/proxy/tests/crowding.rs
+++ b/proxy/tests/crowding.rs
@@ -7,8 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_proxy::liveness::ColdRate;
-use vanepath_proxy::longest::{Late, Longest};
-use vanepath_proxy::servers::{Answered, Choice, GIVE_WAY, Servers, Want};
+use vanepath_proxy::servers::{Answered, Choice, Servers, Want};
 use vanepath_sibling::daemon::View;
 use vanepath_sibling::wire;
 
@@ -29,8 +28,6 @@
 const END_MS: f64 = 12_000.0;
 /// An answer within that is in time.
 const AIM_MS: f64 = 600.0;
-/// A client waits so long.
-const WAITS_MS: f64 = 4000.0;
 
 struct Draw(u64);
 
@@ -68,10 +65,6 @@
     server: usize,
     sent_ms: f64,
     lateness: f64,
-    goes: u32,
-    /// It has come to its proxy.
-    is_heard: bool,
-    late: Option<Late>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -83,8 +76,6 @@
     /// The answer is back: that many were with the server; none if it turned the request away.
     Answered(usize, u64, bool),
     Slowed(bool),
-    /// It gave way to others, or comes back after all proxies were gone.
-    Again(usize),
 }
 
 struct Fleet {
@@ -100,12 +91,6 @@
     /// Refused at once by the proxy.
     refused: usize,
     elsewhere: usize,
-    /// Nobody is there meanwhile; who asked comes back within half a second after.
-    away_ms: std::ops::Range<f64>,
-    longest: Vec<Longest>,
-    /// Of those that asked after that, and that are in time.
-    fresh: (usize, usize),
-    served: usize,
 }
 
 fn zone_of(server: usize) -> usize {
@@ -175,10 +160,6 @@
             turned_away: 0,
             refused: 0,
             elsewhere: 0,
-            away_ms: 0.0..0.0,
-            longest: (0..count).map(|_| Longest::default()).collect(),
-            fresh: (0, 0),
-            served: 0,
         }
     }
 
@@ -211,7 +192,6 @@
                 Event::Answered(number, with_it, is_served) => {
                     self.answered(now_ms, number, with_it, is_served);
                 }
-                Event::Again(number) => self.send(now_ms, number),
                 Event::Slowed(is_slow) => {
                     let slow = if is_slow { 5.0 } else { 1.0 };
                     self.outside.iter_mut().step_by(7).for_each(|server| server.slow = slow);
@@ -226,27 +206,11 @@
         let of_region = 2 * PROXIES_A_ZONE;
         let proxy = zone / 2 * of_region + self.draw.next() as usize % of_region;
         let work_ms = WORK_MS * (0.5 + self.draw.part());
-        let request = Request {
-            proxy,
-            came_ms: now_ms,
-            work_ms,
-            server: 0,
-            sent_ms: 0.0,
-            lateness: 1.0,
-            goes: 0,
-            is_heard: false,
-            late: None,
-        };
+        let request =
+            Request { proxy, came_ms: now_ms, work_ms, server: 0, sent_ms: 0.0, lateness: 1.0 };
         self.requests.push(request);
         self.asked += 1;
-        self.fresh.0 += usize::from(now_ms >= self.away_ms.end);
-        let number = self.requests.len() - 1;
-        if self.away_ms.contains(&now_ms) {
-            let back_ms = self.away_ms.end + 500.0 * self.draw.part();
-            self.at(back_ms, Event::Again(number));
-        } else {
-            self.send(now_ms, number);
-        }
+        self.send(now_ms, self.requests.len() - 1);
     }
 
     fn send(&mut self, now_ms: f64, number: usize) {
@@ -254,19 +218,6 @@
         let proxy = self.requests[number].proxy;
         let servers = &self.proxies[proxy];
         let own_zone = proxy / PROXIES_A_ZONE;
-        let deadline = Duration::from_secs_f64((self.requests[number].came_ms + WAITS_MS) / 1000.0);
-        let aim = Some(Duration::from_secs_f64(AIM_MS / 1000.0));
-        let left = deadline.saturating_sub(now);
-        let request = &mut self.requests[number];
-        if !request.is_heard {
-            request.is_heard = true;
-            request.late = self.longest[proxy].heard(now, "r", left, deadline, aim);
-        }
-        let late = request.late;
-        if left.is_zero() {
-            self.refused += 1;
-            return;
-        }
         let table = servers.table.load_full();
         let want = Want {
             rule: 0,
@@ -276,19 +227,11 @@
             region: &ZONES[own_zone][..1],
             tried: &[],
             looks: None,
-            late,
         };
-        let index = match servers.choose(now, &table, &want, self.draw.next()) {
-            Choice::Server(index, _) => index,
-            Choice::GiveWay => {
-                let again_ms = now_ms + GIVE_WAY.as_secs_f64() * 1000.0;
-                return self.at(again_ms, Event::Again(number));
-            }
-            // Too full, or all full: nobody serves it.
-            _ => {
-                self.refused += 1;
-                return;
-            }
+        // Too full, or all full: nobody serves it.
+        let Choice::Server(index, _) = servers.choose(now, &table, &want, self.draw.next()) else {
+            self.refused += 1;
+            return;
         };
         let slot = table.entries[index].slot;
         servers.sent(now, slot);
@@ -351,12 +294,6 @@
         servers.told(now, slot, (with_it * 1000 / SLOTS as u64) as u32);
         servers.release(slot);
         if !is_served {
-            // It goes on to another one, as often as a rule allows by default.
-            self.requests[number].goes += 1;
-            if self.away_ms.end > 0.0 && self.requests[number].goes < 3 {
-                drop(table);
-                self.send(now_ms, number);
-            }
             return;
         }
         servers.answered(
@@ -371,10 +308,7 @@
                 kilobytes: Some(3.0),
             },
         );
-        let is_in_time = now_ms - request.came_ms <= AIM_MS;
-        self.in_time += usize::from(is_in_time);
-        self.fresh.1 += usize::from(is_in_time && request.came_ms >= self.away_ms.end);
-        self.served += usize::from(now_ms - request.came_ms <= WAITS_MS);
+        self.in_time += usize::from(now_ms - request.came_ms <= AIM_MS);
     }
 
     fn in_time(&self) -> f64 {
@@ -422,19 +356,6 @@
     }
 }
 
-/// Everybody who asked in two seconds without any proxy comes back at one time: they are late anyway, and
-/// give way to those who are not.
-#[test]
-fn who_is_late_already_gives_way() {
-    for seed in [1, 2, 3] {
-        let mut fleet = Fleet::new(seed, r#", "aimMs": 600"#);
-        fleet.away_ms = 4000.0..6000.0;
-        let fleet = fleet.run([100.0, 100.0, 100.0, 100.0], false);
-        let (fresh, in_time) = fleet.fresh;
-        println!("{} of {} fresh, served {}, {}", in_time, fresh, fleet.served, fleet.show());
-    }
-}
-
 /// With little to do, nearly all stays in its zone.
 #[test]
 fn a_calm_fleet_stays_near() {
