--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -1,6 +1,5 @@
 //! The operator's word with real processes: receipts, races, lost and damaged disks, kills and
 //! freezes.
-#![allow(non_snake_case)]
 
 use std::time::Duration;
 use vanepath_fleet::harness::{Fleet, until};
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -1,6 +1,5 @@
 //! Simulated days with fixed seeds: each kind of fault in both deployments, judged from outside.
 //! Longer runs: `cargo run --release -p vanepath-fleet -- simulate --seeds 1-1000`.
-#![allow(non_snake_case)]
 
 use std::time::Duration;
 use strum::IntoEnumIterator;
--- a/fleet/tests/edges.rs
+++ b/fleet/tests/edges.rs
@@ -1,5 +1,4 @@
 //! What HTTP allows and what it does not, through one real proxy.
-#![allow(non_snake_case)]
 
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/fleet/tests/fleets.rs
+++ b/fleet/tests/fleets.rs
@@ -1,6 +1,5 @@
 //! The two deployments as processes, with mixed traffic judged from outside: a setup change, a
 //! zone emptied and returned, and a rolling restart of every daemon under way.
-#![allow(non_snake_case)]
 
 use std::time::Duration;
 use vanepath_fleet::harness::{Fleet, until};
--- a/fleet/tests/losses.rs
+++ b/fleet/tests/losses.rs
@@ -1,6 +1,5 @@
 //! Places lost and brought back, machines replaced and everything killed, with real processes under
 //! traffic.
-#![allow(non_snake_case)]
 
 use std::time::Duration;
 use vanepath_fleet::harness::{Fleet, until};
--- a/fleet/tests/whole_path.rs
+++ b/fleet/tests/whole_path.rs
@@ -1,5 +1,4 @@
 //! The whole path with real processes on loopback.
-#![allow(non_snake_case)]
 
 use std::time::Duration;
 use vanepath_fleet::harness::{Fleet, until};
--- a/store/tests/disk.rs
+++ b/store/tests/disk.rs
@@ -1,5 +1,4 @@
 //! The data folder step by step: what a loss of power leaves, and how often it is synced.
-#![allow(non_snake_case)]
 
 use std::path::{Path, PathBuf};
 use vanepath_store::disk::Disk;
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -1,5 +1,4 @@
 //! The register step by step: cores, their disks, and messages that a test may lose.
-#![allow(non_snake_case)]
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
