--- /dev/null
+++ b/checker/src/tests.rs
@@ -0,0 +1,84 @@
+use super::{FleetAsIs, Server, check};
+
+fn fleet() -> FleetAsIs {
+    let mut fleet = FleetAsIs { revision: 3, ..FleetAsIs::default() };
+    for (index, (zone, app, is_live)) in [
+        ("a1", "s", true),
+        ("a2", "s", true),
+        ("b1", "s", false),
+        ("b1", "t", true),
+        ("a1", "u", false),
+    ]
+    .iter()
+    .enumerate()
+    {
+        fleet.servers.push(Server {
+            server: vanepath_setup::platform::Server {
+                id: format!("{app}-{zone}"),
+                address: format!("127.0.0.1:{}", 9000 + index).parse().unwrap(),
+                region: zone[..1].to_string(),
+                zone: zone.to_string(),
+                labels: [("app".to_string(), app.to_string())].into(),
+                leaving: false,
+                cold: false,
+                slots: 0,
+            },
+            is_live: *is_live,
+        });
+    }
+    for zone in ["a1", "b1"] {
+        fleet.proxies.push((zone.to_string(), zone[..1].to_string()));
+    }
+    fleet
+}
+
+fn setup(rules: &str) -> String {
+    format!(
+        r#"{{"classes": [{{"name": "c", "urgency": 1, "kind": "repeatable"}}],
+          "services": [
+            {{"name": "s", "selector": "app = s", "livenessPath": "/"}},
+            {{"name": "t", "selector": "app = t", "livenessPath": "/"}},
+            {{"name": "u", "selector": "app = u", "livenessPath": "/"}},
+            {{"name": "v", "selector": "app = v", "livenessPath": "/"}}],
+          "rules": [{rules}]}}"#
+    )
+}
+
+#[test]
+fn findings_say_what_is_missing_now_and_after_a_loss() {
+    let before = setup(
+        r#"{"name": "one", "match": {"pathPrefix": "/1"}, "class": "c", "service": "s"},
+           {"name": "old", "match": {"pathPrefix": "/old"}, "class": "c", "service": "s"}"#,
+    );
+    let after = setup(
+        r#"{"name": "bound", "match": {"pathPrefix": "/b"}, "class": "c", "service": "t",
+            "regions": ["b"]},
+           {"name": "dead", "match": {"pathPrefix": "/d"}, "class": "c", "service": "u"},
+           {"name": "one", "match": {"pathPrefix": "/1"}, "class": "c", "service": "s",
+            "spill": ["t"]},
+           {"name": "two", "class": "c", "service": "s"}"#,
+    );
+    let mut fleet = fleet();
+    fleet.in_force = Some(before.into_bytes());
+    let setup = vanepath_setup::model::parse(after.as_bytes()).unwrap();
+    let shown: String = check(&setup, &fleet)
+        .iter()
+        .map(|one| format!("{} {}: {}\n", one.weight, one.path, one.message))
+        .collect();
+    expect_test::expect![[r#"
+        bad $.services[2]: service 'u': none of its 1 servers is live
+        bad $.services[3]: service 'v' selects no server of the platform
+        bad $.rules[1]: rule 'dead' matches no live server
+        warning $.rules[0]: without zone b1 rule 'bound' (class 'c') has 0 servers and 0 proxies left
+        warning $.rules[3]: without region a rule 'two' (class 'c') has 0 servers and 1 proxies left
+        note $.services[0]: service 's': 2 of 3 servers are live
+        note $.services[1]: service 't': 1 of 1 servers are live
+        note $.rules[0]: without region b rule 'bound' (class 'c') has 0 servers and 0 proxies left
+        note $.rules[2]: without region a rule 'one' (class 'c') has 1 of 3 servers left
+        note $: rule 'old' would be gone
+        note $: rule 'bound' would be new
+        note $: rule 'dead' would be new
+        note $: rule 'one' would change
+        note $: rule 'two' would be new
+    "#]].assert_eq(&shown);
+}
--- /dev/null
+++ b/fleet/src/replay/tests.rs
@@ -0,0 +1,40 @@
+fn har(entries: &str) -> String {
+    format!(
+        r#"{{"log": {{"version": "1.2", "creator": {{"name": "c", "version": "1"}},
+            "entries": [{entries}]}}}}"#
+    )
+}
+
+pub fn entry(time: &str, method: &str, url: &str) -> String {
+    format!(
+        r#"{{"startedDateTime": "{time}", "time": 1,
+        "request": {{"method": "{method}", "url": "{url}", "httpVersion": "HTTP/1.1",
+          "cookies": [], "queryString": [], "headersSize": -1, "bodySize": -1,
+          "headers": [{{"name": "Host", "value": "old"}}, {{"name": "x-request", "value": "7"}}]}},
+        "response": {{"status": 200, "statusText": "", "httpVersion": "HTTP/1.1",
+          "cookies": [], "headers": [], "redirectURL": "", "headersSize": -1, "bodySize": -1,
+          "content": {{"size": 0, "mimeType": ""}}}},
+        "cache": {{}}, "timings": {{"send": 0, "wait": 1, "receive": 0}}}}"#
+    )
+}
+
+/// In the order of their times, with what belongs to the request; and what cannot be sent is named.
+#[test]
+fn entries_are_read_or_named() {
+    let later = entry("2026-01-02T03:04:06.500+01:00", "GET", "http://shop.example/stock/1?a=b");
+    let first = entry("2026-01-02T02:04:05Z", "POST", "https://shop.example:8443/orders");
+    let all = super::read(har(&format!("{later}, {first}")).as_bytes()).unwrap();
+    assert_eq!((all[0].method.as_str(), all[0].target.as_str()), ("POST", "/orders"));
+    assert_eq!((all[1].at.as_millis(), all[1].target.as_str()), (1500, "/stock/1?a=b"));
+    assert_eq!((all[1].host.as_str(), all[1].headers.len()), ("shop.example", 1));
+    for (text, said) in [
+        ("[]".to_string(), "no HAR file"),
+        ("{\"log\": {\"version\": \"9\"}}".to_string(), "no HAR file"),
+        (har(&entry("yesterday", "GET", "http://h/")), "entries[0]: startedDateTime"),
+        (har(&entry("2026-01-02T02:04:05Z", "GE T", "http://h/")), "entries[0]: method"),
+        (har(&entry("2026-01-02T02:04:05Z", "GET", "ftp://h/")), "neither http nor https"),
+    ] {
+        let error = super::read(text.as_bytes()).unwrap_err().to_string();
+        assert!(error.contains(said), "{error}");
+    }
+}
--- /dev/null
+++ b/proxy/src/chart/tests.rs
@@ -0,0 +1,81 @@
+use super::{Chart, Miss, Next, Refusal};
+use vanepath_setup::model::Kind;
+
+/// Those whom a crowd sent away come back apart from each other, and with most of their time left.
+#[test]
+fn a_crowd_comes_back_by_and_by() {
+    let ms = std::time::Duration::from_millis;
+    let after = |left, draw| Refusal::Crowded.retry_after(ms(left), draw).unwrap();
+    assert_eq!((after(5000, 0), after(5000, 400)), (ms(600), ms(1000)));
+    assert!((0..1000).all(|draw| after(1200, draw) <= ms(300)));
+    assert_eq!(Refusal::NoServer.retry_after(ms(10), 7), Some(ms(100)));
+}
+
+/// A slow server is left after a third of what remains, then a third of the rest; a filing and the
+/// last go stay.
+#[test]
+fn a_lookup_looks_for_another_server_again_and_again() {
+    let ms = std::time::Duration::from_millis;
+    let mut chart = Chart { kind: Kind::Repeatable, is_replayable: true, goes: 1, ..Chart::new() };
+    assert_eq!(chart.leave_after(ms(6000)), Some(ms(2000)));
+    assert_eq!(chart.leave_after(ms(4000)), Some(ms(4000) / 3));
+    assert_eq!(chart.leave_after(ms(600)), Some(ms(300)));
+    assert_eq!(chart.leave_after(ms(300)), None);
+    chart.sends = chart.sends_most;
+    assert_eq!(chart.leave_after(ms(6000)), None);
+    let filing = Chart { kind: Kind::Once, goes: 1, ..Chart::new() };
+    assert_eq!(filing.leave_after(ms(6000)), None);
+}
+
+/// Every kind and every pair of misses: what follows, and what the caller is told.
+#[test]
+fn what_follows_from_each_miss() {
+    let misses =
+        [Miss::NotConnected, Miss::NotSent, Miss::LostAfterSend, Miss::Silent, Miss::Truncated];
+    let mut shown = String::new();
+    for kind in [Kind::Repeatable, Kind::Once] {
+        for first in misses {
+            for budget in [true, false] {
+                let mut chart = Chart { kind, is_replayable: true, goes: 1, ..Chart::new() };
+                let next = chart.missed(first, false, || budget);
+                let told = match next {
+                    Next::Again => "goes again".to_string(),
+                    Next::End(refusal) => {
+                        format!("{refusal} {}", refusal.status(chart.verdict()).as_u16())
+                    }
+                };
+                shown += &format!(
+                    "{kind:10} {first:15} budget {budget:5}  {told}, {}\n",
+                    chart.verdict()
+                );
+            }
+        }
+    }
+    // A filing that was once sent is never sent again, whatever comes after.
+    let mut chart = Chart { kind: Kind::Once, goes: 1, ..Chart::new() };
+    chart.missed(Miss::Silent, false, || true);
+    assert_ne!(chart.missed(Miss::NotConnected, false, || true), Next::Again);
+    expect_test::expect![[r#"
+        repeatable not-connected   budget true   goes again, not-run
+        repeatable not-connected   budget false  no-budget 503, not-run
+        repeatable not-sent        budget true   goes again, not-run
+        repeatable not-sent        budget false  no-budget 503, not-run
+        repeatable lost-after-send budget true   goes again, may-have-run
+        repeatable lost-after-send budget false  lost 502, may-have-run
+        repeatable silent          budget true   goes again, may-have-run
+        repeatable silent          budget false  late 504, may-have-run
+        repeatable truncated       budget true   goes again, may-have-run
+        repeatable truncated       budget false  lost 502, may-have-run
+        once       not-connected   budget true   goes again, not-run
+        once       not-connected   budget false  no-budget 503, not-run
+        once       not-sent        budget true   goes again, not-run
+        once       not-sent        budget false  no-budget 503, not-run
+        once       lost-after-send budget true   lost 502, may-have-run
+        once       lost-after-send budget false  lost 502, may-have-run
+        once       silent          budget true   late 504, may-have-run
+        once       silent          budget false  late 504, may-have-run
+        once       truncated       budget true   lost 502, may-have-run
+        once       truncated       budget false  lost 502, may-have-run
+    "#]]
+    .assert_eq(&shown);
+}
--- /dev/null
+++ b/sibling/src/news/tests.rs
@@ -0,0 +1,239 @@
+use super::{Effect, Event, News};
+use crate::wire;
+use std::time::Duration;
+
+fn card(name: &str, role: wire::Role, port: u16) -> wire::Card {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    wire::Card {
+        name: name.to_string(),
+        role,
+        region: "a".to_string(),
+        zone: "a1".to_string(),
+        address,
+        sibling_address: address,
+    }
+}
+
+fn delta(counter: u64, detail: u64, in_hand: Option<u32>) -> wire::Delta {
+    wire::Delta {
+        name: "p".to_string(),
+        mark: wire::Mark { life: 7, counter, edition: 1, detail },
+        age_ms: 0,
+        card: Some(card("p", wire::Role::Proxy, 2)),
+        report: Some(wire::Report::default()),
+        detail: in_hand.map(|one| wire::Detail { in_hand: vec![one], ..wire::Detail::default() }),
+    }
+}
+
+fn tell(news: &mut News, now: Duration, delta: wire::Delta) {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 3));
+    let told = wire::News { deltas: vec![delta], ..wire::News::default() };
+    news.step(now, Event::Told { address, news: Some(Box::new(told)) });
+}
+
+/// A detail that comes by a slower way than the beats is news all the same, and never goes back.
+#[test]
+fn a_late_detail_is_taken_and_an_older_one_is_not() {
+    let now = Duration::from_secs(100);
+    let mut news = News::new(card("r", wire::Role::Registry, 1), Vec::new(), 1, now);
+    let seen = |news: &News| (news.sources[0].mark, news.sources[0].detail.in_hand.clone());
+    tell(&mut news, now, delta(9, 1, Some(1)));
+    tell(&mut news, now, delta(20, 3, None));
+    assert_eq!(seen(&news).0.detail, 1, "what was not told is not known");
+    tell(&mut news, now, delta(15, 3, Some(3)));
+    assert_eq!(seen(&news), (wire::Mark { life: 7, counter: 20, edition: 1, detail: 3 }, vec![3]));
+    tell(&mut news, now, delta(21, 2, Some(2)));
+    assert_eq!(seen(&news).1, [3]);
+    // The same from the other side: an asker that has later beats still gets the detail.
+    let mut pull = wire::Pull {
+        vector: Some(vec![(
+            wire::short_name("p"),
+            wire::Mark { life: 7, counter: 99, edition: 1, detail: 2 },
+        )]),
+        word: 0,
+        platform: 0,
+        plan: (0, 0),
+        own: delta(1, 0, None),
+        wait_ms: 0,
+        wants_detail: true,
+        light: false,
+        silent: 0,
+    };
+    pull.own.name = "s".to_string();
+    let effects = news.step(now, Event::Asked { ticket: 1, pull });
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        Effect::Answer { news, .. } => Some(news),
+        _ => None,
+    });
+    let told = answer.unwrap().deltas.into_iter().find(|delta| delta.name == "p").unwrap();
+    assert_eq!(told.detail.unwrap().in_hand, [3]);
+}
+
+/// What a registry told before a freeze, and what comes in first after it, makes nothing fresh:
+/// only what was asked for afterwards does.
+#[test]
+fn a_reply_from_before_a_freeze_makes_nothing_fresh() {
+    let second = Duration::from_secs_f64;
+    let registry = card("r", wire::Role::Registry, 2);
+    let address = registry.sibling_address;
+    let seeds = vec![address];
+    let mut news = News::new(card("p", wire::Role::Proxy, 1), seeds, 1, second(100.0));
+    let told = || {
+        let report = wire::Report { ready: true, ..wire::Report::default() };
+        let delta = wire::Delta {
+            name: "r".to_string(),
+            mark: wire::Mark { life: 5, counter: 1, edition: 1, detail: 0 },
+            age_ms: 0,
+            card: Some(card("r", wire::Role::Registry, 2)),
+            report: Some(report),
+            detail: None,
+        };
+        let news = wire::News { deltas: vec![delta], ..wire::News::default() };
+        Event::Told { address, news: Some(Box::new(news)) }
+    };
+    news.step(second(100.0), Event::Pulse);
+    news.step(second(100.1), told());
+    assert!(news.is_fresh(second(100.1)));
+    news.step(second(100.15), Event::Pulse);
+    // Frozen for six seconds with a pull out; its reply lay there and is the first to be read.
+    news.step(second(106.0), told());
+    news.step(second(106.0), Event::Pulse);
+    assert!(!news.is_fresh(second(106.0)), "that was told before the freeze");
+    news.step(second(106.1), told());
+    assert!(news.is_fresh(second(106.1)));
+}
+
+/// Whose connection ended is asked itself; where nobody listens it is dead at once, whatever older
+/// news of it still goes round, and live again with the first newer word.
+#[test]
+fn who_is_refused_is_dead_at_once_until_heard_of_anew() {
+    let ms = Duration::from_millis;
+    let mut news = News::new(card("r", wire::Role::Registry, 1), Vec::new(), 1, ms(0));
+    tell(&mut news, ms(10_000), delta(9, 0, None));
+    let is_live = |news: &News, now| news.live(now).any(|(card, _)| card.name == "p");
+    assert!(is_live(&news, ms(10_000)));
+    // Its pull waits here; then its connection ends.
+    let pull = wire::Pull {
+        vector: Some(Vec::new()),
+        word: 0,
+        platform: 0,
+        plan: (0, 0),
+        own: delta(10, 0, None),
+        wait_ms: 700,
+        wants_detail: false,
+        light: false,
+        silent: 0,
+    };
+    news.step(ms(10_100), Event::Asked { ticket: 7, pull: pull.clone() });
+    let address = card("p", wire::Role::Proxy, 2).sibling_address;
+    for effect in news.step(ms(10_101), Event::Pulse) {
+        if let Effect::Pull { address, .. } = effect {
+            news.step(ms(10_102), Event::Told { address, news: Some(Box::default()) });
+        }
+    }
+    let mut pull = pull;
+    pull.own = delta(11, 0, None);
+    pull.vector = Some(vec![(wire::short_name("r"), wire::Mark { life: 1, ..news.own_mark() })]);
+    news.step(ms(10_200), Event::Asked { ticket: 8, pull });
+    news.step(ms(10_300), Event::Left { ticket: 8 });
+    news.step(ms(10_350), Event::Pulse);
+    news.step(ms(10_351), Event::Refused { address });
+    assert!(!is_live(&news, ms(10_352)), "nobody listens there");
+    // A third tells of it as it was before that.
+    let older = wire::Delta { age_ms: 200, ..delta(12, 0, None) };
+    tell(&mut news, ms(10_400), older);
+    assert!(!is_live(&news, ms(10_400)), "that is from before");
+    let anew =
+        wire::Delta { mark: wire::Mark { life: 8, ..delta(1, 0, None).mark }, ..delta(1, 0, None) };
+    tell(&mut news, ms(11_500), anew);
+    assert!(is_live(&news, ms(11_500)));
+}
+
+/// Awake again, it goes by what it had only once somebody replied, and asks everyone it knew:
+/// its few siblings may be gone by then.
+#[test]
+fn who_wakes_asks_everyone_and_does_not_take_silence_for_no_news() {
+    let second = Duration::from_secs_f64;
+    let mut news = News::new(card("p", wire::Role::Proxy, 1), Vec::new(), 1, second(100.0));
+    for index in 0..9_u16 {
+        let told = wire::Delta {
+            name: format!("q{index}"),
+            card: Some(card(&format!("q{index}"), wire::Role::Proxy, 10 + index)),
+            ..delta(9, 0, None)
+        };
+        tell(&mut news, second(100.0), told);
+    }
+    news.step(second(100.0), Event::Pulse);
+    for _ in 0..2 {
+        for index in 0..9_u16 {
+            let address = card("", wire::Role::Proxy, 10 + index).sibling_address;
+            news.step(second(100.1), Event::Told { address, news: Some(Box::default()) });
+        }
+        // From here on it pulls from its few siblings only.
+        news.step(second(100.1), Event::Pulse);
+    }
+    let mut asked = 0;
+    for effect in news.step(second(130.0), Event::Pulse) {
+        asked += usize::from(matches!(effect, Effect::Pull { .. }));
+    }
+    assert!(asked >= 6, "{asked} asked");
+    news.step(second(131.0), Event::Pulse);
+    news.step(second(132.0), Event::Pulse);
+    news.step(second(132.4), Event::Pulse);
+    assert!(!news.is_fresh(second(132.4)), "nobody has told it anything");
+    assert!(news.is_alone(second(132.4)));
+    // Work that came as it woke is not dropped for that: alone, it goes by what it has.
+    assert!(news.is_fresh(second(130.0) + super::HOLD - second(0.2)));
+    for index in 0..9_u16 {
+        let address = card("", wire::Role::Proxy, 10 + index).sibling_address;
+        news.step(second(132.4), Event::Told { address, news: Some(Box::default()) });
+    }
+    assert!(news.is_fresh(second(132.4)) && !news.is_alone(second(132.4)));
+}
+
+/// Who is not heard of any more is asked itself, at once and once.
+#[test]
+fn who_falls_silent_is_asked_itself_at_once() {
+    let ms = Duration::from_millis;
+    let mut news = News::new(card("p", wire::Role::Proxy, 1), Vec::new(), 1, ms(0));
+    for index in 0..9_u16 {
+        let told = wire::Delta {
+            name: format!("q{index}"),
+            card: Some(card(&format!("q{index}"), wire::Role::Proxy, 10 + index)),
+            ..delta(9, 0, None)
+        };
+        tell(&mut news, ms(0), told);
+    }
+    let mut asked = Vec::new();
+    for beat in 0..80 {
+        let now = ms(50 * beat);
+        if beat % 10 == 0 {
+            // All but the first are heard of again and again.
+            for index in 1..9_u16 {
+                let told = wire::Delta { name: format!("q{index}"), ..delta(10 + beat, 0, None) };
+                tell(&mut news, now, wire::Delta { card: None, report: None, ..told });
+            }
+        }
+        for effect in news.step(now, Event::Pulse) {
+            let Effect::Pull { address, .. } = effect else { continue };
+            let is_there = address.port() != 10;
+            if now >= super::DEAD_AFTER && !is_there {
+                asked.push(now);
+            }
+            news.step(now, Event::Told { address, news: is_there.then(Box::default) });
+        }
+    }
+    assert_eq!(asked.first(), Some(&super::DEAD_AFTER));
+    assert!(asked.len() <= 2, "and then in its turn of the lost: {asked:?}");
+}
+
+/// Who hears of a later life of its own name outlives it, whatever the wall clock says.
+#[test]
+fn a_life_that_comes_after_is_outlived() {
+    let now = Duration::from_secs(100);
+    let mut news = News::new(card("p", wire::Role::Proxy, 1), Vec::new(), 3, now);
+    tell(&mut news, now, delta(9, 0, None));
+    assert_eq!(news.own_mark().life, 8);
+    tell(&mut news, now, delta(9, 0, None));
+    assert_eq!(news.own_mark().life, 8);
+}
--- /dev/null
+++ b/store/src/hints/tests.rs
@@ -0,0 +1,42 @@
+use super::{Hints, Keeper};
+use std::sync::Arc;
+use std::time::Duration;
+use vanepath_sibling::{daemon::View, wire};
+
+fn view(counter: u64, away: &str) -> View {
+    let card = |port: u16| {
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+        wire::Card {
+            name: format!("d{port}"),
+            role: wire::Role::Proxy,
+            region: "a".to_string(),
+            zone: "a1".to_string(),
+            address,
+            sibling_address: address,
+        }
+    };
+    let plan =
+        wire::Plan { epoch: 1, counter, away: [away.to_string()].into(), ..Default::default() };
+    let live = (1..4).map(|port| (card(port), wire::Report::default())).collect();
+    View { live, plan: Arc::new(plan), is_fresh: true, ..View::default() }
+}
+
+/// Written when something is new, never more often than a disk is meant to be, and not
+/// forgotten when nobody is in sight.
+#[test]
+fn hints_are_written_seldom_and_kept() {
+    let mut keeper = Keeper::new(Hints::default());
+    let first = keeper.step(Duration::ZERO, &view(1, "s1")).expect("all of it is new");
+    assert_eq!(first.siblings.len(), 2);
+    assert_eq!(keeper.step(Duration::from_secs(1), &view(1, "s1")), None);
+    let mut written = 0;
+    for step in 0..600_u64 {
+        let now = Duration::from_millis(1000 + 100 * step);
+        written += usize::from(keeper.step(now, &view(2 + step, &format!("s{step}"))).is_some());
+    }
+    assert!((10..=12).contains(&written), "{written} files in a minute");
+    let mut alone = view(9000, "s9");
+    alone.live.truncate(1);
+    let last = keeper.step(Duration::from_secs(200), &alone).expect("another plan");
+    assert_eq!((last.siblings.len(), last.plan.counter), (2, 9000));
+}
