--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -37,6 +37,27 @@
 
 const SOON: Duration = Duration::from_secs(15);
 
+/// Two registries hear what all proxies see of servers; whichever an operator asks tells the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_registry_tells_what_all_proxies_see() {
+    let fleet = Fleet::start(shape::Shape { proxies: 6, ..tiny() }).await;
+    let revision = fleet.put_setup(&fleet.shape.setup).await;
+    fleet.until_in_force(revision, SOON).await;
+    let reasons = async |registry: usize| -> Vec<String> {
+        let address = fleet.registries()[registry];
+        let status = call(address, "GET", "/v1/status", &[], b"").await.expect("it replies").json();
+        status["servers"].members().map(|server| server["why"].to_string()).collect()
+    };
+    let is_by_all = |why: &String| why.starts_with("live for ") && !why.starts_with("live for 1 ");
+    for registry in [0, 2, 1] {
+        let is_told = async || {
+            let told = reasons(registry).await;
+            told.len() == 2 && told.iter().all(is_by_all) && told == reasons(0).await
+        };
+        until(&format!("registry {registry} tells of both servers"), SOON, is_told).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn receipts_say_what_was_done() {
     let fleet = Fleet::start(tiny()).await;
