Read-through: what a miss needs stands in the core, the two kinds of late have two names

The shell and the simulator's shell each decided what a further go is for; Servers::need_after does now. In the walk of a request is_late was first its caller's aim and then its deadline; the first is is_past_aim everywhere. Behaviour is the same; clippy, fmt and proxy's tests pass.

--- a/fleet/src/scale/cores.rs
+++ b/fleet/src/scale/cores.rs
@@ -193,7 +193,7 @@
                 region: &own.region,
                 tried: &[],
                 looks: None,
-                is_late: false,
+                is_past_aim: false,
             };
             let random = vanepath_setup::stable_hash(&[&turn.to_string()]);
             if let vanepath_proxy::servers::Choice::Server(index, _) =
@@ -254,7 +254,7 @@
                 region: "a",
                 tried: &[],
                 looks: None,
-                is_late: false,
+                is_past_aim: false,
             };
             let random = vanepath_setup::stable_hash(&[&turn.to_string()]);
             if let vanepath_proxy::servers::Choice::Server(index, _) =
--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_caller::steering::{Steering, parse};
-use vanepath_proxy::budget::Need;
 use vanepath_proxy::chart::{Chart, Miss, Next, Refusal, State};
 use vanepath_proxy::classes::{Classes, Entry as Entered, Slot};
 use vanepath_proxy::liveness::{Failure, Phase};
@@ -1047,7 +1046,7 @@
             region: &region,
             tried: &own.tried,
             looks: None,
-            is_late: false,
+            is_past_aim: false,
         };
         let choice = proxy.servers.choose(now, &own.table, &want, self.net.random.draw());
         let (entry, _service) = match choice {
@@ -1142,7 +1141,7 @@
         let left = own.deadline.saturating_sub(now);
         own.chart.state = State::Sent;
         own.chart.sends += 1;
-        own.chart.sent_at = Some(now);
+        own.chart.sent_at = now;
         proxy.servers.sent(now, entry.slot);
         let body = Body::Work { request: own.request, connection, sent_at: self.net.now };
         let target = Net::host_at(entry.server.address);
@@ -1173,7 +1172,7 @@
             return;
         }
         let slot = own.table.entries[own.index].slot;
-        let need = proxy.servers.need(slot, own.chart.sent_at.unwrap_or_default());
+        let need = proxy.servers.need(slot, own.chart.sent_at);
         let want = Want {
             rule: own.rule,
             service: own.table.setup.rules[own.rule].service,
@@ -1182,11 +1181,11 @@
             region: &card.region,
             tried: &own.tried,
             looks: Some(need),
-            is_late: false,
+            is_past_aim: false,
         };
         let has_other =
             matches!(proxy.servers.choose(now, &own.table, &want, 0), Choice::Server(..));
-        let is_in_vain = proxy.servers.is_in_vain(slot, own.chart.sent_at.unwrap_or_default());
+        let is_in_vain = proxy.servers.is_in_vain(slot, own.chart.sent_at);
         if is_in_vain || (has_other && proxy.budget.may_go(now, live, need)) {
             proxy.servers.worked(now, slot, Err(Miss::Silent));
             if let Some(call) = own.work.take() {
@@ -1249,12 +1248,8 @@
         }
         own.connection = None;
         let is_late = now >= own.deadline;
-        let need = match (miss, own.chart.sent_at) {
-            (Miss::Silent, Some(sent_at)) => {
-                proxy.servers.need(own.table.entries[own.index].slot, sent_at)
-            }
-            _ => Need::Lost,
-        };
+        let slot = own.table.entries[own.index].slot;
+        let need = proxy.servers.need_after(miss, slot, own.chart.sent_at);
         let budget = &mut proxy.budget;
         match self.breaks {
             Some(Break::FilingsGoAgain) => own.chart.kind = Kind::Repeatable,
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -365,10 +365,10 @@
         .map_or(limit, Duration::from_millis);
     let deadline = received_at + limit.min(own_limit);
     more.left = limit.min(own_limit);
-    let is_late = {
+    let is_past_aim = {
         let facts = &table.setup.rules[rule];
         let mut longest = proxy.longest.lock().expect("no panic under this lock");
-        longest.is_late(received_at, &facts.name, own_limit, facts.aim)
+        longest.is_past_aim(received_at, &facts.name, own_limit, facts.aim)
     };
     let length = hyper::body::Body::size_hint(&incoming).exact();
     if length.is_some_and(|length| length > class.body_most) {
@@ -403,7 +403,7 @@
             table = latest;
             let service = service_of(&table, rule, &drawn);
             if let Some(found) =
-                choose(proxy, &table, rule, service, &tried, deadline, is_late).await?
+                choose(proxy, &table, rule, service, &tried, deadline, is_past_aim).await?
             {
                 break found;
             }
@@ -435,11 +435,6 @@
             tried: &tried,
         };
         let outcome = go.run(chart, &mut told).await;
-        // One that is left for being slow is judged by what it did since.
-        let need = match (&outcome, chart.sent_at) {
-            (Err(Miss::Silent), Some(sent_at)) => proxy.servers.need(entry.slot, sent_at),
-            _ => Need::Lost,
-        };
         let worked = outcome.as_ref().map(|_| ()).map_err(|miss| *miss);
         proxy.note_worked(entry.slot, &entry.server.id, worked);
         let miss = match outcome {
@@ -462,6 +457,7 @@
         };
         drop(in_hand);
         let is_late = proxy.now() >= deadline;
+        let need = proxy.servers.need_after(miss, entry.slot, chart.sent_at);
         let may_go = || may_go(proxy, &drawn, need);
         if let Next::End(refusal) = chart.missed(miss, is_late, may_go) {
             more.detail = format!("{miss} after {} goes", chart.goes);
@@ -708,7 +704,7 @@
     service: usize,
     tried: &[usize],
     deadline: Duration,
-    is_late: bool,
+    is_past_aim: bool,
 ) -> Result<Option<(usize, usize)>, Refusal> {
     let now = proxy.now();
     if now >= deadline {
@@ -725,7 +721,7 @@
             region: &proxy.daemon.settings.region,
             tried,
             looks: None,
-            is_late,
+            is_past_aim,
         };
         proxy.servers.choose(now, table, &want, proxy.random())
     };
@@ -781,7 +777,7 @@
             region: &proxy.daemon.settings.region,
             tried: self.tried,
             looks: Some(need),
-            is_late: false,
+            is_past_aim: false,
         };
         let live = proxy.live_proxies.load(Ordering::Relaxed);
         let has_other =
@@ -825,7 +821,7 @@
         chart.state = State::Sent;
         chart.sends += 1;
         let sent_at = self.proxy.now();
-        chart.sent_at = Some(sent_at);
+        chart.sent_at = sent_at;
         self.proxy.servers.sent(sent_at, self.entry.slot);
         let lateness = self.proxy.servers.lateness(sent_at, self.entry.slot);
         let sent = {
--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -77,8 +77,8 @@
     /// Goes in which the request was sent to a server, and how many there may be.
     pub sends: u32,
     pub sends_most: u32,
-    /// When it was last sent to one.
-    pub sent_at: Option<std::time::Duration>,
+    /// When it was last sent to one, where it was.
+    pub sent_at: std::time::Duration,
     /// Some byte of it may have reached a server.
     pub may_sent: bool,
 }
@@ -97,7 +97,7 @@
             goes: 0,
             sends: 0,
             sends_most: vanepath_setup::model::ATTEMPTS_MOST,
-            sent_at: None,
+            sent_at: std::time::Duration::ZERO,
             may_sent: false,
         }
     }
--- a/proxy/src/longest.rs
+++ b/proxy/src/longest.rs
@@ -24,7 +24,7 @@
 impl Longest {
     /// A request of this rule came, whose caller waits for `left` more: whether it is late already, that
     /// is, has used up its aim with earlier tries as far as is known.
-    pub fn is_late(
+    pub fn is_past_aim(
         &mut self,
         now: Duration,
         rule: &str,
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -335,7 +335,7 @@
     /// does not look dead, if nothing comes from that one.
     pub looks: Option<Need>,
     /// It cannot be answered within its aim any more: earlier tries took that.
-    pub is_late: bool,
+    pub is_past_aim: bool,
 }
 
 /// The rounds of a choice.
@@ -826,7 +826,6 @@
             }
         }
         drop(pools);
-        // What is late already waits until a slot is free, while there is time.
         // A request that a server may have had goes on; one that is new can come back.
         let may_be_late = match want.looks {
             Some(need) => need == Need::Lost,
@@ -843,7 +842,7 @@
                 usual.looked(all.all(|one| one.is_too_crowded(&job, limit_ms)));
             }
             // What is late already takes free slots only: it would make others late in a queue.
-            if want.is_late { 0.0 } else { patience_ms(usual.calm()) }
+            if want.is_past_aim { 0.0 } else { patience_ms(usual.calm()) }
         });
         let mut is_crowded = false;
         for (tier, candidates) in tiers.iter_mut().enumerate() {
@@ -913,6 +912,14 @@
         if answers_others == Some(true) { Need::Slow } else { Need::Lost }
     }
 
+    /// The same once it missed. Only silence may be slowness; of every other miss nothing comes any more.
+    pub fn need_after(&self, miss: crate::chart::Miss, slot: usize, sent_at: Duration) -> Need {
+        match miss {
+            crate::chart::Miss::Silent => self.need(slot, sent_at),
+            _ => Need::Lost,
+        }
+    }
+
     /// Whether a request that was sent then waits in vain as far as is known: nobody had an answer since,
     /// and the server looks dead.
     pub fn is_in_vain(&self, slot: usize, sent_at: Duration) -> bool {
--- a/proxy/src/servers/tests.rs
+++ b/proxy/src/servers/tests.rs
@@ -67,7 +67,7 @@
             region: "a",
             tried: &[],
             looks,
-            is_late: false,
+            is_past_aim: false,
         };
         match self.servers.choose(Duration::from_secs(now_s), &table, &want, 5) {
             Choice::Server(index, _) => table.entries[index].server.id.clone(),
--- a/proxy/tests/crowding.rs
+++ b/proxy/tests/crowding.rs
@@ -252,7 +252,7 @@
         let deadline = Duration::from_secs_f64((self.requests[number].came_ms + WAITS_MS) / 1000.0);
         let aim = Some(Duration::from_secs_f64(AIM_MS / 1000.0));
         let left = deadline.saturating_sub(now);
-        let is_late = self.longest[proxy].is_late(now, "r", left, aim);
+        let is_past_aim = self.longest[proxy].is_past_aim(now, "r", left, aim);
         if left.is_zero() {
             self.refused += 1;
             return;
@@ -266,7 +266,7 @@
             region: &ZONES[own_zone][..1],
             tried: &[],
             looks: None,
-            is_late,
+            is_past_aim,
         };
         let index = match servers.choose(now, &table, &want, self.draw.next()) {
             Choice::Server(index, _) => index,
