A lookup at a server that looks dead waits there if there is no other

Found in the read-through: a lookup that waited in vain as far as was known went back to its caller also where no other server was left to go to, though the one that had it might still answer. And whether it leaves was decided in the shell, and once more in the simulator's.

Change: Servers::leaves decides for both: another server has to be there; then within the budget, or back to the caller if it waits in vain. Test: who_waits_at_a_silent_server_takes_a_full_one, which found a lookup leave for nowhere before.

--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -1172,7 +1172,6 @@
             return;
         }
         let slot = own.table.entries[own.index].slot;
-        let need = proxy.servers.need(slot, own.chart.sent_at);
         let want = Want {
             rule: own.rule,
             service: own.table.setup.rules[own.rule].service,
@@ -1180,13 +1179,13 @@
             zone: &card.zone,
             region: &card.region,
             tried: &own.tried,
-            looks: Some(need),
+            looks: None,
             is_past_aim: false,
         };
-        let has_other =
-            matches!(proxy.servers.choose(now, &own.table, &want, 0), Choice::Server(..));
-        let is_in_vain = proxy.servers.is_in_vain(slot, own.chart.sent_at);
-        if is_in_vain || (has_other && proxy.budget.may_go(now, live, need)) {
+        let had = (slot, own.chart.sent_at);
+        let budget = &mut proxy.budget;
+        let may_go = |need| budget.may_go(now, live, need);
+        if proxy.servers.leaves(now, &own.table, &want, had, may_go) {
             proxy.servers.worked(now, slot, Err(Miss::Silent));
             if let Some(call) = own.work.take() {
                 self.net.forget(call);
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -444,7 +444,7 @@
                     && reply.head.status.is_server_error()
                     && chart.may_go_on();
                 // A server that is busy or failed did not serve the lookup; another one may.
-                if may_repeat && go.has_other(Need::Lost) && may_go(proxy, &drawn, Need::Lost) {
+                if may_repeat && go.has_other() && may_go(proxy, &drawn, Need::Lost) {
                     chart.may_sent = true;
                     continue;
                 }
@@ -764,34 +764,42 @@
 }
 
 impl Go<'_> {
-    /// Whether a further go would find another server and be within the budget.
-    fn has_other(&self, need: Need) -> bool {
+    /// Asks the servers about a further go, with the budget.
+    fn look<R>(&self, ask: impl FnOnce(Duration, &Want<'_>, &dyn Fn(Need) -> bool) -> R) -> R {
         let proxy = self.proxy;
         let now = proxy.now();
-        let emptied = &proxy.daemon.table.load().word.emptied;
+        let latest = proxy.daemon.table.load();
         let want = Want {
             rule: self.rule,
             service: service_of(self.table, self.rule, self.drawn),
-            emptied,
+            emptied: &latest.word.emptied,
             zone: &proxy.daemon.settings.zone,
             region: &proxy.daemon.settings.region,
             tried: self.tried,
-            looks: Some(need),
+            looks: None,
             is_past_aim: false,
         };
         let live = proxy.live_proxies.load(Ordering::Relaxed);
-        let has_other =
-            matches!(proxy.servers.choose(now, self.table, &want, 0), Choice::Server(..));
-        let mut budgets = proxy.budget.lock().expect("no panic under this lock");
-        has_other && budgets.may_go(now, self.drawn, live, need)
+        let may_go = |need| {
+            let mut budgets = proxy.budget.lock().expect("no panic under this lock");
+            budgets.may_go(now, self.drawn, live, need)
+        };
+        ask(now, &want, &may_go)
+    }
+
+    /// Whether a further go would find another server and be within the budget.
+    fn has_other(&self) -> bool {
+        let servers = &self.proxy.servers;
+        self.look(|now, want, may_go| {
+            servers.has_other(now, self.table, want, Need::Lost) && may_go(Need::Lost)
+        })
     }
 
-    /// Whether a lookup leaves this server, which has had it for long: for another one, or, where that
-    /// is not within the budget and nothing can be hoped for here, back to its caller.
+    /// Whether this lookup leaves the server, which has had it for long.
     fn leaves(&self, sent_at: Duration) -> bool {
         let servers = &self.proxy.servers;
-        servers.is_in_vain(self.entry.slot, sent_at)
-            || self.has_other(servers.need(self.entry.slot, sent_at))
+        let had = (self.entry.slot, sent_at);
+        self.look(|now, want, may_go| servers.leaves(now, self.table, want, had, may_go))
     }
 
     fn bad(&self, failure: Failure) {
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -920,11 +920,27 @@
         }
     }
 
-    /// Whether a request that was sent then waits in vain as far as is known: nobody had an answer since,
-    /// and the server looks dead.
-    pub fn is_in_vain(&self, slot: usize, sent_at: Duration) -> bool {
+    /// Whether there is another server for a request of this need.
+    pub fn has_other(&self, now: Duration, table: &Table, want: &Want<'_>, need: Need) -> bool {
+        let want = Want { looks: Some(need), ..*want };
+        matches!(self.choose(now, table, &want, 0), Choice::Server(..))
+    }
+
+    /// Whether a lookup leaves a server that has had it for long, where there is another one: for that,
+    /// if `may_go` says that it is within the budget, or back to its caller, if it waits in vain as far as is
+    /// known, since nobody had an answer meanwhile and the server looks dead.
+    pub fn leaves(
+        &self,
+        now: Duration,
+        table: &Table,
+        want: &Want<'_>,
+        (slot, sent_at): (usize, Duration),
+        may_go: impl FnOnce(Need) -> bool,
+    ) -> bool {
+        let need = self.need(slot, sent_at);
         let is_suspect = self.with(slot, |quick| quick.liveness.phase == Phase::Suspect);
-        is_suspect != Some(false) && self.need(slot, sent_at) == Need::Lost
+        let is_in_vain = is_suspect != Some(false) && need == Need::Lost;
+        self.has_other(now, table, want, need) && (is_in_vain || may_go(need))
     }
 
     pub fn release(&self, slot: usize) {
--- a/proxy/src/servers/tests.rs
+++ b/proxy/src/servers/tests.rs
@@ -77,6 +77,26 @@
         }
     }
 
+    /// Whether a lookup of the second rule leaves that server, to which it was sent then: with further goes
+    /// within the budget, and without.
+    fn leaves(&self, id: &str, sent_s: u64) -> (bool, bool) {
+        let table = self.servers.table.load_full();
+        let slot = self.slot(id);
+        let want = Want {
+            rule: 1,
+            service: table.setup.rules[1].service,
+            emptied: &self.emptied,
+            zone: "a1",
+            region: "a",
+            tried: &[slot],
+            looks: None,
+            is_past_aim: false,
+        };
+        let sent_at = Duration::from_secs(sent_s);
+        let leaves = |may| self.servers.leaves(sent_at, &table, &want, (slot, sent_at), |_| may);
+        (leaves(true), leaves(false))
+    }
+
     fn slot(&self, id: &str) -> usize {
         let table = self.servers.table.load();
         table.entries.iter().find(|entry| entry.server.id == id).unwrap().slot
@@ -216,7 +236,8 @@
 
 /// A request at a server that answers others is slow, and looks for one with room. Where nothing comes
 /// from its server, one that is full will do, but none that looks dead; and if its own looks dead too it
-/// waits there in vain.
+/// waits there in vain, and goes back to its caller where that is not within the budget. With nowhere else
+/// to go it waits.
 #[test]
 fn who_waits_at_a_silent_server_takes_a_full_one() {
     let case = case();
@@ -230,13 +251,15 @@
     assert_eq!(case.servers.need(own, now(10)), Need::Lost, "that was before");
     assert_eq!(case.look(1, 10, Some(Need::Slow)), "none");
     assert_eq!(case.look(1, 10, Some(Need::Lost)), "s-a1");
-    assert!(!case.servers.is_in_vain(own, now(10)));
+    assert_eq!(case.leaves("s-b1", 10), (true, false), "it may still answer");
     for id in ["s-a1", "s-a2", "t-a1", "t-b1", "s-b1"] {
         case.servers.bad(now(10), case.slot(id), Failure::Refused);
     }
     assert_eq!(case.look(1, 10, Some(Need::Lost)), "none");
-    assert!(case.servers.is_in_vain(own, now(10)));
+    assert_eq!(case.leaves("s-b1", 10), (false, false), "nowhere else is better");
+    case.servers.moved(case.slot("s-a1"), |live| live.trust(now(10)));
+    assert_eq!(case.leaves("s-b1", 10), (true, true), "in vain");
     case.servers.worked(now(11), own, Ok(()));
     assert_eq!(case.servers.need(own, now(10)), Need::Slow);
-    assert!(!case.servers.is_in_vain(own, now(10)));
+    assert!(!case.leaves("s-b1", 10).1);
 }
