--- a/proxy/src/classes.rs
+++ b/proxy/src/classes.rs
@@ -12,7 +12,7 @@
     pub lender: usize,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Room {
     name: String,
     room: u64,
@@ -25,6 +25,21 @@
     loans: std::collections::BTreeMap<usize, u64>,
 }
 
+impl Room {
+    /// Takes nothing more in, until a setup says otherwise.
+    fn close(&mut self) {
+        self.room = 0;
+        self.queue = 0;
+        self.urgency = u64::MAX;
+        self.borrows.clear();
+    }
+
+    /// No slot that is out names this room, and nobody waits for it.
+    fn is_empty(&self) -> bool {
+        self.used == 0 && self.waiting == 0 && self.loans.values().all(|loans| *loans == 0)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     urgency: u64,
@@ -35,7 +50,10 @@
 /// Waiting requests by number; the shell wakes whom `release` names.
 #[derive(Default)]
 pub struct Classes {
+    /// A slot names rooms by their places here, which never move.
     rooms: Vec<Room>,
+    /// The rooms of the setup's classes, in its order.
+    in_order: Vec<usize>,
     queue: std::collections::BTreeMap<Place, usize>,
     next_number: u64,
 }
@@ -50,43 +68,45 @@
 }
 
 impl Classes {
-    /// Goes over to a new setup; what is in hand and waiting stays counted under its class's
-    /// name, and a class that is gone keeps its room until it is empty.
+    /// Goes over to a new setup. A class keeps its place among the rooms for as long as anything of
+    /// it is in hand or waiting, whatever the order of the setup's classes: slots that are out name
+    /// places. A class that is gone keeps its room until it is empty.
     pub fn adopt(&mut self, setup: &vanepath_setup::model::Setup) {
-        let old = std::mem::take(&mut self.rooms);
-        let mut names: Vec<String> = setup.classes.iter().map(|class| class.name.clone()).collect();
-        for room in &old {
-            if !names.contains(&room.name) {
-                names.push(room.name.clone());
-            }
+        for room in &mut self.rooms {
+            room.close();
+        }
+        // Every class that goes on has its place before a new one takes an empty one.
+        let known: Vec<Option<usize>> =
+            setup.classes.iter().map(|class| self.index(&class.name)).collect();
+        let mut kept: std::collections::HashSet<usize> = known.iter().flatten().copied().collect();
+        self.in_order.clear();
+        for (class, known) in setup.classes.iter().zip(known) {
+            let place = known.unwrap_or_else(|| self.place_for_new(&kept));
+            kept.insert(place);
+            self.rooms[place].name = class.name.clone();
+            self.in_order.push(place);
         }
-        let place = |name: &str| names.iter().position(|one| one == name).unwrap_or_default();
-        let moved: Vec<usize> = old.iter().map(|room| place(&room.name)).collect();
-        for (index, name) in names.iter().enumerate() {
-            let before = old.iter().find(|room| room.name == *name);
-            let class = setup.classes.get(index);
-            let loans = before
-                .map(|room| room.loans.iter().map(|(at, n)| (moved[*at], *n)).collect())
-                .unwrap_or_default();
-            self.rooms.push(Room {
-                name: name.clone(),
-                room: class.map_or(0, |class| class.room),
-                queue: class.map_or(0, |class| class.queue),
-                urgency: class.map_or(u64::MAX, |class| class.urgency),
-                borrows: class
-                    .map(|class| class.borrows.iter().map(|one| (one.class, one.most)).collect())
-                    .unwrap_or_default(),
-                used: before.map_or(0, |room| room.used),
-                waiting: before.map_or(0, |room| room.waiting),
-                loans,
-            });
+        for (class, place) in setup.classes.iter().zip(&self.in_order) {
+            let borrows = class.borrows.iter().map(|one| (self.in_order[one.class], one.most));
+            let room = &mut self.rooms[*place];
+            room.room = class.room;
+            room.queue = class.queue;
+            room.urgency = class.urgency;
+            room.borrows = borrows.collect();
         }
-        for class in self.queue.values_mut() {
-            *class = moved[*class];
+    }
+
+    /// A place of which no slot is out and for which nobody waits; a further one if there is none.
+    fn place_for_new(&mut self, kept: &std::collections::HashSet<usize>) -> usize {
+        let is_free = |place: &usize| !kept.contains(place) && self.rooms[*place].is_empty();
+        if let Some(place) = (0..self.rooms.len()).find(is_free) {
+            return place;
         }
+        self.rooms.push(Room::default());
+        self.rooms.len() - 1
     }
 
-    /// The index of a class by name: slots outlive a change of the setup under it.
+    /// The place of a class by name.
     pub fn index(&self, name: &str) -> Option<usize> {
         self.rooms.iter().position(|room| room.name == name)
     }
@@ -170,9 +190,11 @@
         woken
     }
 
+    /// Name, room, requests in hand and waiting of each class, in the order of the setup.
     pub fn counts(&self) -> Vec<(String, u64, u64, u64)> {
-        self.rooms
+        self.in_order
             .iter()
+            .map(|place| &self.rooms[*place])
             .map(|room| (room.name.clone(), room.room, room.used, room.waiting))
             .collect()
     }
