--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -239,6 +239,18 @@
                 "revision": revision,
             },
         ),
+        Outcome::VersionTaken { version, held } => {
+            registry.tally.one(Counter::SetupsConflicting);
+            (
+                StatusCode::CONFLICT,
+                jzon::object! {
+                    "outcome": "nothing-done",
+                    "why": "a setup of another content was taken under this version",
+                    "version": version,
+                    "highestVersion": held,
+                },
+            )
+        }
         Outcome::Unknown => {
             registry.tally.one(Counter::WritesUnknown);
             (
--- a/store/src/orders.rs
+++ b/store/src/orders.rs
@@ -2,7 +2,7 @@
 //! callers give no key (design 6.10). Soft: each copy notes by its own clock when it first saw a write,
 //! and whether its caller surely has the receipt; no promise and no acceptance rests on it.
 
-use crate::talk::{Change, KEYS_MOST, Value};
+use crate::talk::{Change, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -18,6 +18,9 @@
 /// By then its registry has told that it answered, unless it died or was slow.
 const TOLD_WITHIN: Duration = Duration::from_millis(450);
 
+/// What is remembered of writes beyond those of the value goes once it is more than that.
+const SEEN_LEAST: usize = 512;
+
 /// One write among the last ones.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
@@ -65,7 +68,7 @@
                 self.seen.insert(known.key.clone(), seen);
             }
         }
-        if self.seen.len() > 2 * KEYS_MOST {
+        if self.seen.len() > 2 * value.keys.len() + SEEN_LEAST {
             let keys: BTreeSet<&str> = value.keys.iter().map(|known| known.key.as_str()).collect();
             self.seen.retain(|key, _| keys.contains(key.as_str()));
         }
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -124,10 +124,11 @@
         /// For a change whose caller gave no key: when the registry got the call.
         unnamed_since: Option<Duration>,
     },
+    /// What is chosen with its value, for all who asked before the round began.
     Read {
-        ticket: u64,
+        tickets: Vec<u64>,
     },
-    /// What is chosen, for all who asked before the round began (design 5.8).
+    /// The revision that is chosen, likewise (design 5.8).
     Floor {
         tickets: Vec<u64>,
     },
@@ -640,9 +641,18 @@
                 self.release(effects);
                 effects.push(Effect::Answer { ticket, tell: Tell::Noted });
             }
-            Ask::Read => self.enqueue(Op::Read { ticket }, effects),
+            // One round tells all that wait for one.
+            Ask::Read => {
+                let waiting = self.queue.iter_mut().find_map(|op| match op {
+                    Op::Read { tickets } => Some(tickets),
+                    _ => None,
+                });
+                match waiting {
+                    Some(tickets) => tickets.push(ticket),
+                    None => self.enqueue(Op::Read { tickets: vec![ticket] }, effects),
+                }
+            }
             Ask::Floor => {
-                // One round tells all that wait for one.
                 let waiting = self.queue.iter_mut().find_map(|op| match op {
                     Op::Floor { tickets } => Some(tickets),
                     _ => None,
@@ -1578,21 +1588,29 @@
     /// The current value was just seen as chosen. What the job wants to do to it is done now,
     /// under the ballot; and so is what queued up behind it.
     fn under_ballot(&mut self, now: Duration, ballot: Option<Ballot>, effects: &mut Vec<Effect>) {
+        // Whether the round began after the job was asked for.
+        let mut is_own_round = true;
         loop {
             let mut job = match self.job.take() {
                 Some(job) => job,
                 None => {
+                    is_own_round = false;
                     let Some(ballot) = ballot else { return };
                     // The ballot may have been outbid here since.
                     if self.state.promised != ballot {
                         return;
                     }
                     match self.queue.pop_front() {
-                        Some(op @ (Op::Seat(_) | Op::Floor { .. })) => {
+                        Some(
+                            op @ (Op::Seat(_)
+                            | Op::Floor { .. }
+                            | Op::Read { .. }
+                            | Op::History { .. }),
+                        ) => {
                             // Whoever has to accept it is asked for a promise first: a table that
                             // too few can accept would stand in the way of all that comes after it.
-                            // A floor takes a round that began after it was asked for: under this
-                            // ballot another one may have chosen more by then.
+                            // What is read takes a round that began after it was asked for: under
+                            // this ballot another store may have chosen more by then (incident 0011).
                             self.queue.push_front(op);
                             return;
                         }
@@ -1620,7 +1638,12 @@
                         self.job = Some(job);
                         return;
                     };
-                    let (receipts, made) = self.together(job.op, &value, &own, effects);
+                    let (receipts, made) =
+                        self.together(job.op, &value, &own, is_own_round, effects);
+                    if made.is_empty() {
+                        // What is left in the queue takes a round of its own.
+                        return;
+                    }
                     job.op = Op::Batch { receipts };
                     made
                 }
@@ -1653,14 +1676,20 @@
     }
 
     /// A change and all others that wait, one version after the other, to be proposed in one round.
-    /// What is refused before anything is made is told at once; the rest when the round is done.
+    /// What makes no version rests on what was seen as chosen: it is told at once if it is the first
+    /// and the round began after it was asked for (`is_own_round`), else when a version that was made
+    /// beside it is chosen. If none is made, it goes back to the queue, for a round of its own: another
+    /// store may have chosen more since this one began (incident 0011).
     fn together(
         &mut self,
         first: Op,
         value: &Value,
         own: &Meta,
+        is_own_round: bool,
         effects: &mut Vec<Effect>,
     ) -> (Vec<(u64, Outcome)>, Vec<Arc<Value>>) {
+        let mut is_proven = is_own_round;
+        let mut unproven = Vec::new();
         let mut receipts = Vec::new();
         let mut made: Vec<Arc<Value>> = Vec::new();
         let (mut last, mut meta) = (Arc::new(value.clone()), *own);
@@ -1675,11 +1704,15 @@
                 next = self.next_change();
                 continue;
             }
-            match changed(&last, &meta, &key, &change, verdict) {
-                Err(outcome) if made.is_empty() => {
+            let is_made = unnamed_since.is_some();
+            match changed(&last, &meta, &key, is_made, &change, verdict) {
+                Err(outcome) if is_proven => {
                     effects.push(Effect::Answer { ticket, tell: Tell::Outcome(outcome) });
                 }
-                Err(outcome) => receipts.push((ticket, outcome)),
+                Err(outcome) => {
+                    receipts.push((ticket, outcome));
+                    unproven.push(Op::Change { ticket, key, change, unnamed_since });
+                }
                 Ok(mut one) => {
                     self.orders.take(&key, unnamed_since, self.now);
                     one.together = made.len() as u32;
@@ -1694,12 +1727,20 @@
                     made.push(last.clone());
                 }
             }
+            is_proven = false;
             // As large as the largest so far, the next one must still fit.
             let mean = bytes / made.len().max(1);
-            if made.len() < BATCH_MOST && bytes + mean <= BATCH_BYTES_MOST {
+            let is_small = unproven.len() < QUEUE_MOST;
+            if is_small && made.len() < BATCH_MOST && bytes + mean <= BATCH_BYTES_MOST {
                 next = self.next_change();
             }
         }
+        if made.is_empty() {
+            receipts.clear();
+            for op in unproven.into_iter().rev() {
+                self.queue.push_front(op);
+            }
+        }
         (receipts, made)
     }
 
@@ -1729,10 +1770,12 @@
 
     fn finish_read(&mut self, job: Job, effects: &mut Vec<Effect>) {
         match job.op {
-            Op::Read { ticket } => {
+            Op::Read { tickets } => {
                 if let Some(value) = &self.value {
-                    let outcome = Outcome::Value { value: (**value).clone() };
-                    effects.push(Effect::Answer { ticket, tell: Tell::Outcome(outcome) });
+                    for ticket in tickets {
+                        let outcome = Outcome::Value { value: (**value).clone() };
+                        effects.push(Effect::Answer { ticket, tell: Tell::Outcome(outcome) });
+                    }
                 }
             }
             Op::Floor { tickets } => {
@@ -1766,10 +1809,16 @@
 
     fn answer(&self, op: &Op, outcome: Outcome, effects: &mut Vec<Effect>) {
         match op {
-            Op::Change { ticket, .. } | Op::Read { ticket } | Op::History { ticket, .. } => {
+            Op::Change { ticket, .. } | Op::History { ticket, .. } => {
                 let tell = Tell::Outcome(outcome);
                 effects.push(Effect::Answer { ticket: *ticket, tell });
             }
+            Op::Read { tickets } => {
+                for ticket in tickets {
+                    let tell = Tell::Outcome(outcome.clone());
+                    effects.push(Effect::Answer { ticket: *ticket, tell });
+                }
+            }
             Op::Batch { receipts } => {
                 // Of those that were proposed nobody can tell; the others made no change.
                 for (ticket, planned) in receipts {
@@ -1777,6 +1826,7 @@
                         planned,
                         Outcome::Conflict { .. }
                             | Outcome::KeyReused { .. }
+                            | Outcome::VersionTaken { .. }
                             | Outcome::NothingDone { .. }
                     );
                     let why = "another change was in the way".to_string();
@@ -1874,6 +1924,7 @@
         seats,
         together: 0,
         keys: VecDeque::new(),
+        versions: BTreeMap::new(),
     }
 }
 
@@ -1886,6 +1937,7 @@
     value: &Value,
     own: &Meta,
     key: &str,
+    is_made: bool,
     change: &Change,
     verdict: Verdict,
 ) -> Result<Value, Outcome> {
@@ -1902,8 +1954,16 @@
     }
     let mut next = child(value, own);
     let is_same = match change {
-        // Its author knows what is newer, whatever came in between and however often it is sent.
-        Change::Setup { version: Some(version), .. } if *version <= value.setup_version => true,
+        // Its author knows what is newer, whatever came in between and however often it is sent; but
+        // one version has one content (incident 0012).
+        Change::Setup { version: Some(version), .. } if *version <= value.setup_version => {
+            let taken = value.versions.get(version);
+            if taken.is_some_and(|matter| *matter != change.matter()) {
+                let held = value.setup_version;
+                return Err(Outcome::VersionTaken { version: *version, held });
+            }
+            true
+        }
         Change::Setup { bytes, if_revision, version } => {
             if if_revision.is_some_and(|wanted| wanted != value.setup_revision) {
                 return Err(Outcome::Conflict {
@@ -1913,7 +1973,13 @@
             }
             next.setup = bytes.clone();
             next.setup_revision = next.revision;
-            next.setup_version = version.unwrap_or(value.setup_version);
+            if let Some(version) = version {
+                next.setup_version = *version;
+                next.versions.insert(*version, change.matter());
+            }
+            while next.versions.len() > crate::talk::VERSIONS_MOST {
+                next.versions.pop_first();
+            }
             false
         }
         Change::Empty { zone } if value.orders(zone) >= crate::talk::ORDERS_MOST => {
@@ -1938,10 +2004,9 @@
         matter: change.matter(),
         revision: next.revision,
         setup_revision: next.setup_revision,
+        is_made,
     });
-    while next.keys.len() > crate::talk::KEYS_MOST {
-        next.keys.pop_front();
-    }
+    next.forget_old_keys();
     Ok(next)
 }
 
--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -72,6 +72,10 @@
     pub together: u32,
     /// The submissions behind the last writes, so that a repeat is known as one.
     pub keys: std::collections::VecDeque<Submission>,
+    /// What the last versions that were taken say, as `Change::matter` tells it; left out where there
+    /// are none, as above.
+    #[serde(default, skip_serializing_if = "std::collections::BTreeMap::is_empty")]
+    pub versions: std::collections::BTreeMap<u64, u64>,
 }
 
 /// The key of a write, what it asked for (by digest) and the revision that it made.
@@ -81,10 +85,22 @@
     pub matter: u64,
     pub revision: u64,
     pub setup_revision: u64,
+    /// A registry made the key: nobody else knows it.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_made: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
-/// A repeat is known among so many of the last writes.
-pub const KEYS_MOST: usize = 256;
+/// A repeat under its caller's key is known among so many of the last writes: more than a day of the
+/// design size has (2,400).
+pub const KEYS_MOST: usize = 4096;
+/// Under a key that a registry made a repeat comes within that registry's errand, of a few seconds.
+pub const MADE_KEYS_MOST: usize = 256;
+/// Of so many of the highest versions the content is known.
+pub const VERSIONS_MOST: usize = 1024;
 /// Orders to empty one zone that may stand at one time.
 pub const ORDERS_MOST: u32 = 1000;
 /// So many revisions stay readable, as long as they fit.
@@ -117,6 +133,19 @@
         }
     }
 
+    /// Drops what no repeat can ask for any more.
+    pub(crate) fn forget_old_keys(&mut self) {
+        let made = self.keys.iter().filter(|one| one.is_made).count();
+        if made > MADE_KEYS_MOST
+            && let Some(oldest) = self.keys.iter().position(|one| one.is_made)
+        {
+            self.keys.remove(oldest);
+        }
+        if self.keys.len() > KEYS_MOST {
+            self.keys.pop_front();
+        }
+    }
+
     pub fn word(&self) -> vanepath_sibling::wire::Word {
         vanepath_sibling::wire::Word {
             revision: self.revision,
@@ -309,6 +338,12 @@
     KeyReused {
         revision: u64,
     },
+    /// A setup of another content was taken under this version; the highest one taken is `held`.
+    /// Nothing was done.
+    VersionTaken {
+        version: u64,
+        held: u64,
+    },
     /// Nothing was done, and nothing will be.
     NothingDone {
         why: String,
