--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -120,7 +120,8 @@
     }
 }
 
-/// A setup that names its version: what is not newer is a repeat, whatever its bytes and its key.
+/// A setup that names its version: what is not newer changes nothing, whatever its key. It is a repeat, or
+/// one that was overtaken; another content under a version that was taken is refused (incident 0012).
 #[tokio::test(flavor = "multi_thread")]
 async fn an_old_version_of_a_setup_changes_nothing() {
     let fleet = Fleet::start(tiny()).await;
@@ -133,7 +134,11 @@
         setup.replacen('{', &format!("{{\"version\": {version},"), 1).into_bytes()
     };
     let first = put(&fleet, 0, &[], &versioned("7", 1)).await.json();
-    for (version, tag) in [("7", 1), ("7", 2), ("6", 3)] {
+    let other = put(&fleet, 2, &[], &versioned("7", 2)).await;
+    assert_eq!(other.status, 409);
+    assert_eq!(other.json()["outcome"].as_str(), Some("nothing-done"));
+    assert_eq!(other.json()["highestVersion"].as_u64(), Some(7));
+    for (version, tag) in [("7", 1), ("6", 3)] {
         let again = put(&fleet, tag % 3, &[], &versioned(version, tag)).await;
         assert_eq!(again.status, 200);
         let again = again.json();
