Keys of older writes are kept in short, so that a thousand versions still fit on a disk

Cause: 4,096 keys in full made each value 100 kB and more; months_of_changes_stay_bounded found 319 versions kept of 1,487.

--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -442,7 +442,7 @@
 
 async fn read_submission(registry: &Registry, key: &str) -> Receipt {
     match read(registry, Ask::Read).await {
-        Ok(Outcome::Value { value }) => match value.keys.iter().find(|known| known.key == key) {
+        Ok(Outcome::Value { value }) => match value.submission(key) {
             Some(known) => told(
                 registry,
                 key,
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod disk;
 pub mod hints;
+pub mod keys;
 pub mod orders;
 pub mod register;
 pub mod shell;
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -1697,7 +1697,7 @@
         let mut next = Some(first);
         while let Some(Op::Change { ticket, key, change, unnamed_since }) = next.take() {
             let verdict = self.orders.judge(&last, &change, unnamed_since, self.now);
-            let is_known = last.keys.iter().any(|known| known.key == key);
+            let is_known = last.submission(&key).is_some();
             if verdict == Verdict::TooSoon && !is_known {
                 // The one before it waits in the same round.
                 self.held.push_back(Op::Change { ticket, key, change, unnamed_since });
@@ -1924,6 +1924,7 @@
         seats,
         together: 0,
         keys: VecDeque::new(),
+        older_keys: Default::default(),
         versions: BTreeMap::new(),
     }
 }
@@ -1941,9 +1942,9 @@
     change: &Change,
     verdict: Verdict,
 ) -> Result<Value, Outcome> {
-    if let Some(known) = value.keys.iter().find(|known| known.key == key) {
+    if let Some(known) = value.submission(key) {
         let (revision, setup_revision) = (known.revision, known.setup_revision);
-        return Err(if known.matter == change.matter() {
+        return Err(if known.is_of(change.matter()) {
             Outcome::Accepted { revision, setup_revision, repeat: true }
         } else {
             Outcome::KeyReused { revision }
@@ -2006,7 +2007,7 @@
         setup_revision: next.setup_revision,
         is_made,
     });
-    next.forget_old_keys();
+    next.shorten_old_keys();
     Ok(next)
 }
 
--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -72,6 +72,9 @@
     pub together: u32,
     /// The submissions behind the last writes, so that a repeat is known as one.
     pub keys: std::collections::VecDeque<Submission>,
+    /// Those before them whose keys are their callers', in short; left out where there are none, as above.
+    #[serde(default, skip_serializing_if = "crate::keys::OlderKeys::is_empty")]
+    pub older_keys: crate::keys::OlderKeys,
     /// What the last versions that were taken say, as `Change::matter` tells it; left out where there
     /// are none, as above.
     #[serde(default, skip_serializing_if = "std::collections::BTreeMap::is_empty")]
@@ -94,11 +97,9 @@
     !value
 }
 
-/// A repeat under its caller's key is known among so many of the last writes: more than a day of the
-/// design size has (2,400).
-pub const KEYS_MOST: usize = 4096;
-/// Under a key that a registry made a repeat comes within that registry's errand, of a few seconds.
-pub const MADE_KEYS_MOST: usize = 256;
+/// So many of the last writes are known with all that was submitted. Under a key that a registry made a
+/// repeat comes within that registry's errand, of a few seconds.
+pub const KEYS_MOST: usize = 256;
 /// Of so many of the highest versions the content is known.
 pub const VERSIONS_MOST: usize = 1024;
 /// Orders to empty one zone that may stand at one time.
@@ -106,7 +107,7 @@
 /// So many revisions stay readable, as long as they fit.
 pub const HISTORY: usize = 1024;
 /// So many bytes of versions a disk holds before old ones go.
-pub const HISTORY_BYTES_MOST: usize = 32 << 20;
+pub const HISTORY_BYTES_MOST: usize = 64 << 20;
 
 impl Value {
     pub fn encode(&self) -> Vec<u8> {
@@ -133,19 +134,22 @@
         }
     }
 
-    /// Drops what no repeat can ask for any more.
-    pub(crate) fn forget_old_keys(&mut self) {
-        let made = self.keys.iter().filter(|one| one.is_made).count();
-        if made > MADE_KEYS_MOST
-            && let Some(oldest) = self.keys.iter().position(|one| one.is_made)
-        {
-            self.keys.remove(oldest);
-        }
-        if self.keys.len() > KEYS_MOST {
-            self.keys.pop_front();
+    /// Of the writes beyond the last ones those are kept, in short, whose keys are their callers'.
+    pub(crate) fn shorten_old_keys(&mut self) {
+        while self.keys.len() > KEYS_MOST {
+            let Some(oldest) = self.keys.pop_front() else { return };
+            if !oldest.is_made {
+                self.older_keys.push(&oldest);
+            }
         }
     }
 
+    /// The write that was submitted under this key, if it is known still.
+    pub fn submission(&self, key: &str) -> Option<crate::keys::Known> {
+        let recent = self.keys.iter().find(|one| one.key == key);
+        recent.map(crate::keys::Known::of).or_else(|| self.older_keys.find(key))
+    }
+
     pub fn word(&self) -> vanepath_sibling::wire::Word {
         vanepath_sibling::wire::Word {
             revision: self.revision,
--- a/store/tests/disk.rs
+++ b/store/tests/disk.rs
@@ -24,6 +24,7 @@
         seats: Vec::new(),
         together,
         keys: Default::default(),
+        older_keys: Default::default(),
         versions: Default::default(),
     }
 }
