A version that was overtaken has one content too

The first content is noted under a revision of its own; the setup in force stays. Tests that count revisions count that one.

--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -147,7 +147,8 @@
     }
     assert_eq!(in_force(&fleet).await, Some(versioned("7", 1)));
     let next = put(&fleet, 1, &[], &versioned("8", 4)).await.json();
-    assert_eq!(next["revision"].as_u64(), first["revision"].as_u64().map(|one| one + 1));
+    // One revision notes the version that was overtaken.
+    assert_eq!(next["revision"].as_u64(), first["revision"].as_u64().map(|one| one + 2));
     assert_eq!(in_force(&fleet).await, Some(versioned("8", 4)));
     let zones = call(fleet.registries()[2], "GET", "/v1/zones", &[], b"").await.unwrap();
     assert_eq!(zones.json()["emptied"][0].as_str(), Some("north-2"));
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -1721,7 +1721,10 @@
                     meta.revision = one.revision;
                     meta.digest = crate::talk::digest_of(&encoded);
                     let (revision, setup_revision) = (one.revision, one.setup_revision);
-                    let outcome = Outcome::Accepted { revision, setup_revision, repeat: false };
+                    // A setup that was overtaken is noted; the one in force stays.
+                    let repeat =
+                        matches!(change, Change::Setup { .. }) && setup_revision != revision;
+                    let outcome = Outcome::Accepted { revision, setup_revision, repeat };
                     receipts.push((ticket, outcome));
                     last = Arc::new(one);
                     made.push(last.clone());
@@ -1958,12 +1961,21 @@
         // Its author knows what is newer, whatever came in between and however often it is sent; but
         // one version has one content (incident 0012).
         Change::Setup { version: Some(version), .. } if *version <= value.setup_version => {
-            let taken = value.versions.get(version);
-            if taken.is_some_and(|matter| *matter != change.matter()) {
-                let held = value.setup_version;
-                return Err(Outcome::VersionTaken { version: *version, held });
+            let matter = change.matter();
+            match value.versions.get(version) {
+                Some(taken) if *taken == matter => true,
+                Some(_) => {
+                    let held = value.setup_version;
+                    return Err(Outcome::VersionTaken { version: *version, held });
+                }
+                // Too long ago to tell.
+                None if value.knows_no_version_below(*version) => true,
+                // Overtaken before anybody took it: acknowledged, and nobody else's from then on.
+                None => {
+                    next.take_version(*version, matter);
+                    false
+                }
             }
-            true
         }
         Change::Setup { bytes, if_revision, version } => {
             if if_revision.is_some_and(|wanted| wanted != value.setup_revision) {
@@ -1976,10 +1988,7 @@
             next.setup_revision = next.revision;
             if let Some(version) = version {
                 next.setup_version = *version;
-                next.versions.insert(*version, change.matter());
-            }
-            while next.versions.len() > crate::talk::VERSIONS_MOST {
-                next.versions.pop_first();
+                next.take_version(*version, change.matter());
             }
             false
         }
--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -75,7 +75,7 @@
     /// Those before them whose keys are their callers', in short; left out where there are none, as above.
     #[serde(default, skip_serializing_if = "crate::keys::OlderKeys::is_empty")]
     pub older_keys: crate::keys::OlderKeys,
-    /// What the last versions that were taken say, as `Change::matter` tells it; left out where there
+    /// What the highest versions that were acknowledged say, as `Change::matter` tells it; left out where there
     /// are none, as above.
     #[serde(default, skip_serializing_if = "std::collections::BTreeMap::is_empty")]
     pub versions: std::collections::BTreeMap<u64, u64>,
@@ -144,6 +144,20 @@
         }
     }
 
+    /// What this version says is known from here on.
+    pub(crate) fn take_version(&mut self, version: u64, matter: u64) {
+        self.versions.insert(version, matter);
+        while self.versions.len() > VERSIONS_MOST {
+            self.versions.pop_first();
+        }
+    }
+
+    /// It remembers as many versions as it may, and this one lies below them all.
+    pub(crate) fn knows_no_version_below(&self, version: u64) -> bool {
+        let lowest = self.versions.first_key_value();
+        self.versions.len() >= VERSIONS_MOST && lowest.is_some_and(|(lowest, _)| version < *lowest)
+    }
+
     /// The write that was submitted under this key, if it is known still.
     pub fn submission(&self, key: &str) -> Option<crate::keys::Known> {
         let recent = self.keys.iter().find(|one| one.key == key);
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -716,21 +716,22 @@
         other => panic!("{other:?}"),
     };
     assert_eq!(accepted(versioned(&mut fleet, "k5", "five", Some(5))), (2, false));
-    for (key, bytes, version) in [("l", "five", 5), ("n", "four", 4)] {
-        assert_eq!(accepted(versioned(&mut fleet, key, bytes, Some(version))), (2, true));
-    }
+    assert_eq!(accepted(versioned(&mut fleet, "l", "five", Some(5))), (2, true));
+    // Nobody took it: it is noted as overtaken, under a revision of its own.
+    assert_eq!(accepted(versioned(&mut fleet, "n", "four", Some(4))), (3, true));
+    assert_eq!(fleet.value(1).setup_revision, 2);
     let other = versioned(&mut fleet, "m", "other", Some(5));
     assert_eq!(other, Outcome::VersionTaken { version: 5, held: 5 });
     assert_eq!(fleet.value(1).setup, b"five");
-    assert_eq!(accepted(versioned(&mut fleet, "k9", "nine", Some(9))), (3, false));
+    assert_eq!(accepted(versioned(&mut fleet, "k9", "nine", Some(9))), (4, false));
     let value = fleet.value(1);
     assert_eq!((&value.setup[..], value.setup_version), (&b"nine"[..], 9));
     assert_eq!(value.word().setup_version, 9);
     assert!(value.emptied.contains("a1"));
     // Without a version as ever; an old version is not brought back by it.
-    assert_eq!(accepted(versioned(&mut fleet, "k", "by hand", None)), (4, false));
-    assert_eq!(accepted(versioned(&mut fleet, "k8", "eight", Some(8))), (4, true));
-    assert_eq!(accepted(versioned(&mut fleet, "k10", "ten", Some(10))), (5, false));
+    assert_eq!(accepted(versioned(&mut fleet, "k", "by hand", None)), (5, false));
+    assert_eq!(accepted(versioned(&mut fleet, "k8", "eight", Some(8))), (6, true));
+    assert_eq!(accepted(versioned(&mut fleet, "k10", "ten", Some(10))), (7, false));
     // Several that wait at one time are judged one after the other.
     for version in [12, 11, 13] {
         fleet.tickets.push(Asker::Operator);
@@ -744,7 +745,7 @@
     fleet.run();
     fleet.passes(Duration::from_secs(1));
     let told: Vec<(u64, bool)> = fleet.told[before..].iter().cloned().map(accepted).collect();
-    assert_eq!(told, [(6, false), (6, true), (7, false)]);
+    assert_eq!(told, [(8, false), (9, true), (10, false)]);
     assert_eq!(fleet.value(2).setup, b"13");
 }
 
@@ -1416,9 +1417,12 @@
     assert_eq!(accepted(&versioned(&mut fleet, "g", "five", Some(5))), (302, true));
     refused(versioned(&mut fleet, "h", "other five", Some(5)));
     refused(versioned(&mut fleet, "i", "of 40", Some(41)));
-    // What nobody took is overtaken.
-    assert_eq!(accepted(&versioned(&mut fleet, "j", "four", Some(4))), (302, true));
+    // What nobody took is overtaken, and acknowledged for one content as well.
+    assert_eq!(accepted(&versioned(&mut fleet, "j", "four", Some(4))), (303, true));
+    assert_eq!(accepted(&versioned(&mut fleet, "k", "four", Some(4))), (303, true));
+    refused(versioned(&mut fleet, "l", "other four", Some(4)));
     assert_eq!(fleet.value(0).setup, b"of 305");
+    assert_eq!(fleet.value(0).setup_revision, 302);
 }
 
 /// Two operators at two stores at one moment, one version: one of them is told that it was taken.
