--- a/store/src/orders.rs
+++ b/store/src/orders.rs
@@ -52,7 +52,7 @@
     TooSoon,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Orders {
     /// By the keys of the last writes.
     seen: BTreeMap<String, Seen>,
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -115,7 +115,7 @@
     Remove { revision: u64, digest: Digest },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Op {
     Change {
         ticket: u64,
@@ -167,7 +167,7 @@
     founders: usize,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Phase {
     Querying {
         states: BTreeMap<u64, Copy>,
@@ -204,7 +204,7 @@
     },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Job {
     op: Op,
     phase: Phase,
@@ -277,6 +277,7 @@
     (tell, damaged)
 }
 
+#[derive(Clone, Debug)]
 pub struct Register {
     identity: Identity,
     state: State,
--- /dev/null
+++ b/store/tests/model/world.rs
@@ -0,0 +1,432 @@
+//! A small world for the cores of stores: their disks, the messages between them, and an operator's
+//! calls. Whoever explores it decides what is delivered, lost, repeated or held up, and which store is
+//! restarted or loses its disk.
+
+use crate::history::History;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use vanepath_sibling::wire;
+use vanepath_store::register::{
+    At, Claim, Effect, Event, Found, Identity, Kept, Register, State, Write,
+};
+use vanepath_store::talk::{Ask, Change, GENESIS, Meta, Outcome, Tell, Value};
+
+/// Ways to break the shell round the cores, to show that the checks see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// What was saved last is lost with the process: replies left before the sync.
+    NoSync,
+    /// A store answers reads by its own copy, without a round.
+    ReadsWithoutRound,
+    /// A disk that was lost votes on under its old incarnation, with nothing promised.
+    VotesAfterWipe,
+    /// Whoever was to accept a value counts as having done so, asked or not.
+    CountsUnaskedVotes,
+    /// A submission that is sent again bears another key.
+    ForgetsKeys,
+    /// Two operators' versions are not looked at.
+    ForgetsVersions,
+}
+
+/// What the operator asks, and of which store.
+#[derive(Clone, Debug)]
+pub enum Call {
+    Setup { store: usize, version: u64, text: &'static str },
+    Submission { store: usize, key: &'static str, text: &'static str },
+    Read { store: usize },
+}
+
+impl Call {
+    fn store(&self) -> usize {
+        match self {
+            Call::Setup { store, .. } | Call::Submission { store, .. } | Call::Read { store } => {
+                *store
+            }
+        }
+    }
+}
+
+#[derive(Clone, Default)]
+struct Disk {
+    state: Option<State>,
+    versions: BTreeMap<At, Arc<Value>>,
+}
+
+#[derive(Clone)]
+pub struct Store {
+    name: String,
+    pub core: Register,
+    disk: Disk,
+    /// What is left of the disk if the process dies now.
+    durable: Disk,
+    /// Replies to an earlier life reach nobody.
+    life: u32,
+}
+
+#[derive(Clone)]
+enum Asker {
+    Store { index: usize, life: u32, call: u64 },
+    Operator { number: usize },
+}
+
+/// A call that a store has to answer.
+#[derive(Clone)]
+struct Ticket {
+    asker: Asker,
+    asked: usize,
+    is_open: bool,
+}
+
+#[derive(Clone)]
+pub enum Message {
+    Ask { to: usize, incarnation: u64, ticket: u64, ask: Arc<Ask> },
+    Tell { to: usize, life: u32, call: u64, tell: Option<Arc<Tell>> },
+}
+
+#[derive(Clone)]
+pub struct World {
+    pub stores: Vec<Store>,
+    pub messages: VecDeque<Message>,
+    /// Held up until nothing else is on its way.
+    pub late: VecDeque<Message>,
+    pub history: History,
+    broken: Option<Broken>,
+    tickets: Vec<Ticket>,
+    now: Duration,
+    founders: usize,
+    next_incarnation: u64,
+    steps: u64,
+}
+
+const PULSE: Duration = Duration::from_millis(50);
+
+fn found(disk: &Disk) -> Found {
+    let state = disk.state.clone().expect("a disk has a state");
+    let at = state.accepted.map(|meta| (meta.revision, meta.digest));
+    let value = at.and_then(|at| disk.versions.get(&at).cloned());
+    let kept = disk.versions.iter().map(|((revision, digest), value)| {
+        let (parent_revision, parent) = (value.parent_revision, value.parent);
+        let bytes = value.encode().len();
+        (*revision, Kept { digest: *digest, parent_revision, parent, bytes })
+    });
+    let mut before = Vec::new();
+    if let Some(value) = &value {
+        let mut at = (value.parent_revision, value.parent);
+        for _ in 0..value.together {
+            let Some(one) = disk.versions.get(&at) else { break };
+            before.insert(0, one.clone());
+            at = (one.parent_revision, one.parent);
+        }
+    }
+    Found { kept: kept.collect(), state, value, before }
+}
+
+impl World {
+    /// Stores that hold the beginning of a word, and nothing on its way.
+    pub fn new(seats: usize, broken: Option<Broken>) -> World {
+        let mut world = World {
+            stores: Vec::new(),
+            messages: VecDeque::new(),
+            late: VecDeque::new(),
+            history: History::default(),
+            broken: None,
+            tickets: Vec::new(),
+            now: Duration::from_secs(1),
+            founders: seats,
+            next_incarnation: 100,
+            steps: 0,
+        };
+        for number in 0..seats {
+            let disk = world.empty_disk();
+            let name = format!("s{number}");
+            let identity = Identity { name: name.clone(), founders: seats };
+            let core = Register::new(identity, found(&disk), world.now);
+            let durable = disk.clone();
+            world.stores.push(Store { name, core, disk, durable, life: 0 });
+        }
+        for _ in 0..60 {
+            world.pulse();
+            world.deliver_all();
+        }
+        assert_eq!(world.votes(), seats, "the word has begun");
+        // From here on nobody begins a word.
+        world.founders = 0;
+        world.broken = broken;
+        world
+    }
+
+    fn empty_disk(&mut self) -> Disk {
+        self.next_incarnation += 1;
+        let incarnation = self.next_incarnation;
+        let state = State { incarnation, promised: Default::default(), accepted: None };
+        Disk { state: Some(state), versions: BTreeMap::new() }
+    }
+
+    pub fn votes(&self) -> usize {
+        self.stores.iter().filter(|store| store.core.summary().votes).count()
+    }
+
+    /// Steps of cores so far.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
+    pub fn deliver_all(&mut self) {
+        while let Some(message) = self.messages.pop_front() {
+            self.deliver(message);
+        }
+    }
+
+    pub fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Ask { to, incarnation, ticket, ask } => {
+                if self.stores[to].core.summary().incarnation != incarnation {
+                    return self.answer(ticket, None);
+                }
+                self.step(to, Event::Asked { ticket, ask: (*ask).clone() });
+            }
+            Message::Tell { to, life, call, tell } => {
+                if self.stores[to].life == life {
+                    let tell = tell.map(|tell| (*tell).clone());
+                    self.step(to, Event::Told { call, tell });
+                }
+            }
+        }
+    }
+
+    /// It never arrives; who asked is told so by a limit of time.
+    pub fn lose(&mut self, message: Message) {
+        match message {
+            Message::Ask { ticket, .. } => self.answer(ticket, None),
+            Message::Tell { to, life, call, .. } => {
+                self.late.push_back(Message::Tell { to, life, call, tell: None });
+            }
+        }
+    }
+
+    /// Nothing is on its way any more: what was held up comes now.
+    pub fn release_late(&mut self) -> bool {
+        let is_any = !self.late.is_empty();
+        self.messages.append(&mut self.late);
+        is_any
+    }
+
+    /// The process dies and starts again at once, with what its disk kept.
+    pub fn restart(&mut self, index: usize) {
+        let store = &mut self.stores[index];
+        store.disk = store.durable.clone();
+        store.life += 1;
+        let identity = Identity { name: store.name.clone(), founders: self.founders };
+        store.core = Register::new(identity, found(&store.disk), self.now);
+        self.close_tickets(index);
+    }
+
+    /// The process dies, and its disk is an empty one afterwards.
+    pub fn wipe(&mut self, index: usize) {
+        let disk = match self.broken {
+            Some(Broken::VotesAfterWipe) => self.beginning_of(index),
+            _ => self.empty_disk(),
+        };
+        let store = &mut self.stores[index];
+        store.disk = disk.clone();
+        store.durable = disk;
+        self.restart(index);
+    }
+
+    /// A disk with nothing on it but the beginning, under the incarnation that it had.
+    fn beginning_of(&self, index: usize) -> Disk {
+        let disk = &self.stores[index].disk;
+        let first = disk.versions.iter().find(|(at, _)| at.0 == 0);
+        let (at, value) = first.expect("the beginning is kept");
+        let ballot = vanepath_store::talk::Ballot { number: 2, ..GENESIS };
+        let accepted = Some(Meta { ballot, revision: 0, digest: at.1 });
+        let incarnation = self.stores[index].core.summary().incarnation;
+        let state = State { incarnation, promised: ballot, accepted };
+        Disk { state: Some(state), versions: BTreeMap::from([(*at, value.clone())]) }
+    }
+
+    /// What a store that died was asked is answered by nobody.
+    fn close_tickets(&mut self, index: usize) {
+        let open = |(number, ticket): (usize, &Ticket)| {
+            (ticket.is_open && ticket.asked == index).then_some(number as u64)
+        };
+        let open: Vec<u64> = self.tickets.iter().enumerate().filter_map(open).collect();
+        let on_their_way: Vec<u64> =
+            self.messages.iter().chain(&self.late).filter_map(ticket_of).collect();
+        for ticket in open.into_iter().filter(|ticket| !on_their_way.contains(ticket)) {
+            self.answer(ticket, None);
+        }
+    }
+
+    /// Fifty milliseconds go by at all stores, who hear of each other.
+    pub fn pulse(&mut self) {
+        self.now += PULSE;
+        let claim = |store: &Store| {
+            let summary = store.core.summary();
+            let (incarnation, blank) = (summary.incarnation, summary.blank);
+            let founds = blank && summary.founds;
+            Claim { name: store.name.clone(), incarnation, blank, founds }
+        };
+        let live: Vec<Claim> = self.stores.iter().map(claim).collect();
+        let summaries = self.stores.iter().map(|store| store.core.summary().chosen);
+        let revision = summaries.max().unwrap_or(0);
+        for index in 0..self.stores.len() {
+            self.step(index, Event::Live(live.clone()));
+            self.step(index, Event::Heard { revision });
+            self.step(index, Event::Pulse);
+        }
+    }
+
+    pub fn call(&mut self, call: &Call) {
+        let number = self.history.begin(call.clone());
+        let store = call.store();
+        let ask = match call {
+            Call::Read { .. } => Ask::Read,
+            Call::Setup { version, text, .. } => {
+                let is_kept = self.broken != Some(Broken::ForgetsVersions);
+                let version = is_kept.then_some(*version);
+                let bytes = text.as_bytes().to_vec();
+                let change = Change::Setup { bytes, if_revision: None, version };
+                Ask::Change { key: format!("made-{number}"), change, unnamed_for: None }
+            }
+            Call::Submission { key, text, .. } => {
+                let key = match self.broken {
+                    Some(Broken::ForgetsKeys) => format!("{key}-{number}"),
+                    _ => key.to_string(),
+                };
+                let bytes = text.as_bytes().to_vec();
+                let change = Change::Setup { bytes, if_revision: None, version: None };
+                Ask::Change { key, change, unnamed_for: None }
+            }
+        };
+        if self.broken == Some(Broken::ReadsWithoutRound) && matches!(ask, Ask::Read) {
+            let disk = &self.stores[store].disk;
+            let meta = disk.state.as_ref().and_then(|state| state.accepted);
+            let held = meta.and_then(|meta| disk.versions.get(&(meta.revision, meta.digest)));
+            let outcome = held.map(|value| Outcome::Value { value: (**value).clone() });
+            return self.history.end(number, outcome);
+        }
+        let ticket = self.ticket(Asker::Operator { number }, store);
+        self.step(store, Event::Asked { ticket, ask });
+    }
+
+    fn ticket(&mut self, asker: Asker, asked: usize) -> u64 {
+        self.tickets.push(Ticket { asker, asked, is_open: true });
+        self.tickets.len() as u64 - 1
+    }
+
+    fn step(&mut self, index: usize, event: Event) {
+        self.steps += 1;
+        let effects = self.stores[index].core.step(self.now, event);
+        for effect in effects {
+            self.perform(index, effect);
+        }
+    }
+
+    fn perform(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Save(writes) => self.save(index, writes),
+            Effect::Call { call, incarnation, ask } => {
+                let asker = Asker::Store { index, life: self.stores[index].life, call };
+                let is_it = |store: &Store| store.core.summary().incarnation == incarnation;
+                match self.stores.iter().position(is_it) {
+                    Some(_) if self.counts_unasked(&ask) => {
+                        let life = self.stores[index].life;
+                        let tell = Some(Arc::new(Tell::Accepted { from: incarnation }));
+                        self.messages.push_back(Message::Tell { to: index, life, call, tell });
+                    }
+                    Some(to) => {
+                        let ticket = self.ticket(asker, to);
+                        let ask = Arc::new(ask);
+                        self.messages.push_back(Message::Ask { to, incarnation, ticket, ask });
+                    }
+                    None => {
+                        let life = self.stores[index].life;
+                        self.messages.push_back(Message::Tell {
+                            to: index,
+                            life,
+                            call,
+                            tell: None,
+                        });
+                    }
+                }
+            }
+            Effect::Answer { ticket, tell } => self.answer(ticket, Some(tell)),
+            Effect::AnswerFromFile { ticket, versions, as_outcome } => {
+                let disk = &self.stores[index].disk;
+                let load = |at: &At| disk.versions.get(at).map(|value| (**value).clone());
+                let (tell, _) = vanepath_store::register::from_files(&versions, as_outcome, load);
+                self.answer(ticket, Some(tell));
+            }
+            Effect::Chosen(value) => self.history.chosen(&value),
+            Effect::Reset => {
+                let disk = self.empty_disk();
+                let store = &mut self.stores[index];
+                store.disk = disk.clone();
+                store.durable = disk;
+                let found = found(&store.disk);
+                self.step(index, Event::Reset(found));
+            }
+            Effect::Noted(text) => {
+                if text.contains("never happen") {
+                    self.history.fault(text);
+                }
+            }
+        }
+    }
+
+    fn counts_unasked(&self, ask: &Ask) -> bool {
+        let is_broken = self.broken == Some(Broken::CountsUnaskedVotes);
+        is_broken && matches!(ask, Ask::Accept { .. })
+    }
+
+    fn save(&mut self, index: usize, writes: Vec<Write>) {
+        let store = &mut self.stores[index];
+        if self.broken == Some(Broken::NoSync) {
+            store.durable = store.disk.clone();
+        }
+        for write in writes {
+            match write {
+                Write::Version { revision, digest, bytes } => {
+                    let value: Value = wire::decode(&bytes).expect("own bytes");
+                    store.disk.versions.insert((revision, digest), Arc::new(value));
+                }
+                Write::State(state) => store.disk.state = Some(state),
+                Write::Remove { revision, digest } => {
+                    store.disk.versions.remove(&(revision, digest));
+                }
+            }
+        }
+        if self.broken != Some(Broken::NoSync) {
+            store.durable = store.disk.clone();
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, tell: Option<Tell>) {
+        let ticket = &mut self.tickets[ticket as usize];
+        if !std::mem::replace(&mut ticket.is_open, false) {
+            return;
+        }
+        match ticket.asker {
+            Asker::Store { index, life, call } => {
+                let tell = tell.map(Arc::new);
+                self.messages.push_back(Message::Tell { to: index, life, call, tell });
+            }
+            Asker::Operator { number } => {
+                let outcome = match tell {
+                    Some(Tell::Outcome(outcome)) => Some(outcome),
+                    _ => None,
+                };
+                self.history.end(number, outcome);
+            }
+        }
+    }
+}
+
+fn ticket_of(message: &Message) -> Option<u64> {
+    match message {
+        Message::Ask { ticket, .. } => Some(*ticket),
+        Message::Tell { .. } => None,
+    }
+}
