--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -613,7 +613,10 @@
                 effects.push(Effect::AnswerFromFile { ticket, versions, as_outcome: false });
             }
             Ask::Membership { from, wants_value } => {
-                let Some((accepted, value)) = self.whole().filter(|_| self.votes()) else {
+                // One that was told that its seat is gone shows what it accepted all the same: a new
+                // disk may need it, and it counts by the table that all show (incident 0013).
+                let may_show = !self.is_off() && !self.is_young();
+                let Some((accepted, value)) = self.whole().filter(|_| may_show) else {
                     return self.refuse(ticket, Refusal::NoVote, effects);
                 };
                 let is_told = wants_value && seat_of(&value.seats, from).is_some();
@@ -1055,12 +1058,19 @@
             }
         }
         lost.sort();
+        // The disk of a store that holds a seat takes that one: another one's holder may be back before
+        // this store's own old disk is found to be gone, and would have to leave (incident 0013).
+        let holds_seat = |name: &str| {
+            let mut holders = value.seats.iter().flatten();
+            holders.any(|holder| holder.name == name)
+        };
         let mut found = Vec::new();
         for is_same in [true, false] {
             lost.retain(|(_, seat)| {
                 let old = value.seats[*seat].as_ref();
-                let fits = |claim: &&Claim| {
-                    !is_same || old.is_some_and(|holder| holder.name == claim.name)
+                let fits = |claim: &&Claim| match is_same {
+                    true => old.is_some_and(|holder| holder.name == claim.name),
+                    false => !holds_seat(&claim.name),
                 };
                 let Some(at) = waiting.iter().position(fits) else { return true };
                 let claim = waiting.remove(at);
@@ -1310,7 +1320,13 @@
                 };
                 let seats = &best.seats;
                 let others = holders(seats).filter(|one| *one != own).count();
-                let needed = if is_seated { others / 2 + 1 } else { quorum(seats) };
+                let is_own = self.state.accepted.is_some_and(|meta| meta.ballot == ballot);
+                let needed = match (is_seated, is_own) {
+                    // With its own copy they are a majority of all.
+                    (true, true) => quorum(seats) - 1,
+                    (true, false) => others / 2 + 1,
+                    (false, _) => quorum(seats),
+                };
                 let counted = shown.iter().filter(|(who, _)| seat_of(seats, **who).is_some());
                 let least = shown.iter().map(|(_, one)| one.accepted.rank()).min();
                 let own_rank = self.state.accepted.map(|meta| meta.rank());
--- a/store/tests/model/main.rs
+++ b/store/tests/model/main.rs
@@ -2,7 +2,8 @@
 //!
 //! *Search.* By default every message arrives in order and calls come one after the other. From that
 //! schedule every execution with up to so many deviations is run: at any moment a message is lost, held
-//! up or told twice, a store is restarted or loses its disk, or the next call comes early. Two deviations
+//! up or told twice, a store is restarted, stands still (until it is called next) or loses its disk, or the
+//! next call comes early. Two deviations
 //! in CI; more with `VANEPATH_MODEL_DEVIATIONS=3 cargo test --release -p vanepath-store --test model`.
 //!
 //! *Walks.* Random schedules by seed, in which all of that happens all the time, with 3 and 5 seats.
@@ -40,6 +41,21 @@
     ]
 }
 
+/// A store that may have stood still while another one was written to is read from.
+fn read_after_a_freeze() -> Vec<Call> {
+    vec![
+        Call::Setup { store: 0, version: 1, text: "a" },
+        Call::Setup { store: 1, version: 2, text: "b" },
+        Call::Read { store: 0 },
+        Call::Setup { store: 0, version: 2, text: "c" },
+        Call::Read { store: 2 },
+    ]
+}
+
+fn scripts() -> [Vec<Call>; 3] {
+    [race_of_operators(), submission_sent_again(), read_after_a_freeze()]
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Deviation {
     Lose,
@@ -47,6 +63,7 @@
     Repeat,
     Restart(usize),
     Wipe(usize),
+    Freeze(usize),
     CallEarly,
 }
 
@@ -86,7 +103,7 @@
             self.world.pulse();
         } else {
             self.world.history.give_up();
-            return self.call_next();
+            return self.call_next() || self.thaw_at_the_end();
         }
         true
     }
@@ -96,6 +113,11 @@
         self.world.history.is_over() && self.world.votes() == self.world.stores.len()
     }
 
+    fn thaw_at_the_end(&mut self) -> bool {
+        self.world.thaw();
+        !self.world.messages.is_empty()
+    }
+
     fn call_next(&mut self) -> bool {
         let Some(call) = self.script.get(self.next) else { return false };
         self.next += 1;
@@ -114,6 +136,7 @@
         }
         let stores = 0..self.world.stores.len();
         found.extend(stores.clone().map(Deviation::Restart));
+        found.extend(stores.clone().map(Deviation::Freeze));
         // No more disks are lost at one time than may be.
         if self.world.votes() == self.world.stores.len() {
             found.extend(stores.map(Deviation::Wipe));
@@ -138,6 +161,7 @@
             }
             Deviation::Restart(index) => self.world.restart(index),
             Deviation::Wipe(index) => self.world.wipe(index),
+            Deviation::Freeze(index) => self.world.freeze(index),
             Deviation::CallEarly => {
                 self.call_next();
             }
@@ -221,14 +245,14 @@
 
 #[test]
 fn no_execution_of_three_seats_breaks_a_promise() {
-    for script in [race_of_operators(), submission_sent_again()] {
+    for script in scripts() {
         assert_eq!(search(3, &script, None, deviations(2)), None);
     }
 }
 
 #[test]
 fn no_execution_of_five_seats_breaks_a_promise() {
-    for script in [race_of_operators(), submission_sent_again()] {
+    for script in scripts() {
         assert_eq!(search(5, &script, None, deviations(2) - 1), None);
     }
 }
@@ -244,8 +268,7 @@
         Broken::ForgetsKeys,
         Broken::ForgetsVersions,
     ] {
-        let scripts = [race_of_operators(), submission_sent_again()];
-        let found = scripts.iter().find_map(|script| search(3, script, Some(broken), 2));
+        let found = scripts().iter().find_map(|script| search(3, script, Some(broken), 2));
         println!("{broken:?}: {found:?}");
         assert!(found.is_some(), "{broken:?} breaks nothing that is seen");
     }
@@ -291,7 +314,11 @@
         match random.below(100) {
             0..=5 => world.call(&any_call(&mut random, seats, &mut highest)),
             6..=9 => world.pulse(),
-            10..=11 => world.restart(random.below(seats)),
+            10 => world.restart(random.below(seats)),
+            11 => match random.below(2) {
+                0 => world.freeze(random.below(seats)),
+                _ => world.thaw(),
+            },
             12 if world.votes() > seats / 2 + 1 => {
                 // Not more disks than may be lost at one time.
                 world.wipe(random.below(seats));
@@ -316,6 +343,7 @@
             }
         }
     }
+    world.thaw();
     world.history.give_up();
     for _ in 0..400 {
         world.pulse();
@@ -338,7 +366,7 @@
 
 #[test]
 fn no_random_walk_breaks_a_promise() {
-    let walks = 250 * u64::from(deviations(2));
+    let walks = 500 * u64::from(deviations(2));
     let (turn, acknowledged) = (AtomicU64::new(0), AtomicUsize::new(0));
     let found = std::sync::Mutex::new(Vec::new());
     std::thread::scope(|scope| {
--- a/store/tests/model/world.rs
+++ b/store/tests/model/world.rs
@@ -91,6 +91,8 @@
     /// Held up until nothing else is on its way.
     pub late: VecDeque<Message>,
     pub history: History,
+    /// Stands still, or is cut off from all other stores, with what reaches it when that is over.
+    frozen: Option<(usize, VecDeque<Message>)>,
     broken: Option<Broken>,
     tickets: Vec<Ticket>,
     now: Duration,
@@ -130,6 +132,7 @@
             messages: VecDeque::new(),
             late: VecDeque::new(),
             history: History::default(),
+            frozen: None,
             broken: None,
             tickets: Vec::new(),
             now: Duration::from_secs(1),
@@ -179,6 +182,16 @@
     }
 
     pub fn deliver(&mut self, message: Message) {
+        if let Some((index, held)) = &mut self.frozen
+            && to_whom(&message) == *index
+        {
+            held.push_back(message.clone());
+            // Whoever asked waits for a limit of time only; the question may still come.
+            if let Some(ticket) = ticket_of(&message) {
+                self.answer(ticket, None);
+            }
+            return;
+        }
         match message {
             Message::Ask { to, incarnation, ticket, ask } => {
                 if self.stores[to].core.summary().incarnation != incarnation {
@@ -212,8 +225,30 @@
         is_any
     }
 
+    /// It stands still until it is called by an operator, or dies.
+    pub fn freeze(&mut self, index: usize) {
+        self.thaw();
+        self.frozen = Some((index, VecDeque::new()));
+    }
+
+    /// What was sent to it meanwhile comes in order, before anything else.
+    pub fn thaw(&mut self) {
+        if let Some((_, held)) = self.frozen.take() {
+            for message in held.into_iter().rev() {
+                self.messages.push_front(message);
+            }
+        }
+    }
+
+    pub fn is_frozen(&self, index: usize) -> bool {
+        self.frozen.as_ref().is_some_and(|(frozen, _)| *frozen == index)
+    }
+
     /// The process dies and starts again at once, with what its disk kept.
     pub fn restart(&mut self, index: usize) {
+        if self.is_frozen(index) {
+            self.frozen = None;
+        }
         let store = &mut self.stores[index];
         store.disk = store.durable.clone();
         store.life += 1;
@@ -268,10 +303,14 @@
             let founds = blank && summary.founds;
             Claim { name: store.name.clone(), incarnation, blank, founds }
         };
-        let live: Vec<Claim> = self.stores.iter().map(claim).collect();
+        let live = (0..self.stores.len()).filter(|index| !self.is_frozen(*index));
+        let live: Vec<Claim> = live.map(|index| claim(&self.stores[index])).collect();
         let summaries = self.stores.iter().map(|store| store.core.summary().chosen);
         let revision = summaries.max().unwrap_or(0);
         for index in 0..self.stores.len() {
+            if self.is_frozen(index) {
+                continue;
+            }
             self.step(index, Event::Live(live.clone()));
             self.step(index, Event::Heard { revision });
             self.step(index, Event::Pulse);
@@ -308,7 +347,12 @@
             return self.history.end(number, outcome);
         }
         let ticket = self.ticket(Asker::Operator { number }, store);
+        // Who wakes finds the call before the replies of its own last round.
+        let is_frozen = self.is_frozen(store);
         self.step(store, Event::Asked { ticket, ask });
+        if is_frozen {
+            self.thaw();
+        }
     }
 
     fn ticket(&mut self, asker: Asker, asked: usize) -> u64 {
@@ -424,6 +468,12 @@
     }
 }
 
+fn to_whom(message: &Message) -> usize {
+    match message {
+        Message::Ask { to, .. } | Message::Tell { to, .. } => *to,
+    }
+}
+
 fn ticket_of(message: &Message) -> Option<u64> {
     match message {
         Message::Ask { ticket, .. } => Some(*ticket),
