--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -82,6 +82,8 @@
     inbox: VecDeque<register::Event>,
     pending: VecDeque<register::Effect>,
     busy: bool,
+    /// A save failed, and the disk was not read anew since.
+    disk_failed: bool,
     claims: vanepath_store::shell::Claims,
     keeper: vanepath_store::hints::Keeper,
 }
@@ -290,6 +292,7 @@
                     inbox: VecDeque::new(),
                     pending: VecDeque::new(),
                     busy: false,
+                    disk_failed: false,
                     claims: Default::default(),
                     keeper: Default::default(),
                 }))
@@ -339,6 +342,7 @@
                 store.inbox.clear();
                 store.pending.clear();
                 store.busy = false;
+                store.disk_failed = false;
                 hints = store.disk.hints.clone();
                 store.keeper = vanepath_store::hints::Keeper::new(hints.clone());
             }
@@ -697,6 +701,7 @@
                 store.disk.hints = hints;
             }
         }
+        self.try_disk(index);
         let revision = view.word.revision;
         for event in [
             register::Event::Live(live),
@@ -726,6 +731,18 @@
         self.run_store(index);
     }
 
+    /// A disk that failed and works again is read anew, as the program's shell does.
+    fn try_disk(&mut self, index: usize) {
+        let Duty::Store(store) = &mut self.daemons[index].duty else { return };
+        if !store.disk_failed || store.disk.is_full || store.busy {
+            return;
+        }
+        store.disk_failed = false;
+        let random = self.net.random.draw();
+        let found = store.disk.found(random);
+        store.inbox.push_back(register::Event::DiskWorks(found));
+    }
+
     fn disk_done(&mut self, index: usize) {
         let Duty::Store(store) = &mut self.daemons[index].duty else { return };
         store.busy = false;
@@ -733,6 +750,7 @@
         let under_way = std::mem::take(&mut store.disk.under_way);
         if store.disk.is_full {
             store.pending.clear();
+            store.disk_failed = true;
             store.inbox.push_front(register::Event::DiskFailed);
         } else {
             let lies = self.breaks == Some(Break::DisksLie);
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -27,6 +27,7 @@
 
 const STATE: &str = "state.cbor";
 const HINTS: &str = "hints.cbor";
+const PROBE: &str = "probe.cbor";
 
 fn version_name(revision: u64, digest: &Digest) -> String {
     let short: String = digest[..8].iter().map(|byte| format!("{byte:02x}")).collect();
@@ -153,6 +154,29 @@
         Ok(())
     }
 
+    /// After a write or a sync failed: what can be read is written and synced once more, for nobody knows
+    /// what of it lasts. What is found then is what a restart would find.
+    ///
+    /// # Errors
+    /// The disk still refuses something.
+    pub fn recover(&self, random: u64) -> Result<Found, miette::Report> {
+        let fault = |error: std::io::Error| miette::miette!("cannot write: {error}");
+        // Whether it takes anything, before all of it is read.
+        self.put(PROBE, b"").map_err(fault)?;
+        std::fs::remove_file(self.folder.join(PROBE)).map_err(fault)?;
+        self.sync_folder().map_err(fault)?;
+        let found = self.load(random)?;
+        let versions = found.before.iter().chain(&found.value);
+        for value in versions {
+            let bytes = value.encode();
+            let name = version_name(value.revision, &crate::talk::digest_of(&bytes));
+            self.put(&name, &bytes).map_err(fault)?;
+        }
+        self.sync_folder().map_err(fault)?;
+        self.save(&[Write::State(found.state.clone())]).map_err(fault)?;
+        Ok(found)
+    }
+
     /// Makes this an empty disk under a new incarnation: its state first, then the old versions go.
     pub fn reset(&self, random: u64) -> std::io::Result<Found> {
         let state = State { incarnation: random, promised: Default::default(), accepted: None };
--- a/store/src/shell.rs
+++ b/store/src/shell.rs
@@ -13,6 +13,7 @@
         StoreSaves,
         StoreSyncs,
         StoreSavesFailed,
+        StoreDisksRecovered,
         StoreCalls,
         StoreCallsFailed,
         StoreVersionsChosen,
@@ -33,15 +34,24 @@
     waiting: std::collections::HashMap<u64, tokio::sync::oneshot::Sender<Tell>>,
     next_ticket: u64,
     claims: Arc<arc_swap::ArcSwap<Claims>>,
+    /// The disk refused something and is tried again a little later.
+    awaits_disk: bool,
 }
 
+/// A disk that refused something is tried again so often.
+const DISK_RETRY: Duration = Duration::from_millis(500);
+
 struct Happened(Event);
+struct TryDisk;
 struct Asked(Ask, tokio::sync::oneshot::Sender<Tell>);
 
 impl StoreActor {
     async fn step(&mut self, event: Event, own: &xtra::Address<StoreActor>) {
         let mut events = std::collections::VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
+            if matches!(event, Event::DiskFailed) {
+                self.try_disk_later(own);
+            }
             let effects = self.core.step(self.daemon.clock.now(), event);
             for effect in effects {
                 if !self.perform(effect, own, &mut events).await {
@@ -138,6 +148,17 @@
         true
     }
 
+    fn try_disk_later(&mut self, own: &xtra::Address<StoreActor>) {
+        if std::mem::replace(&mut self.awaits_disk, true) {
+            return;
+        }
+        let own = own.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(DISK_RETRY).await;
+            let _ = own.send(TryDisk).await;
+        });
+    }
+
     fn answer(&mut self, ticket: u64, tell: Tell) {
         if let Some(waiting) = self.waiting.remove(&ticket) {
             let _ = waiting.send(tell);
@@ -155,6 +176,23 @@
     }
 }
 
+impl xtra::Handler<TryDisk> for StoreActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: TryDisk, context: &mut xtra::Context<Self>) {
+        let Some(own) = context.mailbox().address().try_upgrade() else { return };
+        self.awaits_disk = false;
+        let disk = self.disk.clone();
+        match tokio::task::spawn_blocking(move || disk.recover(daemon::random())).await {
+            Ok(Ok(found)) => {
+                self.tally.one(Counter::StoreDisksRecovered);
+                self.step(Event::DiskWorks(found), &own).await;
+            }
+            _ => self.try_disk_later(&own),
+        }
+    }
+}
+
 impl xtra::Handler<Asked> for StoreActor {
     type Return = ();
 
@@ -227,6 +265,7 @@
         waiting: std::collections::HashMap::new(),
         next_ticket: 0,
         claims: claims.clone(),
+        awaits_disk: false,
     };
     let actor = xtra::spawn_tokio(actor, xtra::Mailbox::unbounded());
     let _ = slot.set(actor.clone());
--- a/store/tests/disk.rs
+++ b/store/tests/disk.rs
@@ -176,3 +176,30 @@
     assert!(!files(&folder).iter().any(|(path, _)| path.to_str().unwrap().contains("version-")));
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// A disk that refused a sync is read and written once more before anything rests on it: all that it
+/// holds is there again, under names and bytes that last, and the next save works.
+#[test]
+fn a_disk_that_works_again_holds_what_it_held() {
+    let folder = folder("works-again");
+    let disk = Disk::open(&folder).unwrap();
+    disk.load(7).unwrap();
+    let old = value(1, None, 0);
+    let new = value(2, Some(&old), 1);
+    disk.save(&[version(&old), version(&new), Write::State(state(7, &new))]).unwrap();
+    // No space: a file in the place of the folder's next aside file is a folder, which cannot be written.
+    let blocked = folder.join("state.cbor.aside");
+    std::fs::create_dir(&blocked).unwrap();
+    let next = value(3, Some(&new), 0);
+    assert!(disk.save(&[version(&next), Write::State(state(7, &next))]).is_err());
+    assert!(disk.recover(9).is_err(), "it still refuses");
+    std::fs::remove_dir(&blocked).unwrap();
+    let found = disk.recover(9).unwrap();
+    assert_eq!(found.state, state(7, &new), "what was not saved was told to nobody");
+    assert_eq!(found.value.as_deref(), Some(&new));
+    assert_eq!(found.before.iter().map(|one| one.revision).collect::<Vec<u64>>(), [1]);
+    disk.save(&[version(&next), Write::State(state(7, &next))]).unwrap();
+    drop(disk);
+    assert_eq!(load(&folder).value.as_deref(), Some(&next));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -1493,3 +1493,45 @@
     let bytes = fleet.value(0).encode().len();
     assert!(bytes < 100_000, "a value of {bytes} bytes");
 }
+
+/// Incident 0014: a store whose disk refused something for a while votes again once it works, by what
+/// lasts on it; what it had not saved was told to nobody.
+#[test]
+fn a_store_votes_again_once_its_disk_works() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    assert_eq!(revision(fleet.put(0, "a")), 1);
+    fleet.events.push_back((0, Event::DiskFailed));
+    fleet.run();
+    assert_eq!(fleet.votes(), 2);
+    assert_eq!(revision(fleet.put(1, "b")), 2);
+    let found = found(&mut fleet.stores[0].disk, 7);
+    fleet.events.push_back((0, Event::DiskWorks(found)));
+    fleet.passes(Duration::from_secs(4));
+    assert_eq!(fleet.votes(), 3);
+    // It bears the next loss.
+    fleet.stores[2].is_up = false;
+    assert_eq!(revision(fleet.put(0, "c")), 3);
+}
+
+/// What waits at a store whose disk fails is told that nothing was done.
+#[test]
+fn a_disk_that_fails_leaves_nobody_waiting() {
+    let mut fleet = Fleet::of(3);
+    fleet.passes(Duration::from_secs(2));
+    let ask = |key: &str| {
+        let change =
+            Change::Setup { bytes: key.as_bytes().to_vec(), if_revision: None, version: None };
+        Ask::Change { key: key.to_string(), change, unnamed_for: None }
+    };
+    for key in ["a", "b"] {
+        fleet.tickets.push(Asker::Operator);
+        let ticket = fleet.tickets.len() as u64 - 1;
+        fleet.events.push_back((0, Event::Asked { ticket, ask: ask(key) }));
+    }
+    fleet.events.push_back((0, Event::DiskFailed));
+    fleet.run();
+    let told = &fleet.told;
+    assert_eq!(told.len(), 2, "{told:?}");
+    assert!(told.iter().all(|one| matches!(one, Outcome::NothingDone { .. })), "{told:?}");
+}
