--- a/fleet/src/sim/breaks.rs
+++ b/fleet/src/sim/breaks.rs
@@ -34,6 +34,8 @@
     WrongRevisions,
     /// A submission is taken twice: keys are forgotten.
     ForgetsKeys,
+    /// What a version says is not looked at.
+    ForgetsVersions,
     /// Daemons stay down after the last fault.
     StaysDown,
     /// A proxy that starts goes by the first word it ever saw, and does not wait for news.
--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -148,6 +148,14 @@
         matches!(self, What::Change { key, .. } if key.starts_with("invalid-"))
     }
 
+    /// The version that its setup names.
+    pub fn version(&self) -> Option<u64> {
+        match self {
+            What::Change { change: Change::Setup { version, .. }, .. } => *version,
+            _ => None,
+        }
+    }
+
     /// The evacuation that this is an order of; such a one goes without a key of its caller's.
     pub fn order(&self) -> Option<usize> {
         let What::Change { key, .. } = self else { return None };
@@ -1032,6 +1040,11 @@
                 if self.passes(index, Point::BeforeStoreAsk) {
                     return;
                 }
+                if self.has(Break::ForgetsVersions)
+                    && let Ask::Change { change: Change::Setup { version, .. }, .. } = &mut question
+                {
+                    *version = None;
+                }
                 if self.has(Break::ForgetsKeys)
                     && let Ask::Change { key, .. } = &mut question
                 {
--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -83,6 +83,28 @@
     /// Daemons of every role start anew, singly, in turn and all at once, amid a storm of setups, while a
     /// registry lags behind, one stands still, and a proxy starts where only the one that lags is heard.
     RestartsInStorm,
+    /// The five points of `docs/control.md` (`worst.rs`).
+    #[strum(serialize = "control-cut-20s")]
+    ControlCut20s,
+    OperatorsRaceLostAnswers,
+    SecondLossAfterRepair,
+    HundredsOfChangesThenRestart,
+    WrongAnswersAndResends,
+}
+
+impl Fault {
+    /// Several at one time by itself: no part of what seeds draw from all kinds.
+    pub fn is_several(self) -> bool {
+        matches!(
+            self,
+            Fault::RestartsInStorm
+                | Fault::ControlCut20s
+                | Fault::OperatorsRaceLostAnswers
+                | Fault::SecondLossAfterRepair
+                | Fault::HundredsOfChangesThenRestart
+                | Fault::WrongAnswersAndResends
+        )
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -148,6 +170,13 @@
         dies: bool,
     },
     Put,
+    /// A setup whose classes stand in another order.
+    PutTurned,
+    Read,
+    /// Two operators under one version.
+    Race,
+    /// What this operation asked for, by an operator who has no answer.
+    SendAgain(usize),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -579,11 +608,10 @@
                 Fault::None,
                 Fault::SwapAllCoreThenKillAll,
                 Fault::AllServersCold,
-                // Several at one time by itself.
-                Fault::RestartsInStorm,
                 Fault::OverlappingEvacuations,
             ]
             .contains(fault)
+                && !fault.is_several()
         })
         .collect();
     let mut chosen: Vec<Fault> = Vec::new();
@@ -649,6 +677,11 @@
     let both = if registries.len() < 5 { vec![0] } else { vec![0, 1 + sim.net.random.below(4)] };
     let beside = |one: usize| both.iter().map(move |step| (one + step) % 5).collect::<Vec<usize>>();
     match fault {
+        Fault::ControlCut20s
+        | Fault::OperatorsRaceLostAnswers
+        | Fault::SecondLossAfterRepair
+        | Fault::HundredsOfChangesThenRestart
+        | Fault::WrongAnswersAndResends => return super::worst::schedule(sim, fault, start),
         Fault::None => return start + long,
         Fault::KillProxy | Fault::KillRegistry | Fault::KillStore => {
             let from = match fault {
@@ -1216,6 +1249,10 @@
         Act::Put => {
             put(sim, None);
         }
+        Act::PutTurned => super::worst::put_turned(sim),
+        Act::Read => super::worst::read(sim),
+        Act::Race => super::worst::race(sim),
+        Act::SendAgain(operation) => super::worst::send_again(sim, operation),
     }
 }
 
--- a/fleet/src/sim/mod.rs
+++ b/fleet/src/sim/mod.rs
@@ -9,6 +9,7 @@
 pub mod net;
 pub mod reach;
 pub mod starts;
+pub mod worst;
 
 /// Does `count` pieces of work by their numbers on so many threads; days know nothing of each other.
 pub fn on_threads(threads: usize, count: usize, work: impl Fn(usize) + Sync) {
--- a/registry/src/directory.rs
+++ b/registry/src/directory.rs
@@ -325,9 +325,9 @@
     let caller = match echo {
         // The caller has a newer order: it must not get an older one from here.
         Some(echo) if echo.revision > view.word.revision => return none(NoReceipt::Behind),
-        // Cut off from all others it would hold its callers to what was so before. Another may know
-        // more, and if there is none the caller keeps what it has; who has nothing gets this.
-        Some(_) if view.is_alone => return none(NoReceipt::CutOff),
+        // Cut off from most registries it would hold its callers to what was so before. Another may
+        // know more, and if there is none the caller keeps what it has; who has nothing gets this.
+        Some(_) if view.is_alone || view.is_cut_off => return none(NoReceipt::CutOff),
         Some(echo) => echo.caller,
         None => {
             let name = |key: &str| get(key).filter(|name| vanepath_setup::read::is_name(name));
--- a/registry/src/directory/tests.rs
+++ b/registry/src/directory/tests.rs
@@ -96,6 +96,9 @@
     assert!(is_told(&cut, &echo) && is_told(&cut, "zone=a2"));
     cut.is_alone = true;
     assert!(!is_told(&cut, &echo) && is_told(&cut, "zone=a2"));
+    cut.is_alone = false;
+    cut.is_cut_off = true;
+    assert!(!is_told(&cut, &echo) && is_told(&cut, "zone=a2"));
 }
 
 #[test]
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -67,6 +67,8 @@
     pub floors: Arc<std::collections::HashMap<String, u64>>,
     /// No sibling has replied for a while: others may know more.
     pub is_alone: bool,
+    /// Most registries may know more (`News::is_cut_off`).
+    pub is_cut_off: bool,
     /// A registry that has what all proxies tell of servers (design 5.3).
     pub knows_details: bool,
     /// How the operator's documents read here.
@@ -78,6 +80,7 @@
     pub fn is_up_to_date(&self, core: &news::News, now: Duration) -> bool {
         self.is_fresh == is_fresh(core, now)
             && self.is_alone == core.is_alone(now)
+            && self.is_cut_off == core.is_cut_off(now)
             && self.floor_wanted == core.floor().wanted()
             && self.is_stuck == core.is_stuck(now)
             && self.knows_details == core.knows_details(now)
@@ -171,6 +174,7 @@
                 Arc::new(core.floors().clone())
             },
             is_alone: core.is_alone(now),
+            is_cut_off: core.is_cut_off(now),
             knows_details: core.knows_details(now),
             dialect: before.dialect,
         };
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -58,6 +58,10 @@
     /// Of its name, for vectors.
     short: u32,
     heard_at: Duration,
+    /// Since when this daemon knows of it, or since it woke.
+    known_since: Duration,
+    /// When it last replied to a pull of this daemon's.
+    replied_at: Option<Duration>,
     /// Nobody listened at its address then: it is dead until it is heard of anew (design 5.7).
     refused_at: Option<Duration>,
     /// All registries that speak to this light daemon say that it is not live.
@@ -377,6 +381,29 @@
         now.saturating_sub(self.good_at) > ALONE_AFTER
     }
 
+    /// Whether what is known here may be older than what most know: no pull came back, or, at a registry,
+    /// too few of those from other registries did. What asks from here says nothing of it, for that
+    /// comes through a cut in one direction; nor does a store beside it, which may be cut off with it.
+    /// Registries at whose addresses nobody listens are gone and do not count.
+    pub fn is_cut_off(&self, now: Duration) -> bool {
+        if self.own.role != wire::Role::Registry {
+            return self.is_alone(now);
+        }
+        let is_lately = |at: Duration| now.saturating_sub(at) <= ALONE_AFTER;
+        let others = self.sources.iter().filter(|source| {
+            let is_gone = source.refused_at.is_some_and(|at| source.heard_at <= at);
+            source.card.role == wire::Role::Registry && !is_gone
+        });
+        let (mut all, mut replied) = (1, 1);
+        for other in others {
+            all += 1;
+            // One that was heard of only now was not asked for long.
+            let is_new = is_lately(other.known_since);
+            replied += usize::from(is_new || other.replied_at.is_some_and(is_lately));
+        }
+        2 * replied <= all
+    }
+
     /// All that is live, this daemon included.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = (&wire::Card, &wire::Report)> {
         std::iter::once((&self.own, &self.report)).chain(
@@ -586,6 +613,7 @@
             // Frozen: nobody is dead for not being heard meanwhile, nothing is known as fresh.
             for source in &mut self.sources {
                 source.heard_at += gap;
+                source.known_since = now;
             }
             self.fresh_since = None;
             self.fresh_registry = false;
@@ -895,6 +923,12 @@
                 effects.push(Effect::Changed);
             }
         }
+        if good {
+            let mut teller = self.sources.iter_mut();
+            if let Some(teller) = teller.find(|source| source.card.sibling_address == address) {
+                teller.replied_at = Some(now);
+            }
+        }
         if let Some(line) = self.lines.get_mut(&address) {
             line.busy = false;
             line.next_at = if good { now } else { now + BACK_OFF };
@@ -996,6 +1030,8 @@
                 detail,
                 short,
                 heard_at,
+                known_since: now,
+                replied_at: None,
                 refused_at: None,
                 is_silent: false,
                 was_live: false,
--- a/sibling/src/news/tests.rs
+++ b/sibling/src/news/tests.rs
@@ -237,3 +237,46 @@
     tell(&mut news, now, delta(9, 0, None));
     assert_eq!(news.own_mark().life, 8);
 }
+
+/// Incident 0015: what asks from here, and a store beside it that replies, say nothing of a cut in one
+/// direction. A registry whose pulls of other registries bring nothing knows that it is cut off.
+#[test]
+fn a_registry_that_is_only_asked_knows_that_it_is_cut_off() {
+    let ms = Duration::from_millis;
+    let mut news = News::new(card("r0", wire::Role::Registry, 1), Vec::new(), 1, ms(0));
+    let others = [("r1", wire::Role::Registry, 11), ("r2", wire::Role::Registry, 12)];
+    let beside = ("s0", wire::Role::Store, 13);
+    let told = |(name, role, port): (&str, wire::Role, u16), counter: u64| wire::Delta {
+        name: name.to_string(),
+        card: Some(card(name, role, port)),
+        ..delta(9, counter, None)
+    };
+    let mut is_cut_off = Vec::new();
+    let mut asked: Vec<std::net::SocketAddr> = Vec::new();
+    for beat in 0..160_u64 {
+        let now = ms(50 * beat);
+        for other in others.iter().chain([&beside]) {
+            // They go on asking, and so say that they are there.
+            tell(&mut news, now, told(*other, beat));
+        }
+        let mut effects = Vec::new();
+        for address in std::mem::take(&mut asked) {
+            let is_beside = address.port() == beside.2;
+            let is_cut = (ms(2000)..ms(6000)).contains(&now);
+            let news_of_it = (is_beside || !is_cut).then(Box::default);
+            effects.extend(news.step(now, Event::Told { address, news: news_of_it }));
+        }
+        effects.extend(news.step(now, Event::Pulse));
+        asked.extend(effects.into_iter().filter_map(|effect| match effect {
+            Effect::Pull { address, .. } => Some(address),
+            _ => None,
+        }));
+        is_cut_off.push((now, news.is_cut_off(now)));
+    }
+    let of = |from: Duration, to: Duration| -> Vec<bool> {
+        is_cut_off.iter().filter(|(at, _)| (from..to).contains(at)).map(|one| one.1).collect()
+    };
+    assert!(of(ms(0), ms(4400)).iter().all(|cut| !cut), "not before it can know");
+    assert!(of(ms(4800), ms(6000)).iter().all(|cut| *cut), "the store beside it is no help");
+    assert!(of(ms(6500), ms(8000)).iter().all(|cut| !cut), "and it is over when they reply");
+}
