--- a/fleet/src/sim/worst.rs
+++ b/fleet/src/sim/worst.rs
@@ -208,7 +208,8 @@
     let version = named.max().unwrap_or(0) + 1 + sim.net.random.draw() % 3;
     for _ in 0..2 {
         let tag = sim.operations.len();
-        let bytes = tagged(&sim.world.setup_text.clone(), tag);
+        let text = String::from_utf8(tagged(&sim.world.setup_text.clone(), tag)).expect("text");
+        let bytes = text.replacen('{', &format!("{{\"version\": {version},"), 1).into_bytes();
         let change = Change::Setup { bytes, if_revision: None, version: Some(version) };
         let registry = registry_of(sim);
         sim.operate(Operate::Change { key: format!("raced-{tag}"), change }, registry);
