An answer without a length ends with its connection where the dialect says so

Cause: such answers were taken for cut short, so that lookups were asked again and filings ended with 502. The product's own dialect stays as it was: there the end of a killed server looks the same.

--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -862,7 +862,8 @@
         self.hear_demand(&head.headers);
         self.prove(&head, &told.headers)?;
         let is_bodiless = told.method == hyper::Method::HEAD;
-        if !is_bodiless && !crate::pool::is_framed(&head) {
+        let may_close = self.proxy.daemon.settings.dialect.headers().close_ends_answer;
+        if !is_bodiless && !may_close && !crate::pool::is_framed(&head) {
             self.proxy.tally.one(Counter::ReceiptsTruncated);
             return Err(Miss::Truncated);
         }
--- a/setup/src/dialect.rs
+++ b/setup/src/dialect.rs
@@ -25,6 +25,9 @@
     pub cold_left: Option<&'static str>,
     /// The verdict, told to clients.
     pub verdict: Option<&'static str>,
+    /// An answer without a length may end with its connection, and one that was cut short ends with a
+    /// reset. Otherwise an answer whose end cannot be told is not passed on.
+    pub close_ends_answer: bool,
 }
 
 /// One page of a platform list.
@@ -80,6 +83,7 @@
     load: crate::load::HEADER,
     cold_left: None,
     verdict: Some(crate::fate::HEADER),
+    close_ends_answer: false,
 };
 
 impl Dialect for Own {
