--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -42,7 +42,7 @@
 }
 
 /// How one go ended without a receipt that can be passed on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Miss {
     /// No connection, or not to the server that was meant.
--- a/proxy/src/chart/tests.rs
+++ b/proxy/src/chart/tests.rs
@@ -1,4 +1,5 @@
 use super::{Chart, Miss, Next, Refusal};
+use strum::IntoEnumIterator;
 use vanepath_setup::model::Kind;
 
 /// Those whom a crowd sent away come back apart from each other, and with most of their time left.
@@ -30,11 +31,9 @@
 /// Every kind and every pair of misses: what follows, and what the caller is told.
 #[test]
 fn what_follows_from_each_miss() {
-    let misses =
-        [Miss::NotConnected, Miss::NotSent, Miss::LostAfterSend, Miss::Silent, Miss::Truncated];
     let mut shown = String::new();
     for kind in [Kind::Repeatable, Kind::Once] {
-        for first in misses {
+        for first in Miss::iter() {
             for budget in [true, false] {
                 let mut chart = Chart { kind, is_replayable: true, goes: 1, ..Chart::new() };
                 let next = chart.missed(first, false, || budget);
@@ -60,8 +59,12 @@
         repeatable not-connected   budget false  no-budget 503, not-run
         repeatable not-sent        budget true   goes again, not-run
         repeatable not-sent        budget false  no-budget 503, not-run
+        repeatable turned-away     budget true   goes again, not-run
+        repeatable turned-away     budget false  no-budget 503, not-run
         repeatable lost-after-send budget true   goes again, may-have-run
         repeatable lost-after-send budget false  lost 502, may-have-run
+        repeatable misanswered     budget true   goes again, may-have-run
+        repeatable misanswered     budget false  lost 502, may-have-run
         repeatable silent          budget true   goes again, may-have-run
         repeatable silent          budget false  late 504, may-have-run
         repeatable truncated       budget true   goes again, may-have-run
@@ -70,8 +73,12 @@
         once       not-connected   budget false  no-budget 503, not-run
         once       not-sent        budget true   goes again, not-run
         once       not-sent        budget false  no-budget 503, not-run
+        once       turned-away     budget true   goes again, not-run
+        once       turned-away     budget false  no-budget 503, not-run
         once       lost-after-send budget true   lost 502, may-have-run
         once       lost-after-send budget false  lost 502, may-have-run
+        once       misanswered     budget true   lost 502, may-have-run
+        once       misanswered     budget false  lost 502, may-have-run
         once       silent          budget true   late 504, may-have-run
         once       silent          budget false  late 504, may-have-run
         once       truncated       budget true   lost 502, may-have-run
@@ -79,3 +86,49 @@
     "#]]
     .assert_eq(&shown);
 }
+
+/// Every sequence of up to four misses, for each kind of request, whole or streamed, within its time or
+/// late, with a budget or without. A filing is never sent again once any byte of it may have reached a
+/// server; a promise that it did not run is made only where that is so; a streamed body is not told twice.
+#[test]
+fn no_sequence_of_misses_sends_a_filing_twice_or_promises_wrongly() {
+    let misses: Vec<Miss> = Miss::iter().collect();
+    let count = misses.len().pow(4);
+    let mut ended = 0;
+    for number in 0..count {
+        for options in 0..16 {
+            let is = |bit: u32| options & (1 << bit) != 0;
+            let kind = if is(0) { Kind::Once } else { Kind::Repeatable };
+            let mut chart = Chart { kind, is_replayable: is(1), goes: 0, ..Chart::new() };
+            let mut has_touched = false;
+            let mut rest = number;
+            for turn in 0..4 {
+                let miss = misses[rest % misses.len()];
+                rest /= misses.len();
+                chart.goes += 1;
+                let is_sent = miss != Miss::NotConnected;
+                chart.sends += u32::from(is_sent);
+                let is_untouched =
+                    matches!(miss, Miss::NotConnected | Miss::NotSent | Miss::TurnedAway);
+                has_touched |= !is_untouched;
+                let is_late = is(2) && turn == 2;
+                let next = chart.missed(miss, is_late, || !is(3) || turn < 1);
+                let status = |refusal: Refusal| refusal.status(chart.verdict()).as_u16();
+                match next {
+                    Next::Again => {
+                        assert!(kind == Kind::Repeatable || !has_touched, "{miss} sent again");
+                        assert!(chart.is_replayable || is_untouched, "{miss} told twice");
+                        assert!(!is_late);
+                    }
+                    Next::End(refusal) => {
+                        let is_promise = [408, 421, 429, 503].contains(&status(refusal));
+                        assert_eq!(is_promise, !has_touched, "{kind} {miss}: {refusal}");
+                        ended += 1;
+                        break;
+                    }
+                }
+            }
+        }
+    }
+    assert!(ended > count, "most sequences end");
+}
