--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -337,6 +337,7 @@
 /// For status: what this copy holds and whether it votes.
 #[derive(Clone, Debug)]
 pub struct Summary {
+    pub name: String,
     pub seat: Option<usize>,
     pub incarnation: u64,
     pub founds: bool,
@@ -440,6 +441,7 @@
             "it holds its seat"
         };
         Summary {
+            name: self.identity.name.clone(),
             seat: self.own_seat(),
             incarnation: self.state.incarnation,
             founds: self.identity.founders > 0,
--- /dev/null
+++ b/store/tests/growth.rs
@@ -0,0 +1,240 @@
+//! What a store keeps does not grow with the number of changes: versions, bytes on the disk, the size of a
+//! value, and the bytes by which a member that was away for all of them is brought up to date. Printed with
+//! `--nocapture`; ten thousand changes with `VANEPATH_CHANGES=10000`.
+
+use std::time::{Duration, Instant};
+use vanepath_store::disk::Disk;
+use vanepath_store::register::{Claim, Effect, Event, Identity, Register};
+use vanepath_store::talk::{Ask, Change, Outcome, Tell};
+
+/// A store on a real folder.
+struct Store {
+    core: Register,
+    disk: Disk,
+    folder: std::path::PathBuf,
+}
+
+fn folder(name: &str) -> std::path::PathBuf {
+    let folder =
+        std::env::temp_dir().join(format!("vanepath-growth-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+fn start(name: &str, folder: &std::path::Path, random: u64, now: Duration) -> Store {
+    let disk = Disk::open(folder).unwrap();
+    let found = disk.load(random).unwrap();
+    let identity = Identity { name: name.to_string(), founders: 3 };
+    let core = Register::new(identity, found, now);
+    Store { core, disk, folder: folder.to_path_buf() }
+}
+
+/// Three stores, of which any may be away, and what they say to each other.
+struct Fleet {
+    stores: Vec<Option<Store>>,
+    now: Duration,
+    tickets: Vec<Option<(usize, u64)>>,
+    events: std::collections::VecDeque<(usize, Event)>,
+    outcomes: Vec<Outcome>,
+    /// Bytes that were said to the third store.
+    told_third: usize,
+}
+
+impl Fleet {
+    fn send(&mut self, to: usize, event: Event) {
+        self.events.push_back((to, event));
+    }
+
+    fn run(&mut self) {
+        while let Some((to, event)) = self.events.pop_front() {
+            let Some(store) = &mut self.stores[to] else {
+                if let Event::Asked { ticket, .. } = event {
+                    self.answer(ticket, None);
+                }
+                continue;
+            };
+            for effect in store.core.step(self.now, event) {
+                self.perform(to, effect);
+            }
+        }
+    }
+
+    fn perform(&mut self, who: usize, effect: Effect) {
+        match effect {
+            Effect::Save(writes) => {
+                self.stores[who].as_ref().unwrap().disk.save(&writes).unwrap();
+            }
+            Effect::Call { call, incarnation, ask } => {
+                self.tickets.push(Some((who, call)));
+                let ticket = self.tickets.len() as u64 - 1;
+                let is_it = |store: &Option<Store>| {
+                    store.as_ref().is_some_and(|one| one.core.summary().incarnation == incarnation)
+                };
+                match self.stores.iter().position(is_it) {
+                    Some(to) => {
+                        self.count(to, vanepath_sibling::wire::encode(&ask).len());
+                        self.send(to, Event::Asked { ticket, ask });
+                    }
+                    None => self.answer(ticket, None),
+                }
+            }
+            Effect::Answer { ticket, tell } => self.answer(ticket, Some(tell)),
+            Effect::AnswerFromFile { ticket, versions, as_outcome } => {
+                let disk = &self.stores[who].as_ref().unwrap().disk;
+                let load = |at: &vanepath_store::register::At| disk.version(at.0, &at.1);
+                let (tell, _) = vanepath_store::register::from_files(&versions, as_outcome, load);
+                self.answer(ticket, Some(tell));
+            }
+            Effect::Reset => panic!("nobody loses a seat here"),
+            Effect::Chosen(_) | Effect::Noted(_) => {}
+        }
+    }
+
+    fn count(&mut self, to: usize, bytes: usize) {
+        if to == 2 {
+            self.told_third += bytes;
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, tell: Option<Tell>) {
+        match self.tickets[ticket as usize] {
+            Some((to, call)) => {
+                let bytes =
+                    tell.as_ref().map_or(0, |tell| vanepath_sibling::wire::encode(tell).len());
+                self.count(to, bytes);
+                self.send(to, Event::Told { call, tell });
+            }
+            None => {
+                if let Some(Tell::Outcome(outcome)) = tell {
+                    self.outcomes.push(outcome);
+                }
+            }
+        }
+    }
+
+    fn passes(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += Duration::from_millis(50);
+            let live: Vec<Claim> = self.stores.iter().flatten().map(claim_of).collect();
+            for index in 0..self.stores.len() {
+                if self.stores[index].is_some() {
+                    self.send(index, Event::Live(live.clone()));
+                    self.send(index, Event::Pulse);
+                }
+            }
+            self.run();
+        }
+    }
+
+    fn change(&mut self, number: u64) {
+        self.tickets.push(None);
+        let ticket = self.tickets.len() as u64 - 1;
+        let bytes =
+            format!("{{\"setup\": {number}, \"text\": \"{}\"}}", "x".repeat(4000)).into_bytes();
+        let change = Change::Setup { bytes, if_revision: None, version: Some(number) };
+        let unnamed_for = Some(Duration::ZERO);
+        let ask = Ask::Change { key: format!("made-{number:016}"), change, unnamed_for };
+        self.send(0, Event::Asked { ticket, ask });
+        self.run();
+    }
+}
+
+fn claim_of(store: &Store) -> Claim {
+    let summary = store.core.summary();
+    let (incarnation, blank) = (summary.incarnation, summary.blank);
+    let (name, founds) = (summary.name.clone(), blank && summary.founds);
+    Claim { name, incarnation, blank, founds }
+}
+
+fn bytes_in(folder: &std::path::Path) -> u64 {
+    let files = std::fs::read_dir(folder).unwrap();
+    files.map(|entry| entry.unwrap().metadata().unwrap().len()).sum()
+}
+
+/// What was measured after so many changes.
+#[derive(Debug)]
+struct Measured {
+    changes: u64,
+    versions: usize,
+    disk_bytes: u64,
+    start: Duration,
+    caught_up_bytes: usize,
+    caught_up_after: Duration,
+}
+
+fn measure(changes: u64) -> Measured {
+    let folders: Vec<_> = (0..3).map(|index| folder(&format!("{changes}-{index}"))).collect();
+    let now = Duration::from_secs(1);
+    let stores = (0..3)
+        .map(|index| Some(start(&format!("s{index}"), &folders[index], 100 + index as u64, now)));
+    let mut fleet = Fleet {
+        stores: stores.collect(),
+        now,
+        tickets: Vec::new(),
+        events: Default::default(),
+        outcomes: Vec::new(),
+        told_third: 0,
+    };
+    fleet.passes(Duration::from_secs(2));
+    fleet.change(1);
+    // Away for all the others.
+    fleet.stores[2] = None;
+    for number in 2..=changes {
+        fleet.change(number);
+    }
+    assert_eq!(fleet.outcomes.len() as u64, changes);
+    assert!(fleet.outcomes.iter().all(|one| matches!(one, Outcome::Accepted { .. })));
+    let third = start("s2", &folders[2], 7, fleet.now);
+    fleet.stores[2] = Some(third);
+    fleet.told_third = 0;
+    let back_at = fleet.now;
+    let wanted = fleet.stores[0].as_ref().unwrap().core.summary().accepted;
+    while fleet.stores[2].as_ref().unwrap().core.summary().accepted < wanted {
+        fleet.passes(Duration::from_millis(50));
+        assert!(fleet.now - back_at < Duration::from_secs(10), "it never catches up");
+    }
+    let (caught_up_bytes, caught_up_after) = (fleet.told_third, fleet.now - back_at);
+    let first = fleet.stores[0].take().unwrap();
+    let versions = first.core.summary().versions;
+    let disk_bytes = bytes_in(&first.folder);
+    drop(first);
+    let began = Instant::now();
+    let again = start("s0", &folders[0], 9, fleet.now);
+    let start = began.elapsed();
+    assert_eq!(again.core.summary().accepted, wanted, "what was acknowledged is there");
+    drop(again);
+    drop(fleet);
+    for folder in folders {
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+    Measured { changes, versions, disk_bytes, start, caught_up_bytes, caught_up_after }
+}
+
+#[test]
+fn what_a_store_keeps_is_bounded_however_many_changes_there_were() {
+    let most = std::env::var("VANEPATH_CHANGES").ok().and_then(|text| text.parse().ok());
+    let most: u64 = most.unwrap_or(1500);
+    let mut steps = vec![10, 100, 1000, 10_000];
+    steps.retain(|one| *one < most);
+    steps.push(most);
+    for changes in steps {
+        let measured = measure(changes);
+        println!(
+            "{} changes: {} versions, {} bytes on the disk, started within {:?}; a member that was away \
+             caught up with {} bytes after {:?}",
+            measured.changes,
+            measured.versions,
+            measured.disk_bytes,
+            measured.start,
+            measured.caught_up_bytes,
+            measured.caught_up_after,
+        );
+        // The chain that stays readable, and what is not pruned yet.
+        assert!(measured.versions <= 1024 + 64 + 1, "{measured:?}");
+        assert!(measured.disk_bytes < 66 << 20, "{measured:?}");
+        // One value says all that it needs to go on; older versions come in the background.
+        assert!(measured.caught_up_after <= Duration::from_secs(4), "{measured:?}");
+        assert!(measured.caught_up_bytes < 4 << 20, "{measured:?}");
+    }
+}
