--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -181,7 +181,7 @@
     /// A server's phase changed: registries hear of it soon.
     moved: bool,
     paces: vanepath_proxy::servers::Paces,
-    takings: vanepath_proxy::takings::Takings,
+    request_counts: vanepath_proxy::request_counts::RequestCounts,
 }
 
 const CALL_LIMIT: Duration = Duration::from_secs(20);
@@ -713,7 +713,7 @@
         if proxy.revision.is_none_or(|old| old.0 != revision.0) {
             proxy.classes.adopt(&view.setup);
             woken = proxy.classes.wake();
-            proxy.takings.adopt(view.setup.services.iter().map(|one| one.name.as_str()));
+            proxy.request_counts.adopt(view.setup.services.iter().map(|one| one.name.as_str()));
         }
         proxy.revision = Some(revision);
         let cold = |server: &vanepath_setup::platform::Server, services: &[usize]| {
@@ -772,7 +772,7 @@
                 sights: proxy.servers.sights(now),
                 in_hand: counts.iter().map(|one| one.2 as u32).collect(),
                 waiting: counts.iter().map(|one| one.3 as u32).collect(),
-                taken: proxy.takings.tell(now),
+                taken: proxy.request_counts.tell(now),
             });
         }
         for entry in pulsed.probes {
@@ -970,7 +970,7 @@
         if self.breaks == Some(Break::RefusesFilings) && is_spoilt {
             return self.end_way(index, way, Err(Refusal::NoServer));
         }
-        proxy.takings.took(facts.service);
+        proxy.request_counts.took(facts.service);
         proxy.budget.took(now);
         self.world.took.push(self.net.now);
         own.chart.state = State::Queued;
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -85,7 +85,7 @@
     /// A server's phase changed: registries hear of it soon.
     pub is_news: AtomicBool,
     pub live_proxies: std::sync::atomic::AtomicUsize,
-    pub takings: std::sync::Mutex<crate::takings::Takings>,
+    pub request_counts: std::sync::Mutex<crate::request_counts::RequestCounts>,
     longest: std::sync::Mutex<crate::longest::Longest>,
     /// For large answers, where the link is narrow.
     gate: Option<std::sync::Mutex<crate::gate::Gate>>,
@@ -113,7 +113,7 @@
             is_leaving: AtomicBool::new(false),
             is_news: AtomicBool::new(false),
             live_proxies: std::sync::atomic::AtomicUsize::new(1),
-            takings: Default::default(),
+            request_counts: Default::default(),
             longest: Default::default(),
             gate: gate(),
             gate_in: gate(),
@@ -355,7 +355,11 @@
     let class = table.setup.classes[table.setup.rules[rule].class].clone();
     chart.state = State::Matched;
     chart.kind = class.kind;
-    proxy.takings.lock().expect("no panic under this lock").took(table.setup.rules[rule].service);
+    proxy
+        .request_counts
+        .lock()
+        .expect("no panic under this lock")
+        .took(table.setup.rules[rule].service);
     let limit = table.setup.rules[rule].deadline.unwrap_or(class.deadline);
     chart.sends_most = table.setup.rules[rule].attempts_most;
     let own_limit = head
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod longest;
 pub mod paced;
 pub mod pool;
+pub mod request_counts;
 pub mod servers;
 pub mod shell;
-pub mod takings;
 pub mod usual;
--- a/proxy/src/takings.rs
+++ b/proxy/src/request_counts.rs
@@ -6,28 +6,29 @@
 const SPAN_S: f64 = 4.0;
 
 #[derive(Debug, Default)]
-pub struct Takings {
+pub struct RequestCounts {
     /// By service, as the setup has them.
-    services: Vec<Taking>,
+    services: Vec<ServiceCount>,
     told_at: Option<Duration>,
 }
 
 #[derive(Clone, Debug, Default)]
-struct Taking {
+struct ServiceCount {
     name: String,
     count: u32,
     /// A second.
     rate: f64,
 }
 
-impl Takings {
+impl RequestCounts {
     /// Another setup: services of the same name go on with what they have.
     pub fn adopt<'n>(&mut self, names: impl Iterator<Item = &'n str>) {
         let before = std::mem::take(&mut self.services);
         let known = |name: &str| before.iter().find(|one| one.name == name).cloned();
         self.services = names
             .map(|name| {
-                known(name).unwrap_or(Taking { name: name.to_string(), ..Taking::default() })
+                known(name)
+                    .unwrap_or(ServiceCount { name: name.to_string(), ..ServiceCount::default() })
             })
             .collect();
     }
@@ -48,7 +49,7 @@
                 one.rate += part * (f64::from(std::mem::take(&mut one.count)) / span - one.rate);
             }
         }
-        let told = |one: &Taking| (one.name.clone(), (one.rate * 1000.0).round() as u32);
+        let told = |one: &ServiceCount| (one.name.clone(), (one.rate * 1000.0).round() as u32);
         self.services.iter().map(told).collect()
     }
 }
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -226,8 +226,9 @@
             let woken = classes.wake();
             drop(classes);
             self.proxy.wake(woken);
-            let mut takings = self.proxy.takings.lock().expect("no panic under this lock");
-            takings.adopt(view.setup.services.iter().map(|one| one.name.as_str()));
+            let mut request_counts =
+                self.proxy.request_counts.lock().expect("no panic under this lock");
+            request_counts.adopt(view.setup.services.iter().map(|one| one.name.as_str()));
         }
         self.revision = revision;
         self.paces.renew();
@@ -302,7 +303,7 @@
             sights,
             in_hand: counts.iter().map(|one| one.2 as u32).collect(),
             waiting: counts.iter().map(|one| one.3 as u32).collect(),
-            taken: proxy.takings.lock().expect("no panic under this lock").tell(now),
+            taken: proxy.request_counts.lock().expect("no panic under this lock").tell(now),
         };
         let _ = proxy.daemon.news.send(daemon::Tell(news::Event::Detail(detail))).await;
     }
