--- a/sibling/src/lib.rs
+++ b/sibling/src/lib.rs
@@ -2,8 +2,8 @@
 
 pub mod daemon;
 pub mod floor;
-pub mod kin;
 pub mod link;
 pub mod news;
+pub mod peer_selection;
 pub mod tally;
 pub mod wire;
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -538,8 +538,9 @@
             .map(|(card, report)| (report.disk.and_then(|one| one.seat), card))
             .collect();
         stores.sort_unstable_by_key(|(seat, card)| (*seat, card.sibling_address));
-        let others: Vec<crate::kin::Known<'_>> = stores.iter().map(|one| known(one.1)).collect();
-        let nearest = crate::kin::nearest_store(&known(&self.own), &others);
+        let others: Vec<crate::peer_selection::Known<'_>> =
+            stores.iter().map(|one| known(one.1)).collect();
+        let nearest = crate::peer_selection::nearest_store(&known(&self.own), &others);
         let nearest = nearest.map(|index| stores[index].1.sibling_address);
         let stores: Vec<std::net::SocketAddr> =
             stores.iter().map(|one| one.1.sibling_address).collect();
@@ -684,10 +685,10 @@
         &self,
         now: Duration,
         live: &[&Source],
-        others: &[crate::kin::Known<'_>],
+        others: &[crate::peer_selection::Known<'_>],
     ) -> Option<Vec<std::net::SocketAddr>> {
         let is_whole = |index: usize| live[index].report.whole;
-        let ranked = crate::kin::registries(&known(&self.own), others, is_whole);
+        let ranked = crate::peer_selection::registries(&known(&self.own), others, is_whole);
         if ranked.is_empty() {
             return None;
         }
@@ -697,7 +698,7 @@
             apart.map(|index| live[*index].card.sibling_address).collect();
         if self.own.role == wire::Role::Registry {
             wanted.extend(ranked.iter().map(|index| live[*index].card.sibling_address));
-            let store = crate::kin::nearest_store(&known(&self.own), others);
+            let store = crate::peer_selection::nearest_store(&known(&self.own), others);
             wanted.extend(store.map(|index| live[index].card.sibling_address));
             return Some(wanted);
         }
@@ -728,13 +729,13 @@
             .iter()
             .filter(|one| one.is_live(now, self.own.role, self.judged_at))
             .collect();
-        let others: Vec<crate::kin::Known<'_>> =
+        let others: Vec<crate::peer_selection::Known<'_>> =
             live.iter().map(|source| known(&source.card)).collect();
         let by_registries = self.registry_lines(now, &live, &others);
         let is_served = by_registries.is_some();
         let mut wanted: std::collections::BTreeSet<std::net::SocketAddr> = match by_registries {
             Some(addresses) => addresses.into_iter().collect(),
-            None => crate::kin::siblings(&known(&self.own), &others)
+            None => crate::peer_selection::siblings(&known(&self.own), &others)
                 .into_iter()
                 .map(|index| live[index].card.sibling_address)
                 .collect(),
@@ -1280,8 +1281,13 @@
     if parts.is_empty() { 0 } else { vanepath_setup::stable_hash(&parts) }
 }
 
-fn known(card: &wire::Card) -> crate::kin::Known<'_> {
-    crate::kin::Known { name: &card.name, role: card.role, region: &card.region, zone: &card.zone }
+fn known(card: &wire::Card) -> crate::peer_selection::Known<'_> {
+    crate::peer_selection::Known {
+        name: &card.name,
+        role: card.role,
+        region: &card.region,
+        zone: &card.zone,
+    }
 }
 
 #[cfg(test)]
