--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -1,12 +1,12 @@
 //! Daemons in the simulator: news for all, the register of a store with its disk, a registry's
-//! errands and duty. Thin shells again, like those of the programs.
+//! store calls and duty. Thin shells again, like those of the programs.
 
 use super::breaks::{Break, Point, Visit};
 use super::net::{Body, CallId, Delays, Event, HostId, Net, Purpose, Timer};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
-use vanepath_registry::errand::{Errand, Step};
+use vanepath_registry::store_call::{Step, StoreCall};
 use vanepath_sibling::daemon::View;
 use vanepath_sibling::{news, wire};
 use vanepath_store::register::{self, Register};
@@ -90,8 +90,8 @@
 
 #[derive(Default)]
 pub struct Registry {
-    errands: HashMap<usize, (Errand, CallId)>,
-    next_errand: usize,
+    store_calls: HashMap<usize, (StoreCall, CallId)>,
+    next_store_call: usize,
     pub ready: bool,
     step_at: Duration,
     tenure: vanepath_registry::duty::Tenure,
@@ -478,9 +478,9 @@
 
     fn timer(&mut self, host: HostId, what: Timer) {
         match what {
-            Timer::Errand(errand) => {
+            Timer::StoreCall(store_call) => {
                 if let Some(index) = self.by_host.get(&host).copied() {
-                    self.step_errand(index, errand);
+                    self.step_store_call(index, store_call);
                 }
             }
             Timer::NextOperation => super::day::operate(self),
@@ -513,7 +513,7 @@
                 let event = register::Event::Asked { ticket: call, ask };
                 self.store_event(index, event);
             }
-            Body::Operate(operation) => self.start_errand(index, operation, call),
+            Body::Operate(operation) => self.start_store_call(index, operation, call),
             Body::Steer(query) => self.steer(index, &query, call),
             Body::Carry(request) => self.start_way(index, request, call),
             _ => {}
@@ -552,12 +552,12 @@
                 };
                 self.step_news(index, news::Event::Floor { address, revision });
             }
-            (Purpose::Errand { errand }, Some(index)) => {
+            (Purpose::StoreCall { store_call }, Some(index)) => {
                 let tell = match body {
                     Some(Body::Tell(tell)) => Some(tell),
                     _ => None,
                 };
-                self.errand_told(index, errand, tell);
+                self.store_call_told(index, store_call, tell);
             }
             (Purpose::Platform, Some(index)) => {
                 let list = match body {
@@ -979,7 +979,7 @@
         }
     }
 
-    fn start_errand(&mut self, index: usize, operation: usize, call: CallId) {
+    fn start_store_call(&mut self, index: usize, operation: usize, call: CallId) {
         if let What::Change { change: Change::Setup { bytes, version, .. }, .. } =
             &mut self.operations[operation].what
         {
@@ -1021,22 +1021,22 @@
         }
         let now = self.net.local(self.daemons[index].host);
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
-        registry.next_errand += 1;
-        let errand = registry.next_errand;
-        registry.errands.insert(errand, (Errand::new(question, now), call));
-        self.step_errand(index, errand);
+        registry.next_store_call += 1;
+        let store_call = registry.next_store_call;
+        registry.store_calls.insert(store_call, (StoreCall::new(question, now), call));
+        self.step_store_call(index, store_call);
     }
 
-    fn step_errand(&mut self, index: usize, number: usize) {
+    fn step_store_call(&mut self, index: usize, number: usize) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
-        let stores = vanepath_registry::errand::stores(&self.daemons[index].view);
+        let stores = vanepath_registry::store_call::stores(&self.daemons[index].view);
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
-        let Some((errand, call)) = registry.errands.get_mut(&number) else { return };
-        match errand.next(now, stores) {
+        let Some((store_call, call)) = registry.store_calls.get_mut(&number) else { return };
+        match store_call.next(now, stores) {
             Step::Ask(card) => {
                 let target = Net::host_at(card.sibling_address);
-                let mut question = errand.question(now);
+                let mut question = store_call.question(now);
                 if self.passes(index, Point::BeforeStoreAsk) {
                     return;
                 }
@@ -1051,42 +1051,42 @@
                     *key = format!("{key}-{}", self.net.random.draw());
                 }
                 let body = Body::Ask(question);
-                let limit = vanepath_registry::errand::TRY_LIMIT;
-                self.net.ask(host, target, limit, body, Purpose::Errand { errand: number });
+                let limit = vanepath_registry::store_call::TRY_LIMIT;
+                self.net.ask(host, target, limit, body, Purpose::StoreCall { store_call: number });
                 self.passes(index, Point::AfterStoreAsk);
             }
-            Step::Pause(pause) => self.net.timer(host, pause, Timer::Errand(number)),
+            Step::Pause(pause) => self.net.timer(host, pause, Timer::StoreCall(number)),
             Step::End(outcome) => {
                 let call = *call;
-                registry.errands.remove(&number);
+                registry.store_calls.remove(&number);
                 self.net.reply(call, Body::Operated(outcome));
             }
         }
     }
 
-    fn errand_told(&mut self, index: usize, number: usize, tell: Option<Tell>) {
+    fn store_call_told(&mut self, index: usize, number: usize, tell: Option<Tell>) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
-        let Some((errand, call)) = registry.errands.get_mut(&number) else { return };
-        match errand.told(tell) {
+        let Some((store_call, call)) = registry.store_calls.get_mut(&number) else { return };
+        match store_call.told(tell) {
             Some(outcome) => {
                 let call = *call;
-                let answered = errand.answered(now, &outcome);
-                registry.errands.remove(&number);
+                let answered = store_call.answered(now, &outcome);
+                registry.store_calls.remove(&number);
                 if self.passes(index, Point::BeforeReceipt) {
                     return;
                 }
                 self.net.reply(call, Body::Operated(outcome));
                 let Some(answered) = answered else { return };
-                for card in vanepath_registry::errand::stores(&self.daemons[index].view) {
+                for card in vanepath_registry::store_call::stores(&self.daemons[index].view) {
                     let target = Net::host_at(card.sibling_address);
-                    let limit = vanepath_registry::errand::TRY_LIMIT;
+                    let limit = vanepath_registry::store_call::TRY_LIMIT;
                     let body = Body::Ask(answered.clone());
                     self.net.ask(host, target, limit, body, Purpose::None);
                 }
             }
-            None => self.step_errand(index, number),
+            None => self.step_store_call(index, number),
         }
     }
 
--- a/fleet/src/sim/net.rs
+++ b/fleet/src/sim/net.rs
@@ -84,8 +84,8 @@
     Floor {
         address: std::net::SocketAddr,
     },
-    Errand {
-        errand: usize,
+    StoreCall {
+        store_call: usize,
     },
     Platform,
     Operate {
@@ -153,7 +153,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timer {
-    Errand(usize),
+    StoreCall(usize),
     Poll(usize),
     NextRequest(usize),
     /// A request was written to a connection that its machine had forgotten.
--- a/registry/src/api.rs
+++ b/registry/src/api.rs
@@ -1,8 +1,8 @@
 //! The operator's and the callers' interface: HTTP with JSON (design 7.5).
 
 use crate::directory::Caller;
-use crate::errand::{Errand, Step};
 use crate::shell::{Counter, Registry};
+use crate::store_call::{Step, StoreCall};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::header::{self, HeaderValue};
@@ -114,29 +114,29 @@
 
 // ---- the operator's word ---------------------------------------------------------------------
 
-/// Runs an errand at the stores to its end.
+/// Runs a call at the stores to its end.
 async fn run(registry: &Registry, question: Ask) -> Outcome {
     let now = || registry.daemon.clock.now();
-    let mut errand = Errand::new(question, now());
+    let mut store_call = StoreCall::new(question, now());
     loop {
-        let stores = crate::errand::stores(&registry.daemon.table.load());
-        match errand.next(now(), stores) {
+        let stores = crate::store_call::stores(&registry.daemon.table.load());
+        match store_call.next(now(), stores) {
             Step::Pause(pause) => tokio::time::sleep(pause).await,
             Step::End(outcome) => return outcome,
             Step::Ask(card) => {
                 registry.tally.one(Counter::StoreTries);
-                let question = errand.question(now());
+                let question = store_call.question(now());
                 let request = wire::Request::Store(wire::encode(&question).into());
                 let other_zone = card.zone != registry.daemon.settings.zone;
                 let links = &registry.daemon.links;
-                let limit = crate::errand::TRY_LIMIT;
+                let limit = crate::store_call::TRY_LIMIT;
                 let tell = match links.call(card.sibling_address, &request, limit, other_zone).await
                 {
                     Ok(wire::Reply::Store(bytes)) => wire::decode(&bytes),
                     _ => None,
                 };
-                if let Some(outcome) = errand.told(tell) {
-                    if let Some(answered) = errand.answered(now(), &outcome) {
+                if let Some(outcome) = store_call.told(tell) {
+                    if let Some(answered) = store_call.answered(now(), &outcome) {
                         tell_stores(registry, &answered);
                     }
                     return outcome;
@@ -149,11 +149,11 @@
 /// Tells all stores something that needs no reply.
 fn tell_stores(registry: &Registry, told: &Ask) {
     let request = wire::Request::Store(wire::encode(told).into());
-    for card in crate::errand::stores(&registry.daemon.table.load()) {
+    for card in crate::store_call::stores(&registry.daemon.table.load()) {
         let (links, request) = (registry.daemon.links.clone(), request.clone());
         let other_zone = card.zone != registry.daemon.settings.zone;
         tokio::spawn(async move {
-            let limit = crate::errand::TRY_LIMIT;
+            let limit = crate::store_call::TRY_LIMIT;
             let _ = links.call(card.sibling_address, &request, limit, other_zone).await;
         });
     }
--- a/registry/src/lib.rs
+++ b/registry/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod api;
 pub mod directory;
 pub mod duty;
-pub mod errand;
 pub mod platform;
 pub mod shares;
 pub mod shell;
+pub mod store_call;
--- a/registry/src/errand.rs
+++ b/registry/src/store_call.rs
@@ -1,4 +1,4 @@
-//! An errand at the stores: one question asked of one store after the other until one can tell
+//! A call at the stores: one question asked of one store after the other until one can tell
 //! (design 7.5). Pure; for writes it keeps in mind whether an earlier try may have got through.
 
 use std::time::Duration;
@@ -20,12 +20,12 @@
     End(Outcome),
 }
 
-pub struct Errand {
+pub struct StoreCall {
     question: Ask,
     begun_at: Duration,
     until: Duration,
     round: Vec<wire::Card>,
-    /// Stores that were silent when this errand asked them: asked again only after all others.
+    /// Stores that were silent when this call asked them: asked again only after all others.
     silent: Vec<String>,
     asked: String,
     started: bool,
@@ -33,9 +33,9 @@
     why: String,
 }
 
-impl Errand {
-    pub fn new(question: Ask, now: Duration) -> Errand {
-        Errand {
+impl StoreCall {
+    pub fn new(question: Ask, now: Duration) -> StoreCall {
+        StoreCall {
             question,
             begun_at: now,
             until: now + LIMIT,
--- a/registry/src/errand/tests.rs
+++ b/registry/src/store_call/tests.rs
@@ -1,4 +1,4 @@
-use super::{Errand, LIMIT, Step, TRY_LIMIT};
+use super::{LIMIT, Step, StoreCall, TRY_LIMIT};
 use std::time::Duration;
 use vanepath_sibling::wire;
 use vanepath_store::talk::{Ask, Change, Outcome, Tell};
@@ -25,14 +25,14 @@
         Ask::Change { key: "k".to_string(), change, unnamed_for }
     };
     let outcome = Outcome::Accepted { revision: 3, setup_revision: 2, repeat: false };
-    let errand = Errand::new(ask(Some(ms(40))), ms(5000));
-    let Ask::Change { unnamed_for, .. } = errand.question(ms(5100)) else { panic!("a change") };
+    let store_call = StoreCall::new(ask(Some(ms(40))), ms(5000));
+    let Ask::Change { unnamed_for, .. } = store_call.question(ms(5100)) else { panic!("a change") };
     assert_eq!(unnamed_for, Some(ms(140)));
-    let told = errand.answered(ms(5300), &outcome);
+    let told = store_call.answered(ms(5300), &outcome);
     assert!(matches!(told, Some(Ask::Answered { revision: 3, .. })), "{told:?}");
-    assert!(errand.answered(ms(5800), &outcome).is_none());
-    assert!(errand.answered(ms(5300), &Outcome::Unknown).is_none());
-    assert!(Errand::new(ask(None), ms(0)).answered(ms(100), &outcome).is_none());
+    assert!(store_call.answered(ms(5800), &outcome).is_none());
+    assert!(store_call.answered(ms(5300), &Outcome::Unknown).is_none());
+    assert!(StoreCall::new(ask(None), ms(0)).answered(ms(100), &outcome).is_none());
 }
 
 /// Core machines that are replaced one after the other: the first store has just died, the
@@ -42,11 +42,11 @@
     let change = Change::Empty { zone: "a1".to_string() };
     let question = Ask::Change { key: "k".to_string(), change, unnamed_for: None };
     let mut now = Duration::ZERO;
-    let mut errand = Errand::new(question, now);
+    let mut store_call = StoreCall::new(question, now);
     let mut asked = Vec::new();
     let outcome = loop {
         let stores = vec![store(0), store(1), store(2)];
-        match errand.next(now, stores) {
+        match store_call.next(now, stores) {
             Step::Pause(pause) => now += pause,
             Step::End(outcome) => break outcome,
             Step::Ask(card) => {
@@ -54,17 +54,17 @@
                 if card.name == "store-2" {
                     let why = "not yet".to_string();
                     let tell = Tell::Outcome(Outcome::NothingDone { why });
-                    assert!(errand.told(Some(tell)).is_none());
+                    assert!(store_call.told(Some(tell)).is_none());
                 } else {
                     now += TRY_LIMIT;
-                    assert!(errand.told(None).is_none());
+                    assert!(store_call.told(None).is_none());
                 }
             }
         }
         // Whoever replied is asked again before those that were silent.
         if asked.len() == 4 {
             let value = Outcome::Accepted { revision: 3, setup_revision: 2, repeat: false };
-            break errand.told(Some(Tell::Outcome(value))).expect("the store's own word");
+            break store_call.told(Some(Tell::Outcome(value))).expect("the store's own word");
         }
     };
     assert_eq!(asked, ["store-0", "store-1", "store-2", "store-2"]);
--- a/store/src/talk.rs
+++ b/store/src/talk.rs
@@ -98,7 +98,7 @@
 }
 
 /// So many of the last writes are known with all that was submitted. Under a key that a registry made a
-/// repeat comes within that registry's errand, of a few seconds.
+/// repeat comes within that registry's call at the stores, of a few seconds.
 pub const KEYS_MOST: usize = 256;
 /// Of so many of the highest versions the content is known.
 pub const VERSIONS_MOST: usize = 1024;
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -1447,7 +1447,7 @@
 }
 
 /// A day's submissions under their callers' keys are known to its end; keys that registries made are
-/// needed for as long as one of their errands goes on.
+/// needed for as long as one of their calls at the stores goes on.
 #[test]
 fn a_submission_is_known_after_a_day_of_changes() {
     let mut fleet = Fleet::of(3);
