--- a/sibling/src/news/tests.rs
+++ b/sibling/src/news/tests.rs
@@ -249,7 +249,7 @@
     let told = |(name, role, port): (&str, wire::Role, u16), counter: u64| wire::Delta {
         name: name.to_string(),
         card: Some(card(name, role, port)),
-        ..delta(9, counter, None)
+        ..delta(counter, 0, None)
     };
     let mut is_cut_off = Vec::new();
     let mut asked: Vec<std::net::SocketAddr> = Vec::new();
@@ -280,3 +280,50 @@
     assert!(of(ms(4800), ms(6000)).iter().all(|cut| *cut), "the store beside it is no help");
     assert!(of(ms(6500), ms(8000)).iter().all(|cut| !cut), "and it is over when they reply");
 }
+
+/// Registries that are replaced at other addresses, one after the other, leave those who count: with none of
+/// the first ones left nobody is cut off. When all fall silent at once, it is.
+#[test]
+fn registries_that_were_replaced_do_not_count() {
+    let ms = Duration::from_millis;
+    let mut news = News::new(card("r0", wire::Role::Registry, 1), Vec::new(), 1, ms(0));
+    // Each is there from its first moment to its last one.
+    let there = [
+        ("r1", 11, 0..6000),
+        ("r2", 12, 0..12_000),
+        ("r3", 13, 6500..40_000),
+        ("r4", 14, 12_500..40_000),
+    ];
+    let mut asked: Vec<std::net::SocketAddr> = Vec::new();
+    let mut cut_off = Vec::new();
+    for beat in 0..1000_u64 {
+        let now = ms(50 * beat);
+        let is_there = |port: u16| {
+            there.iter().any(|one| one.1 == port && one.2.contains(&(50 * beat as i32)))
+        };
+        for (name, port, _) in there.iter().filter(|one| is_there(one.1)) {
+            let card = Some(card(name, wire::Role::Registry, *port));
+            tell(
+                &mut news,
+                now,
+                wire::Delta { name: name.to_string(), card, ..delta(beat, 0, None) },
+            );
+        }
+        let mut effects = Vec::new();
+        for address in std::mem::take(&mut asked) {
+            let told = is_there(address.port()).then(Box::default);
+            effects.extend(news.step(now, Event::Told { address, news: told }));
+        }
+        effects.extend(news.step(now, Event::Pulse));
+        asked.extend(effects.into_iter().filter_map(|effect| match effect {
+            Effect::Pull { address, .. } => Some(address),
+            _ => None,
+        }));
+        if news.is_cut_off(now) {
+            cut_off.push(now);
+        }
+    }
+    let first = cut_off.first().copied().expect("cut off once all are silent");
+    assert!((ms(42_000)..ms(43_500)).contains(&first), "{first:?}");
+    assert_eq!(cut_off.last(), Some(&ms(49_950)), "and for as long as they are");
+}
