--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -34,9 +34,6 @@
 const _: () = assert!(ALONE_WAIT.as_millis() + 200 < HOLD.as_millis());
 /// No pull came back for so long: what is known here may be old.
 pub const ALONE_AFTER: Duration = Duration::from_millis(2500);
-/// A registry that is there has replied to a pull within that: it waits for `WAIT` and takes its way. It is
-/// less than what a registry takes to be held for dead.
-const REPLIED_LATELY: Duration = Duration::from_millis(1500);
 /// Those who are not heard of, and the seeds, are tried so often, one at a time.
 const SEED_EVERY: Duration = Duration::from_secs(1);
 /// So many registries hear details: the one that has the duty and the one that would take it over.
@@ -251,8 +248,6 @@
     awake_since: Duration,
     /// When a pull last came back.
     good_at: Duration,
-    /// The other registries of which a majority, this one counted, has to reply (`is_cut_off`).
-    registries: std::collections::HashSet<String>,
     /// What this life has to have before it goes by a word, or tells of one (design 5.8).
     floor: crate::floor::Floor,
     /// The highest revision that each name ever told as in force there, over all its lives.
@@ -306,7 +301,6 @@
             fresh_registry: false,
             awake_since: now,
             good_at: now,
-            registries: Default::default(),
             floor: crate::floor::Floor::new(now),
             floors: std::collections::HashMap::new(),
             highest: 0,
@@ -387,48 +381,24 @@
         now.saturating_sub(self.good_at) > ALONE_AFTER
     }
 
-    /// Whether what is known here may be older than what most know: no pull came back, or, at a registry,
-    /// too few of those from other registries did. What asks from here says nothing of it, for that
-    /// comes through a cut in one direction; nor does a store beside it, which may be cut off with it.
-    pub fn is_cut_off(&self, now: Duration) -> bool {
-        match self.own.role {
-            wire::Role::Registry => !self.has_majority(now, ALONE_AFTER),
-            wire::Role::Proxy | wire::Role::Store => self.is_alone(now),
-        }
-    }
-
-    /// Whether more than half of the registries that count, this one among them, replied lately.
+    /// Whether what is known here may be older than what others know: no pull came back, or, at a registry,
+    /// none of those from other registries did. What asks from here says nothing of it, for that comes
+    /// through a cut in one direction; nor does a store beside it, which may be cut off with it.
     /// Registries at whose addresses nobody listens are gone and do not count.
-    fn has_majority(&self, now: Duration, within: Duration) -> bool {
-        let is_lately = |at: Duration| now.saturating_sub(at) <= within;
-        let counted = self.sources.iter().filter(|source| {
-            let is_gone = source.refused_at.is_some_and(|at| source.heard_at <= at);
-            self.registries.contains(&source.card.name) && !is_gone
-        });
-        let (mut all, mut replied) = (1, 1);
-        for other in counted {
-            all += 1;
-            // One that was heard of only now was not asked for long.
-            let is_new = is_lately(other.known_since);
-            replied += usize::from(is_new || other.replied_at.is_some_and(is_lately));
-        }
-        2 * replied > all
-    }
-
-    /// Who counts changes only with a majority of those who count, by replies that came after anyone who
-    /// is taken for dead now fell silent: those that are live then. So the ones that were replaced leave by
-    /// and by, and those that fell silent all at once do not.
-    fn count_registries(&mut self, now: Duration) {
-        if self.own.role == wire::Role::Registry && self.has_majority(now, REPLIED_LATELY) {
-            let is_lately = |at: Duration| now.saturating_sub(at) <= REPLIED_LATELY;
-            let stays = |source: &&Source| {
-                source.card.role == wire::Role::Registry
-                    && (source.is_live(now, self.own.role, self.judged_at)
-                        || source.replied_at.is_some_and(is_lately))
-            };
-            let counted = self.sources.iter().filter(stays);
-            self.registries = counted.map(|source| source.card.name.clone()).collect();
-        }
+    pub fn is_cut_off(&self, now: Duration) -> bool {
+        let others = || {
+            let registries =
+                self.sources.iter().filter(|one| one.card.role == wire::Role::Registry);
+            registries.filter(|one| one.refused_at.is_none_or(|at| one.heard_at > at))
+        };
+        if self.own.role != wire::Role::Registry || others().next().is_none() {
+            return self.is_alone(now);
+        }
+        let is_lately = |at: Duration| now.saturating_sub(at) <= ALONE_AFTER;
+        // One that was heard of only now was not asked for long.
+        let is_in_touch =
+            |one: &Source| is_lately(one.known_since) || one.replied_at.is_some_and(is_lately);
+        !others().any(is_in_touch)
     }
 
     /// All that is live, this daemon included.
@@ -660,7 +630,6 @@
         }
         let before = self.sources.len();
         self.sources.retain(|source| now.saturating_sub(source.heard_at) < FORGOTTEN_AFTER);
-        self.count_registries(now);
         if self.sources.len() < before {
             let names = self.sources.iter().map(|source| source.card.name.clone());
             self.by_name = names.zip(0..).collect();
--- a/sibling/src/news/tests.rs
+++ b/sibling/src/news/tests.rs
@@ -281,7 +281,7 @@
     assert!(of(ms(6500), ms(8000)).iter().all(|cut| !cut), "and it is over when they reply");
 }
 
-/// Registries that are replaced at other addresses, one after the other, leave those who count: with none of
+/// Registries that are replaced at other addresses, one after the other, do not count any more: with none of
 /// the first ones left nobody is cut off. When all fall silent at once, it is.
 #[test]
 fn registries_that_were_replaced_do_not_count() {
