--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -473,3 +473,60 @@
         .collect();
     assert!(lost.is_empty(), "{lost:?}");
 }
+
+/// Points 1 and 4 of docs/control.md: the registry and the store of one core machine stand still for seconds
+/// while dozens of versions are accepted by the others. From the moment at which they go on, and through a
+/// restart of the store, nothing older is read out, by any registry, and the store comes up to date.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_core_machine_that_stood_still_reads_out_nothing_older() {
+    let mut fleet = Fleet::start(tiny()).await;
+    fleet.put_setup(&fleet.shape.setup).await;
+    let versioned = |version: u64| {
+        let setup = String::from_utf8(setup(&fleet, version as usize)).unwrap();
+        setup.replacen('{', &format!("{{\"version\": {version},"), 1).into_bytes()
+    };
+    let bodies: Vec<Vec<u8>> = (0..60).map(versioned).collect();
+    assert_eq!(put(&fleet, 0, &[], &bodies[1]).await.status, 200);
+    let (registry, store) = (fleet.of("registry")[0], fleet.of("store")[0]);
+    let addresses = fleet.registries();
+    // One of each in hand there, as it stands still.
+    let (write, read) = (addresses[0], addresses[0]);
+    let body = bodies[2].clone();
+    let in_hand = tokio::spawn(async move { call(write, "PUT", "/v1/setup", &[], &body).await });
+    fleet.freeze(store);
+    fleet.freeze(registry);
+    for version in 3..bodies.len() {
+        let told = put(&fleet, 1 + version % 2, &[], &bodies[version]).await;
+        assert_eq!(told.status, 200, "version {version}");
+    }
+    let newest = bodies.last().unwrap().clone();
+    let reading = tokio::spawn(async move { call(read, "GET", "/v1/setup", &[], b"").await });
+    fleet.wake(store);
+    fleet.wake(registry);
+    let is_newest = |reply: Option<Reply>| match reply {
+        Some(reply) if reply.status == 200 => reply.body == newest,
+        // It cannot tell, and says so.
+        _ => true,
+    };
+    assert!(is_newest(reading.await.unwrap()), "what was asked while it stood still");
+    for turn in 0..30 {
+        let reply = call(addresses[turn % 3], "GET", "/v1/setup", &[], b"").await;
+        assert!(is_newest(reply), "turn {turn}");
+    }
+    let _ = in_hand.await.unwrap();
+    fleet.kill(store);
+    fleet.run(store);
+    for turn in 0..30 {
+        let reply = call(addresses[turn % 3], "GET", "/v1/setup", &[], b"").await;
+        assert!(is_newest(reply), "turn {turn} after the restart");
+    }
+    until("the store has caught up", SOON, async || {
+        let other = fleet.of("store")[1];
+        let of =
+            async |index: usize| fleet.page(index, "status").await["acceptedRevision"].as_u64();
+        let (own, others) = (of(store).await, of(other).await);
+        own.is_some() && own == others
+    })
+    .await;
+    assert_eq!(in_force(&fleet).await, Some(newest.clone()));
+}
