--- a/fleet/tests/control.rs
+++ b/fleet/tests/control.rs
@@ -495,8 +495,8 @@
     let in_hand = tokio::spawn(async move { call(write, "PUT", "/v1/setup", &[], &body).await });
     fleet.freeze(store);
     fleet.freeze(registry);
-    for version in 3..bodies.len() {
-        let told = put(&fleet, 1 + version % 2, &[], &bodies[version]).await;
+    for (version, body) in bodies.iter().enumerate().skip(3) {
+        let told = put(&fleet, 1 + version % 2, &[], body).await;
         assert_eq!(told.status, 200, "version {version}");
     }
     let newest = bodies.last().unwrap().clone();
