Older keys are held to all of what was asked for, as recent ones always were

Read again: to save four bytes the short form kept half of the digest, and recent keys were compared by that half too, where they had been by the whole. Twenty-four bytes each in place of twenty.

--- a/store/src/keys.rs
+++ b/store/src/keys.rs
@@ -1,5 +1,5 @@
 //! Submissions under their callers' keys, in short, for as long as a repeat of them has to be known as
-//! one (design 6.2): a record of twenty bytes each.
+//! one (design 6.2): a record of twenty-four bytes each.
 
 use crate::talk::Submission;
 
@@ -9,8 +9,8 @@
 /// What is known of a write by its key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Known {
-    /// The first half of what `Change::matter` told.
-    matter: u32,
+    /// What `Change::matter` told.
+    matter: u64,
     pub revision: u64,
     pub setup_revision: u64,
 }
@@ -18,7 +18,7 @@
 impl Known {
     pub fn of(submission: &Submission) -> Known {
         Known {
-            matter: half(submission.matter),
+            matter: submission.matter,
             revision: submission.revision,
             setup_revision: submission.setup_revision,
         }
@@ -26,22 +26,20 @@
 
     /// Whether that write asked for the same.
     pub fn is_of(&self, matter: u64) -> bool {
-        self.matter == half(matter)
+        self.matter == matter
     }
 }
 
-fn half(matter: u64) -> u32 {
-    (matter >> 32) as u32
-}
-
-/// Records one after the other, the oldest first: eight bytes of the key's digest, four each of what was
-/// asked for, the revision and the setup's revision, big end first.
+/// Records one after the other, the oldest first: eight bytes each of the key's digest and of what was asked
+/// for, four each of the revision and the setup's revision, big end first.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct OlderKeys(#[serde(with = "serde_bytes")] Vec<u8>);
 
-const RECORD: usize = 20;
+const RECORD: usize = 24;
 const KEY: usize = 8;
+const MATTER: usize = 16;
+const REVISION: usize = 20;
 
 impl OlderKeys {
     pub fn is_empty(&self) -> bool {
@@ -63,12 +61,14 @@
     pub fn find(&self, key: &str) -> Option<Known> {
         let wanted = fingerprint(key);
         let record = self.0.chunks_exact(RECORD).rfind(|record| record[..KEY] == wanted)?;
-        let number = |at: usize| {
-            let bytes = &record[KEY + 4 * at..KEY + 4 * at + 4];
-            u32::from_be_bytes(bytes.try_into().expect("four bytes"))
-        };
-        let (revision, setup_revision) = (u64::from(number(1)), u64::from(number(2)));
-        Some(Known { matter: number(0), revision, setup_revision })
+        let matter = u64::from_be_bytes(record[KEY..MATTER].try_into().expect("eight bytes"));
+        let revision_of =
+            |bytes: &[u8]| u64::from(u32::from_be_bytes(bytes.try_into().expect("four bytes")));
+        Some(Known {
+            matter,
+            revision: revision_of(&record[MATTER..REVISION]),
+            setup_revision: revision_of(&record[REVISION..]),
+        })
     }
 }
 
