--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -495,7 +495,7 @@
 }
 
 /// A registry that the operator would try: one that is up as far as anyone can see.
-fn any_registry(sim: &mut Sim) -> usize {
+pub(super) fn any_registry(sim: &mut Sim) -> usize {
     let all: Vec<usize> = (0..sim.daemons.len())
         .filter(|index| sim.daemons[*index].card.role == Role::Registry)
         .filter(|index| !sim.world.retired.contains(index))
--- a/fleet/src/sim/worst.rs
+++ b/fleet/src/sim/worst.rs
@@ -3,7 +3,7 @@
 
 use super::control::{Sim, What as Operate};
 use super::data::Manner;
-use super::day::{Act, Fault, at, of_role, tagged};
+use super::day::{Act, Fault, any_registry, at, of_role, tagged};
 use std::time::Duration;
 use vanepath_sibling::wire::Role;
 use vanepath_store::talk::{Change, Outcome};
@@ -195,13 +195,6 @@
 
 // ---- what the operators do on them -------------------------------------------------------------
 
-fn registry_of(sim: &mut Sim) -> usize {
-    let all = of_role(sim, Role::Registry);
-    let up: Vec<usize> = all.iter().copied().filter(|one| sim.is_up(*one)).collect();
-    let from = if up.is_empty() { all } else { up };
-    pick(sim, &from)
-}
-
 /// Two contents under the next version, each sent again twice.
 pub(super) fn race(sim: &mut Sim) {
     let named = sim.operations.iter().filter_map(|one| one.what.version());
@@ -211,7 +204,7 @@
         let text = String::from_utf8(tagged(&sim.world.setup_text.clone(), tag)).expect("text");
         let bytes = text.replacen('{', &format!("{{\"version\": {version},"), 1).into_bytes();
         let change = Change::Setup { bytes, if_revision: None, version: Some(version) };
-        let registry = registry_of(sim);
+        let registry = any_registry(sim);
         sim.operate(Operate::Change { key: format!("raced-{tag}"), change }, registry);
         for turn in 1..=2 {
             let later = sim.net.now + ms(1100 * turn + sim.net.random.draw() % 600);
@@ -224,12 +217,12 @@
 pub(super) fn send_again(sim: &mut Sim, operation: usize) {
     let Operate::Change { change, .. } = sim.operations[operation].what.clone() else { return };
     let key = format!("again-{}", sim.operations.len());
-    let registry = registry_of(sim);
+    let registry = any_registry(sim);
     sim.operate(Operate::Change { key, change }, registry);
 }
 
 pub(super) fn read(sim: &mut Sim) {
-    let registry = registry_of(sim);
+    let registry = any_registry(sim);
     sim.operate(Operate::Read, registry);
 }
 
@@ -244,7 +237,7 @@
     }
     let bytes = document.dump().into_bytes();
     let change = Change::Setup { bytes, if_revision: None, version: None };
-    let registry = registry_of(sim);
+    let registry = any_registry(sim);
     sim.operate(Operate::Change { key: format!("turned-{tag}"), change }, registry);
 }
 
--- a/sibling/src/news/tests.rs
+++ b/sibling/src/news/tests.rs
@@ -31,6 +31,26 @@
     news.step(now, Event::Told { address, news: Some(Box::new(told)) });
 }
 
+/// A pulse: the pulls of the one before come back, with a reply from the ports that have one, and new ones
+/// go out.
+fn beat_with(
+    news: &mut News,
+    asked: &mut Vec<std::net::SocketAddr>,
+    now: Duration,
+    replies: impl Fn(u16) -> bool,
+) {
+    let mut effects = Vec::new();
+    for address in std::mem::take(asked) {
+        let told = replies(address.port()).then(Box::default);
+        effects.extend(news.step(now, Event::Told { address, news: told }));
+    }
+    effects.extend(news.step(now, Event::Pulse));
+    asked.extend(effects.into_iter().filter_map(|effect| match effect {
+        Effect::Pull { address, .. } => Some(address),
+        _ => None,
+    }));
+}
+
 /// A detail that comes by a slower way than the beats is news all the same, and never goes back.
 #[test]
 fn a_late_detail_is_taken_and_an_older_one_is_not() {
@@ -259,18 +279,8 @@
             // They go on asking, and so say that they are there.
             tell(&mut news, now, told(*other, beat));
         }
-        let mut effects = Vec::new();
-        for address in std::mem::take(&mut asked) {
-            let is_beside = address.port() == beside.2;
-            let is_cut = (ms(2000)..ms(6000)).contains(&now);
-            let news_of_it = (is_beside || !is_cut).then(Box::default);
-            effects.extend(news.step(now, Event::Told { address, news: news_of_it }));
-        }
-        effects.extend(news.step(now, Event::Pulse));
-        asked.extend(effects.into_iter().filter_map(|effect| match effect {
-            Effect::Pull { address, .. } => Some(address),
-            _ => None,
-        }));
+        let is_cut = (ms(2000)..ms(6000)).contains(&now);
+        beat_with(&mut news, &mut asked, now, |port| port == beside.2 || !is_cut);
         is_cut_off.push((now, news.is_cut_off(now)));
     }
     let of = |from: Duration, to: Duration| -> Vec<bool> {
@@ -309,16 +319,7 @@
                 wire::Delta { name: name.to_string(), card, ..delta(beat, 0, None) },
             );
         }
-        let mut effects = Vec::new();
-        for address in std::mem::take(&mut asked) {
-            let told = is_there(address.port()).then(Box::default);
-            effects.extend(news.step(now, Event::Told { address, news: told }));
-        }
-        effects.extend(news.step(now, Event::Pulse));
-        asked.extend(effects.into_iter().filter_map(|effect| match effect {
-            Effect::Pull { address, .. } => Some(address),
-            _ => None,
-        }));
+        beat_with(&mut news, &mut asked, now, is_there);
         if news.is_cut_off(now) {
             cut_off.push(now);
         }
--- a/store/src/register.rs
+++ b/store/src/register.rs
@@ -345,7 +345,6 @@
 /// For status: what this copy holds and whether it votes.
 #[derive(Clone, Debug)]
 pub struct Summary {
-    pub name: String,
     pub seat: Option<usize>,
     pub incarnation: u64,
     pub founds: bool,
@@ -449,7 +448,6 @@
             "it holds its seat"
         };
         Summary {
-            name: self.identity.name.clone(),
             seat: self.own_seat(),
             incarnation: self.state.incarnation,
             founds: self.identity.founders > 0,
--- a/store/src/register/acceptor.rs
+++ b/store/src/register/acceptor.rs
@@ -139,27 +139,8 @@
                 self.release(effects);
                 effects.push(Effect::Answer { ticket, tell: Tell::Noted });
             }
-            // One round tells all that wait for one.
-            Ask::Read => {
-                let waiting = self.queue.iter_mut().find_map(|op| match op {
-                    Op::Read { tickets } => Some(tickets),
-                    _ => None,
-                });
-                match waiting {
-                    Some(tickets) => tickets.push(ticket),
-                    None => self.enqueue(Op::Read { tickets: vec![ticket] }, effects),
-                }
-            }
-            Ask::Floor => {
-                let waiting = self.queue.iter_mut().find_map(|op| match op {
-                    Op::Floor { tickets } => Some(tickets),
-                    _ => None,
-                });
-                match waiting {
-                    Some(tickets) => tickets.push(ticket),
-                    None => self.enqueue(Op::Floor { tickets: vec![ticket] }, effects),
-                }
-            }
+            Ask::Read => self.enqueue_shared(Op::Read { tickets: vec![ticket] }, effects),
+            Ask::Floor => self.enqueue_shared(Op::Floor { tickets: vec![ticket] }, effects),
             Ask::History { revision } => self.enqueue(Op::History { ticket, revision }, effects),
         }
     }
@@ -200,6 +181,20 @@
         }
     }
 
+    /// One round tells all that wait for the same: who asks joins those whose round has not begun.
+    fn enqueue_shared(&mut self, op: Op, effects: &mut Vec<Effect>) {
+        for waiting in &mut self.queue {
+            match (waiting, &op) {
+                (Op::Read { tickets }, Op::Read { tickets: more })
+                | (Op::Floor { tickets }, Op::Floor { tickets: more }) => {
+                    return tickets.extend(more);
+                }
+                _ => {}
+            }
+        }
+        self.enqueue(op, effects);
+    }
+
     /// Takes a value into this copy, with what was proposed together with it; false where a higher one
     /// is there.
     pub(super) fn accept(
--- a/store/tests/growth.rs
+++ b/store/tests/growth.rs
@@ -9,6 +9,7 @@
 
 /// A store on a real folder.
 struct Store {
+    name: String,
     core: Register,
     disk: Disk,
     folder: std::path::PathBuf,
@@ -26,7 +27,7 @@
     let found = disk.load(random).unwrap();
     let identity = Identity { name: name.to_string(), founders: 3 };
     let core = Register::new(identity, found, now);
-    Store { core, disk, folder: folder.to_path_buf() }
+    Store { name: name.to_string(), core, disk, folder: folder.to_path_buf() }
 }
 
 /// Three stores, of which any may be away, and what they say to each other.
@@ -143,7 +144,7 @@
 fn claim_of(store: &Store) -> Claim {
     let summary = store.core.summary();
     let (incarnation, blank) = (summary.incarnation, summary.blank);
-    let (name, founds) = (summary.name.clone(), blank && summary.founds);
+    let (name, founds) = (store.name.clone(), blank && summary.founds);
     Claim { name, incarnation, blank, founds }
 }
 
--- a/store/tests/register.rs
+++ b/store/tests/register.rs
@@ -1291,27 +1291,11 @@
 /// that was asked for after that is not what the old round shows.
 #[test]
 fn a_floor_does_not_ride_on_an_older_round() {
-    let mut fleet = Fleet::of(3);
-    fleet.passes(Duration::from_secs(2));
-    assert_eq!(revision(fleet.put(0, "a")), 1);
-    fleet.delays = Box::new(|_, asker, tell| asker == 0 && matches!(tell, Tell::Accepted { .. }));
-    let change = Change::Setup { bytes: b"b".to_vec(), if_revision: None, version: None };
-    fleet.ask(0, Ask::Change { key: "b".into(), change, unnamed_for: None });
-    assert!(!fleet.late.is_empty());
-    // The first store is not heard of for a while, by anyone.
-    fleet.loses = Box::new(|from, to, _| from == 0 || to == 0);
-    let later = revision(fleet.put(1, "c"));
-    assert_eq!(later, 3, "it builds on what the others hold");
-    fleet.loses = Box::new(|_, _, _| false);
-    fleet.delays = Box::new(|_, _, _| false);
-    fleet.ask(0, Ask::Floor);
-    let late = std::mem::take(&mut fleet.late);
-    fleet.events.extend(late);
-    fleet.run();
-    fleet.passes(Duration::from_secs(2));
+    let meanwhile = Change::Setup { bytes: b"c".to_vec(), if_revision: None, version: None };
+    let (_, fleet) = asked_of_a_store_that_was_cut_off(meanwhile, Ask::Floor);
     let told = floors(&fleet);
-    assert!(told.iter().all(|one| one.is_none_or(|one| one >= later)), "{told:?}");
-    assert_eq!(told.last(), Some(&Some(later)));
+    assert!(told.iter().all(|one| one.is_none_or(|one| one >= 3)), "{told:?}");
+    assert_eq!(told.last(), Some(&Some(3)));
 }
 
 /// A store that is not first outbids nobody for a floor: it says that it cannot tell.
