--- a/registry/src/directory.rs
+++ b/registry/src/directory.rs
@@ -384,13 +384,16 @@
     let live = || places.iter().filter(|place| !place.is_lost);
     let mut found: Vec<std::net::SocketAddr> =
         live().filter(is_near).flat_map(|place| place.addresses.iter().copied()).collect();
-    if found.len() < ADDRESSES_LEAST {
+    // Whoever has work that is bound to regions takes it to the addresses named here like any other.
+    let is_any_bound = view.setup.rules.iter().any(|rule| !rule.regions.is_empty());
+    let least = if is_any_bound { 1 } else { ADDRESSES_LEAST };
+    if found.len() < least {
         // Not enough there: the other regions' in the order of this zone's own draw.
         let mut others: Vec<&Place> = live().filter(is_far).collect();
         others.sort_by_key(|place| vanepath_setup::stable_hash(&["far", zone, &place.zone]));
         for place in others {
             found.extend(&place.addresses);
-            if found.len() >= ADDRESSES_LEAST {
+            if found.len() >= least {
                 break;
             }
         }
--- a/registry/src/directory/tests.rs
+++ b/registry/src/directory/tests.rs
@@ -172,6 +172,19 @@
     .assert_eq(&shown);
 }
 
+/// Incident 0016: where any rule is bound to regions, no other region's proxies are named beside the own
+/// one's, however few these are: what they name is taken for all rules alike.
+#[test]
+fn plain_addresses_stay_in_the_region_where_rules_are_bound() {
+    let mut bound = view(r#"{"name": "r", "class": "c", "service": "s", "regions": ["a", "c"]}"#);
+    assert_eq!(told(&bound, true, "region=c&zone=c1"), "8005 for 2 s");
+    assert_eq!(told(&bound, true, "region=a&zone=a1"), "8000 8001 8002 for 2 s");
+    // With none of its own left a region's clients are helped all the same.
+    bound.lost = bound.live.extract_if(.., |(card, _)| card.region == "c").collect();
+    assert_ne!(told(&bound, true, "region=c&zone=c1"), "");
+    assert!(told(&bound, true, "region=c&zone=c1").ends_with("for 2 s"));
+}
+
 /// Of very many each answer has as many as may be, each another part of them, and all have their turn.
 #[test]
 fn of_very_many_each_answer_has_a_part() {
