A platform list's number is taken before its read, and reads follow silence, not liveness

Cause: lists that the platform does not number got the number after the last one known at the END of their read, by whoever read; so a read that began before a newer list was told outranked it, and two registries could give one number to two lists. And who reads was chosen by who is taken for live, though what counts is whose reads arrive. Class: soft state with several writers, ordered without an agreement and without a fence.

Change: a pure core (registry/src/list_reader.rs). A number is above all heard of when the read began, holds the reader, and is told only if nothing higher was heard of meanwhile and the read took at most 1.5 s. Registries hear at once from each other of every read that arrived; the others read after 1.2 s without one (0.3 s more for each place), instead of each 8 s or once the first is dead. Whoever starts anew outnumbers what others hold. The list as one daemon knows it is a module of its own (sibling/src/lists.rs).

Ruled out: sticky leaving marks at each daemon (lists of one number would differ), two readers at a time (twice the calls). Sight: the registry logs each list it tells, with what it holds and how long the read took; PlatformReadsOvertaken.

--- a/fleet/src/sim/reach.rs
+++ b/fleet/src/sim/reach.rs
@@ -152,7 +152,7 @@
             part.iter().copied().filter(move |index| self.daemons[*index].card.role == role)
         };
         let mut words = part.iter().map(|index| word(&self.daemons[*index])).max().unwrap_or(0);
-        let lists = part.iter().map(|index| self.daemons[*index].news.platform.revision);
+        let lists = part.iter().map(|index| self.daemons[*index].news.lists.current().revision);
         let mut list = lists.max().unwrap_or(0);
         if of(Role::Registry).any(|index| {
             let host = self.daemons[index].host;
--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -53,6 +53,7 @@
         wants_detail: true,
         light: false,
         silent: 0,
+        list_age_ms: None,
     };
     let effects = asked.step(now, vanepath_sibling::news::Event::Asked { ticket: 1, pull });
     let answer = effects.into_iter().find_map(|effect| match effect {
--- a/registry/src/lib.rs
+++ b/registry/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod directory;
 pub mod duty;
+pub mod list_reader;
 pub mod platform;
 pub mod shares;
 pub mod shell;
--- a/registry/src/platform.rs
+++ b/registry/src/platform.rs
@@ -1,18 +1,19 @@
 //! Polling of the platform list (design 4). Whatever goes wrong, the last good list stays.
 
+use crate::list_reader::{Effect, ListReader, READ_MOST};
+use crate::shell::Counter;
 use http_body_util::BodyExt;
 use std::sync::Arc;
 use std::time::Duration;
+use vanepath_setup::platform::{PlatformList, Server};
 use vanepath_sibling::{daemon, news};
 
+/// A platform that numbers its lists is asked so often, by every registry.
 pub const EVERY: Duration = Duration::from_millis(500);
-/// A platform whose lists have no number is asked by one registry so often, and by the others
-/// seldom, in case that one is not what it seems (design 4).
-const DUTY_EVERY: Duration = Duration::from_millis(600);
-const OTHERS_EVERY: Duration = Duration::from_millis(2000);
+/// How often it is looked whether the list is to be read.
+const PULSE: Duration = Duration::from_millis(50);
 /// Pages of one list at the most; a platform that never ends is not believed.
 const PAGES_MOST: usize = 1024;
-const LIMIT: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -28,10 +29,7 @@
 }
 
 /// Whether a list that was read may take the place of the last good one.
-pub fn judge(
-    last: &vanepath_setup::platform::PlatformList,
-    read: &vanepath_setup::platform::PlatformList,
-) -> State {
+pub fn judge(last: &PlatformList, read: &PlatformList) -> State {
     if read.revision < last.revision {
         State::Older
     } else if read.servers.is_empty() {
@@ -42,10 +40,7 @@
 }
 
 /// What a reply of the platform amounts to, and the list where it is good.
-pub fn heard(
-    last: &vanepath_setup::platform::PlatformList,
-    bytes: &[u8],
-) -> (State, Option<vanepath_setup::platform::PlatformList>) {
+pub fn heard(last: &PlatformList, bytes: &[u8]) -> (State, Option<PlatformList>) {
     match vanepath_setup::platform::parse(bytes) {
         Err(_) => (State::Malformed, None),
         Ok(list) => {
@@ -55,24 +50,6 @@
     }
 }
 
-/// A list that was read whole, page by page. Where the platform does not number its lists, one that
-/// differs from the last is the next one (design 4).
-pub fn numbered(
-    last: &vanepath_setup::platform::PlatformList,
-    revision: Option<u64>,
-    mut servers: Vec<vanepath_setup::platform::Server>,
-) -> vanepath_setup::platform::PlatformList {
-    if revision.is_none() {
-        servers.sort_by(|left, right| left.id.cmp(&right.id));
-        servers.dedup_by(|left, right| left.id == right.id);
-    }
-    let revision = revision.unwrap_or(match servers == last.servers {
-        true => last.revision,
-        false => last.revision + 1,
-    });
-    vanepath_setup::platform::PlatformList { revision, servers }
-}
-
 pub async fn run(
     daemon: Arc<daemon::Daemon>,
     tally: Arc<crate::shell::Tally>,
@@ -81,74 +58,102 @@
     let url = daemon.settings.platform.clone().expect("checked with the settings");
     let (address, path) = vanepath_setup::settings::split_url(&url).expect("checked likewise");
     let path = path.to_string();
+    let dialect = daemon.settings.dialect;
     let mut sender = None;
     let mut etag: Option<hyper::header::HeaderValue> = None;
-    let dialect = daemon.settings.dialect;
+    let mut reader = ListReader::new(&daemon.card.name, daemon::random());
     let mut is_numbered = false;
-    let mut read_at = None;
-    let mut pulse = tokio::time::interval(EVERY / 2);
+    let mut tried_at: Option<Duration> = None;
+    let mut pulse = tokio::time::interval(PULSE);
     pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         pulse.tick().await;
         let view = daemon.table.load_full();
-        if !is_numbered && !is_turn(&view, &daemon.card.name, daemon.clock.now(), read_at) {
+        let began_at = daemon.clock.now();
+        let is_due = match is_numbered {
+            true => tried_at.is_none_or(|at| began_at >= at + EVERY),
+            false => reader.pulse(began_at, &view) == Some(Effect::Read),
+        };
+        if !is_due {
             continue;
         }
-        read_at = Some(daemon.clock.now());
-        tally.one(crate::shell::Counter::PlatformReads);
+        tried_at = Some(began_at);
+        tally.one(Counter::PlatformReads);
         let source = Source { address, path: &path, dialect, zones: &daemon.settings.zones };
-        let read = tokio::time::timeout(LIMIT, source.read(&mut sender, etag.as_ref()));
+        let read = tokio::time::timeout(READ_MOST, source.read(&mut sender, etag.as_ref()));
         let outcome = read.await.unwrap_or(Err(State::Unreachable));
-        let last = daemon.table.load().platform.clone();
-        let now = match outcome {
-            Err(state) => {
+        let view = daemon.table.load_full();
+        let (found, list) = match outcome {
+            Err(found) => {
                 sender = None;
-                state
+                let _ = reader.read(daemon.clock.now(), &view, None);
+                (found, None)
+            }
+            Ok(Read::Same) => (State::Good, None),
+            Ok(Read::Numbered { list, tag }) => {
+                is_numbered = true;
+                let found = judge(&view.platform, &list);
+                etag = tag.filter(|_| found == State::Good);
+                let is_new = found == State::Good && list.revision > view.platform.revision;
+                (found, is_new.then(|| Arc::new(list)))
             }
-            Ok(None) => State::Good,
-            Ok(Some((revision, servers, tag))) => {
-                is_numbered = revision.is_some();
-                let list = numbered(&last, revision, servers);
-                let verdict = judge(&last, &list);
-                if let Some(list) = Some(list).filter(|_| verdict == State::Good) {
-                    etag = tag;
-                    if list.revision > last.revision {
-                        tally.one(crate::shell::Counter::PlatformChanges);
-                        let event = news::Event::Platform(Arc::new(list));
-                        let _ = daemon.news.send(daemon::Tell(event)).await;
+            Ok(Read::Plain(servers)) => {
+                let found = if servers.is_empty() { State::Empty } else { State::Good };
+                let servers = (found == State::Good).then_some(servers);
+                let list = match reader.read(daemon.clock.now(), &view, servers) {
+                    Some(Effect::Tell { list, .. }) => Some(list),
+                    Some(Effect::Overtaken) => {
+                        tally.one(Counter::PlatformReadsOvertaken);
+                        None
                     }
-                }
-                verdict
+                    _ => None,
+                };
+                (found, list)
             }
         };
-        if now != State::Good {
-            tally.one(crate::shell::Counter::PlatformReadsBad);
+        if let Some(list) = list {
+            if list.revision > view.platform.revision {
+                tally.one(Counter::PlatformChanges);
+                note(&list, daemon.clock.now().saturating_sub(began_at));
+            }
+            let event = news::Event::ListRead { list, began_at };
+            let _ = daemon.news.send(daemon::Tell(event)).await;
+        }
+        if found != State::Good {
+            tally.one(Counter::PlatformReadsBad);
             etag = None;
         }
         let mut state = state.lock().expect("no panic under this lock");
-        if *state != now {
-            log::info!("platform list: {now}");
-            *state = now;
+        if *state != found {
+            log::info!("platform list: {found}");
+            *state = found;
         }
     }
 }
 
-/// Whether this registry reads the list now: the first live one that can be reached has that duty.
-pub fn is_turn(view: &daemon::View, own: &str, now: Duration, read_at: Option<Duration>) -> bool {
-    let registries = view.live.iter().filter(|(card, report)| {
-        card.role == vanepath_sibling::wire::Role::Registry && !report.leaving
-    });
-    let names: Vec<&str> = registries.map(|(card, _)| card.name.as_str()).collect();
-    let first = names.iter().min();
-    let is_first = first.is_none_or(|first| *first == own) && !view.is_alone;
-    let others = names.len().saturating_sub(1).max(1) as u32;
-    let every = if is_first { DUTY_EVERY } else { OTHERS_EVERY * others };
-    read_at.is_none_or(|at| now >= at + every)
+/// Says which list this registry tells from now on.
+fn note(list: &PlatformList, took: Duration) {
+    let leaving = list.servers.iter().filter(|server| server.leaving).count();
+    log::info!(
+        "platform list {}: {} servers, {leaving} of them leaving; read in {} ms",
+        list.revision,
+        list.servers.len(),
+        took.as_millis()
+    );
 }
 
 type Sender = hyper::client::conn::http1::SendRequest<daemon::Body>;
 type Tag = Option<hyper::header::HeaderValue>;
-type Read = Option<(Option<u64>, Vec<vanepath_setup::platform::Server>, Tag)>;
+
+/// What a read of the platform's list found.
+enum Read {
+    /// Nothing changed since the tagged list.
+    Same,
+    /// A list with the platform's own number.
+    Numbered { list: PlatformList, tag: Tag },
+    /// The servers of a list that has no number.
+    Plain(Vec<Server>),
+}
 
 struct Source<'s> {
     address: std::net::SocketAddr,
@@ -158,7 +163,7 @@
 }
 
 impl Source<'_> {
-    /// The whole list, page by page; `None` where nothing changed since the tagged one.
+    /// The whole list, page by page.
     async fn read(
         &self,
         kept: &mut Option<Sender>,
@@ -176,7 +181,7 @@
             }
             let got = get(kept, self.address, &path, etag.filter(|_| pages == 1)).await;
             let Some((bytes, its_tag)) = got.map_err(|()| State::Unreachable)? else {
-                return Ok(None);
+                return Ok(Read::Same);
             };
             let page = self.dialect.page(&bytes, self.path, self.zones);
             let page = page.map_err(|_| State::Malformed)?;
@@ -187,7 +192,10 @@
                 tag = its_tag;
             }
         }
-        Ok(Some((revision, servers, tag)))
+        Ok(match revision {
+            Some(revision) => Read::Numbered { list: PlatformList { revision, servers }, tag },
+            None => Read::Plain(servers),
+        })
     }
 }
 
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -23,6 +23,7 @@
         Reads,
         PlatformReads,
         PlatformReadsBad,
+        PlatformReadsOvertaken,
         PlatformChanges,
         PlansMade,
     }
--- a/registry/tests/world/mod.rs
+++ b/registry/tests/world/mod.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use vanepath_registry::platform;
+use vanepath_registry::list_reader::{Effect as Reads, ListReader, READ_MOST};
 use vanepath_setup::platform::{PlatformList, Server};
 use vanepath_sibling::daemon::View;
 use vanepath_sibling::news::{Effect, Event, News};
@@ -39,7 +39,6 @@
 
 const TICK: Duration = Duration::from_millis(2);
 const PULSE: Duration = Duration::from_millis(50);
-const READ_PULSE: Duration = Duration::from_millis(250);
 const PAGES: usize = 6;
 const SERVERS: usize = 36;
 /// Until all daemons know each other and the first list.
@@ -58,8 +57,8 @@
     news: News,
     view: View,
     way: Duration,
+    reader: ListReader,
     read: Option<Read>,
-    read_at: Option<Duration>,
     pulse_at: Duration,
     read_pulse_at: Duration,
     /// Servers that it has known as leaving.
@@ -177,6 +176,7 @@
                 address: address_of(index),
                 sibling_address: address_of(index),
             };
+            let reader = ListReader::new(&card.name, (world.part() * u64::MAX as f64) as u64);
             let news =
                 News::new(card, seeds.clone(), plan.seed * 100 + index as u64, Duration::ZERO);
             let jitter = Duration::from_millis((world.part() * 250.0) as u64);
@@ -184,8 +184,8 @@
                 news,
                 view: View::default(),
                 way: Duration::from_millis([1, 6, 12][place]),
+                reader,
                 read: None,
-                read_at: None,
                 pulse_at: jitter,
                 read_pulse_at: jitter,
                 known_leaving: BTreeMap::new(),
@@ -325,20 +325,23 @@
         }
     }
 
-    /// The loop of the registry's shell (`platform::run`).
+    /// What the registry's shell does (`platform::run`).
     fn step_read(&mut self, index: usize, plan: &Plan) {
         let now = self.now;
         if self.nodes[index].read.is_none() && now >= self.nodes[index].read_pulse_at {
-            self.nodes[index].read_pulse_at = now + READ_PULSE;
-            let node = &self.nodes[index];
-            if platform::is_turn(&node.view, &node.news.own().name, now, node.read_at) {
-                self.nodes[index].read_at = Some(now);
+            self.nodes[index].read_pulse_at = now + PULSE;
+            let node = &mut self.nodes[index];
+            if node.reader.pulse(now, &node.view) == Some(Reads::Read) {
                 let next_at = self.page_at(index, plan);
-                let read = Read { servers: Vec::new(), pages: 0, next_at, began_at: now };
-                self.nodes[index].read = Some(read);
+                self.nodes[index].read =
+                    Some(Read { servers: Vec::new(), pages: 0, next_at, began_at: now });
             }
         }
         let Some(read) = &self.nodes[index].read else { return };
+        if now.saturating_sub(read.began_at) > READ_MOST {
+            self.end_read(index, false);
+            return;
+        }
         if now < read.next_at {
             return;
         }
@@ -351,17 +354,17 @@
         read.servers.extend(page);
         read.pages += 1;
         read.next_at = next_at;
-        if read.pages < PAGES {
-            return;
-        }
-        let read = self.nodes[index].read.take().expect("looked at above");
-        if now.saturating_sub(read.began_at) > Duration::from_secs(2) {
-            return;
+        if read.pages == PAGES {
+            self.end_read(index, true);
         }
-        let last = self.nodes[index].view.platform.clone();
-        let list: PlatformList = platform::numbered(&last, None, read.servers);
-        if platform::judge(&last, &list) == platform::State::Good && list.revision > last.revision {
-            self.step(index, Event::Platform(Arc::new(list)));
+    }
+
+    fn end_read(&mut self, index: usize, is_whole: bool) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let servers = node.read.take().map(|read| read.servers).filter(|_| is_whole);
+        if let Some(Reads::Tell { list, began_at }) = node.reader.read(now, &node.view, servers) {
+            self.step(index, Event::ListRead { list, began_at });
         }
     }
 
@@ -375,7 +378,7 @@
     fn judge(&mut self, bound: Duration) {
         let now = self.now;
         for node in &mut self.nodes {
-            let list = node.news.platform.clone();
+            let list = node.news.lists.current().clone();
             if Arc::ptr_eq(&node.judged, &list) {
                 continue;
             }
@@ -397,7 +400,7 @@
         for id in due {
             self.leaving_since.remove(&id);
             for node in &self.nodes {
-                let servers = &node.news.platform.servers;
+                let servers = &node.news.lists.current().servers;
                 if servers.iter().any(|one| one.id == id && !one.leaving) {
                     let name = &node.news.own().name;
                     self.faults.push(format!("{now:?}: {name} does not know that {id} leaves"));
@@ -410,11 +413,11 @@
         let mut shown = self.shown.clone();
         shown.sort_by(|left, right| left.id.cmp(&right.id));
         for node in &self.nodes {
-            let mut known = node.news.platform.servers.clone();
+            let mut known = node.news.lists.current().servers.clone();
             known.sort_by(|left, right| left.id.cmp(&right.id));
             if known != shown {
                 let name = &node.news.own().name;
-                let revision = node.news.platform.revision;
+                let revision = node.news.lists.current().revision;
                 self.faults.push(format!("at the end {name} has another list, {revision}"));
             }
         }
--- a/sibling/src/daemon.rs
+++ b/sibling/src/daemon.rs
@@ -51,6 +51,10 @@
     /// The parsed setup of the word in force.
     pub setup: Arc<vanepath_setup::model::Setup>,
     pub platform: Arc<vanepath_setup::platform::PlatformList>,
+    /// When the newest read that found this list in force began.
+    pub list_read_at: Option<Duration>,
+    /// The highest revision of a list that anyone told of.
+    pub highest_list: u64,
     pub plan: Arc<wire::Plan>,
     /// All live daemons, this one first.
     pub live: Vec<(wire::Card, wire::Report)>,
@@ -79,6 +83,8 @@
     /// Whether what time alone changes is still as it was when this view was made.
     pub fn is_up_to_date(&self, core: &news::News, now: Duration) -> bool {
         self.is_fresh == is_fresh(core, now)
+            && self.list_read_at == core.lists.read_at()
+            && self.highest_list == core.lists.highest()
             && self.is_alone == core.is_alone(now)
             && self.is_cut_off == core.is_cut_off(now)
             && self.floor_wanted == core.floor().wanted()
@@ -160,7 +166,9 @@
         let view = View {
             word,
             setup,
-            platform: core.platform.clone(),
+            platform: core.lists.current().clone(),
+            list_read_at: core.lists.read_at(),
+            highest_list: core.lists.highest(),
             plan: core.plan.clone(),
             live,
             lost: core.lost(now).map(|(card, report)| (card.clone(), report.clone())).collect(),
--- a/sibling/src/lib.rs
+++ b/sibling/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod daemon;
 pub mod floor;
 pub mod link;
+pub mod lists;
 pub mod news;
 pub mod peer_selection;
 pub mod tally;
--- a/sibling/src/news.rs
+++ b/sibling/src/news.rs
@@ -12,8 +12,9 @@
 pub const REGISTRY_DEAD_AFTER: Duration = Duration::from_millis(2200);
 /// Not heard of for so long: forgotten.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(600);
-/// So many earlier lists are kept for deltas.
-const LISTS_KEPT: usize = 16;
+/// Between registries a read of the platform list that began so much later than the last one that was told
+/// is told at once.
+const LIST_READ_STEP: Duration = Duration::from_millis(200);
 /// A daemon that registries serve pulls from so many of them.
 const LIGHT_LINES: usize = 2;
 /// A pull that is out for so long is slow: another registry is asked too.
@@ -131,6 +132,8 @@
     seeks_floor: bool,
     /// The count of loud changes at which nothing was loud for it.
     looked: u64,
+    /// When the newest read of the platform list that the asker knows of began, on this daemon's clock.
+    list_read_at: Option<Duration>,
 }
 
 impl Parked {
@@ -169,6 +172,11 @@
     Detail(wire::Detail),
     Word(Arc<wire::Word>),
     Platform(Arc<vanepath_setup::platform::PlatformList>),
+    /// This daemon has read the platform list: what is in force by that, and when the read began.
+    ListRead {
+        list: Arc<vanepath_setup::platform::PlatformList>,
+        began_at: Duration,
+    },
     Plan(Arc<wire::Plan>),
     /// Somebody asks this registry for what proxies see.
     WantDetails,
@@ -214,14 +222,10 @@
     /// Loud changes so far: what was not loud for somebody is not until there is another one.
     loud: u64,
     pub word: Arc<wire::Word>,
-    pub platform: Arc<vanepath_setup::platform::PlatformList>,
+    pub lists: crate::lists::Lists,
     pub plan: Arc<wire::Plan>,
     lines: std::collections::BTreeMap<std::net::SocketAddr, Line>,
     parked: Vec<Parked>,
-    /// Lists that were in force lately, for those who have them still.
-    lists: std::collections::VecDeque<Arc<vanepath_setup::platform::PlatformList>>,
-    /// A delta did not lead where it should: the next pulls ask for the whole list.
-    wants_list: bool,
     /// What each light asker has, by name.
     askers: std::collections::HashMap<String, std::collections::HashMap<u32, wire::Mark>>,
     /// Who is not live, by short names in order; and all names.
@@ -278,12 +282,10 @@
             by_name: std::collections::HashMap::new(),
             loud: 1,
             word: Arc::default(),
-            platform: Arc::default(),
+            lists: crate::lists::Lists::default(),
             plan: Arc::default(),
             lines: std::collections::BTreeMap::new(),
             parked: Vec::new(),
-            lists: Default::default(),
-            wants_list: false,
             askers: std::collections::HashMap::new(),
             silent: Vec::new(),
             names: [short].into(),
@@ -315,12 +317,6 @@
         &self.report
     }
 
-    /// The revision of the platform list that siblings may tell changes to; 0: they are to tell the
-    /// whole list.
-    pub fn list_held(&self) -> u64 {
-        if self.wants_list { 0 } else { self.platform.revision }
-    }
-
     pub fn own_mark(&self) -> wire::Mark {
         self.mark
     }
@@ -461,7 +457,16 @@
                 }
                 self.hear_word(word, &mut effects);
             }
-            Event::Platform(list) => self.hear_platform(list, &mut effects),
+            Event::Platform(list) => {
+                let is_new = self.lists.hear(list);
+                self.note_list(is_new, &mut effects);
+            }
+            Event::ListRead { list, began_at } => {
+                let revision = list.revision;
+                let is_new = self.lists.hear(list);
+                self.note_list(is_new, &mut effects);
+                self.note_list_read(revision, began_at);
+            }
             Event::Plan(plan) => self.hear_plan(plan, &mut effects),
             Event::WantDetails => {
                 self.details_until = now + DETAILS_ASKED_FOR;
@@ -577,23 +582,22 @@
         }
     }
 
-    fn hear_platform(
-        &mut self,
-        list: Arc<vanepath_setup::platform::PlatformList>,
-        effects: &mut Vec<Effect>,
-    ) {
-        if list.revision > self.platform.revision {
-            let before = std::mem::replace(&mut self.platform, list);
-            self.lists.push_back(before);
-            if self.lists.len() > LISTS_KEPT {
-                self.lists.pop_front();
-            }
-            self.wants_list = false;
+    /// Another platform list may be in force from now on.
+    fn note_list(&mut self, is_new: bool, effects: &mut Vec<Effect>) {
+        if is_new {
             self.loud += 1;
             effects.push(Effect::Changed);
         }
     }
 
+    /// A read of the platform list found this revision in force.
+    fn note_list_read(&mut self, revision: u64, began_at: Duration) {
+        let is_news = self.lists.note_read(revision, began_at);
+        if is_news && self.own.role == wire::Role::Registry {
+            self.loud += 1;
+        }
+    }
+
     fn hear_plan(&mut self, plan: Arc<wire::Plan>, effects: &mut Vec<Effect>) {
         // Under a lower epoch nothing is taken (design 5.6).
         if (plan.epoch, plan.counter) > (self.plan.epoch, self.plan.counter) {
@@ -833,13 +837,16 @@
             vector: (!has_vector)
                 .then(|| self.sources.iter().map(|one| (one.short, one.mark)).collect()),
             word: self.word.revision,
-            platform: self.list_held(),
+            platform: self.lists.held(),
             plan: (self.plan.epoch, self.plan.counter),
             own: self.own_delta(tells_card, tells_detail),
             wait_ms,
             wants_detail: self.details_since.is_some(),
             light,
             silent,
+            list_age_ms: (self.own.role == wire::Role::Registry)
+                .then(|| self.lists.read(now).map(|read| read.age_ms))
+                .flatten(),
         };
         effects.push(Effect::Pull { address, pull });
     }
@@ -890,17 +897,17 @@
                 self.highest = self.highest.max(news.floor.unwrap_or(0));
             }
             if let Some(list) = news.platform {
-                if self.wants_list && list.revision == self.platform.revision {
-                    // Of one revision two lists are in force: whoever has asked takes the teller's.
-                    self.platform = Arc::default();
-                }
-                self.hear_platform(Arc::new(list), effects);
+                let is_new = self.lists.hear_whole(list);
+                self.note_list(is_new, effects);
             }
             if let Some(delta) = news.platform_delta {
-                match self.platform.with(&delta) {
-                    Some(list) => self.hear_platform(Arc::new(list), effects),
-                    None => self.wants_list |= delta.base == self.platform.revision,
-                }
+                let is_new = self.lists.hear_delta(&delta);
+                self.note_list(is_new, effects);
+            }
+            if let Some(read) = news.list_read {
+                let age = Duration::from_millis(u64::from(read.age_ms));
+                self.lists.note_revision(read.revision);
+                self.note_list_read(read.revision, now.saturating_sub(age));
             }
             if let Some(plan) = news.plan {
                 self.hear_plan(Arc::new(plan), effects);
@@ -1097,6 +1104,8 @@
         let seeks_floor = pull.own.report.as_ref().is_some_and(|report| report.revision == 0);
         self.hear(now, pull.own, true, effects);
         let wait = Duration::from_millis(u64::from(pull.wait_ms)).min(WAIT * 4);
+        self.lists.note_revision(pull.platform);
+        let list_age = pull.list_age_ms.map(|age_ms| Duration::from_millis(u64::from(age_ms)));
         self.parked.retain(|parked| parked.asker != asker || parked.ticket == ticket);
         let known = self.askers.remove(&asker);
         let resend = pull.vector.is_none() && known.is_none();
@@ -1120,6 +1129,7 @@
             is_first: pull.wait_ms == 0,
             seeks_floor,
             looked: 0,
+            list_read_at: list_age.map(|age| now.saturating_sub(age)),
         };
         if resend || now >= parked.until || self.is_loud(&parked) {
             self.answer(now, parked, effects);
@@ -1165,13 +1175,23 @@
         let is_silent_new =
             parked.light && judges && parked.silent != digest_of(&self.silent_for(parked));
         is_silent_new
+            || self.has_later_list_read(parked)
             || self.in_force() > parked.word
-            || self.platform.revision > parked.platform
+            || self.lists.current().revision > parked.platform
             || (self.plan.epoch, self.plan.counter) > parked.plan
             || louder(&self.own.name, self.short, &self.mark)
             || self.sources.iter().any(|one| louder(&one.card.name, one.short, &one.mark))
     }
 
+    /// Registries tell each other at once that the platform list was read, for who reads it next goes by that.
+    fn has_later_list_read(&self, parked: &Parked) -> bool {
+        let is_registry = self.own.role == wire::Role::Registry;
+        let Some(read_at) = self.lists.read_at().filter(|_| is_registry && !parked.light) else {
+            return false;
+        };
+        parked.list_read_at.is_none_or(|known_at| read_at >= known_at + LIST_READ_STEP)
+    }
+
     /// The sources whose details a reply has room for; `None`: all. What is left out stays unknown to the
     /// asker and comes with its next pulls, which begin elsewhere.
     fn told_details(&self, parked: &Parked) -> Option<std::collections::HashSet<usize>> {
@@ -1253,15 +1273,14 @@
                 detail: new_detail.then(|| detail.clone()),
             });
         }
-        let is_list_new = self.platform.revision > parked.platform;
-        let base = self.lists.iter().find(|list| list.revision == parked.platform);
-        let list_delta = base.filter(|base| is_list_new && base.revision > 0);
-        let list_delta = list_delta.map(|base| self.platform.since(base));
+        let parcel = self.lists.parcel_for(parked.platform);
+        let tells_read = !parked.light || parcel.whole.is_some() || parcel.delta.is_some();
         wire::News {
             deltas,
             word: (self.in_force() > parked.word).then(|| (*self.word).clone()),
-            platform: (is_list_new && list_delta.is_none()).then(|| (*self.platform).clone()),
-            platform_delta: list_delta,
+            platform: parcel.whole,
+            platform_delta: parcel.delta,
+            list_read: self.lists.read(now).filter(|_| tells_read),
             plan: ((self.plan.epoch, self.plan.counter) > parked.plan)
                 .then(|| (*self.plan).clone()),
             silent: (parked.light && self.own.role == wire::Role::Registry)
--- a/sibling/src/news/tests.rs
+++ b/sibling/src/news/tests.rs
@@ -78,6 +78,7 @@
         wants_detail: true,
         light: false,
         silent: 0,
+        list_age_ms: None,
     };
     pull.own.name = "s".to_string();
     let effects = news.step(now, Event::Asked { ticket: 1, pull });
@@ -143,6 +144,7 @@
         wants_detail: false,
         light: false,
         silent: 0,
+        list_age_ms: None,
     };
     news.step(ms(10_100), Event::Asked { ticket: 7, pull: pull.clone() });
     let address = card("p", wire::Role::Proxy, 2).sibling_address;
--- a/sibling/src/wire.rs
+++ b/sibling/src/wire.rs
@@ -235,8 +235,23 @@
     pub light: bool,
     /// The digest of the silent ones that it was told of last.
     pub silent: u64,
+    /// Between registries: how long ago the newest read began that the asker knows of and that found its
+    /// list in force.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub list_age_ms: Option<u32>,
 }
 
+/// A read of the platform list that found the list of this revision in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(from = "(u64, u32)", into = "(u64, u32)")]
+pub struct ListRead {
+    pub revision: u64,
+    /// How long ago it began.
+    pub age_ms: u32,
+}
+
+bare!(ListRead { revision: u64, age_ms: u32 });
+
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct News {
     pub deltas: Vec<Delta>,
@@ -244,6 +259,9 @@
     pub platform: Option<vanepath_setup::platform::PlatformList>,
     /// Instead of the whole list, where the asker has one that the teller knows.
     pub platform_delta: Option<vanepath_setup::platform::ListDelta>,
+    /// The newest read of the platform list that the teller knows of.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub list_read: Option<ListRead>,
     pub plan: Option<Plan>,
     /// For a light asker: who is not live as the teller sees it, by short names.
     pub silent: Option<Vec<u32>>,
--- a/sibling/tests/details.rs
+++ b/sibling/tests/details.rs
@@ -50,7 +50,7 @@
             asker.sources.iter().map(|one| (wire::short_name(&one.card.name), one.mark)).collect(),
         ),
         word: 0,
-        platform: asker.list_held(),
+        platform: asker.lists.held(),
         plan: (0, 0),
         own: wire::Delta {
             name: asker.own().name.clone(),
@@ -64,6 +64,7 @@
         wants_detail: true,
         light: false,
         silent: 0,
+        list_age_ms: None,
     };
     let mut effects = asked.step(NOW, Event::Asked { ticket, pull });
     let until = NOW + Duration::from_millis(u64::from(wait_ms));
@@ -121,6 +122,7 @@
             wants_detail: false,
             light: false,
             silent: 0,
+            list_age_ms: None,
         };
         first.step(NOW, Event::Asked { ticket: number, pull });
     };
@@ -186,12 +188,12 @@
     };
     let told = pulled(&mut asker, &mut teller, 1);
     assert!(told.platform.is_none() && told.platform_delta.unwrap().changed.len() == 1);
-    assert_eq!(asker.platform, teller.platform);
+    assert_eq!(asker.lists.current(), teller.lists.current());
     pulled(&mut astray, &mut teller, 2);
-    assert_eq!(astray.platform.revision, 1, "it does not lead there");
+    assert_eq!(astray.lists.current().revision, 1, "it does not lead there");
     let told = pulled(&mut astray, &mut teller, 3);
     assert!(told.platform.is_some());
-    assert_eq!(astray.platform, teller.platform);
+    assert_eq!(astray.lists.current(), teller.lists.current());
 }
 
 /// What a registry hears of others of its kind, and whether its next pulls ask for details.
--- a/sibling/tests/floor.rs
+++ b/sibling/tests/floor.rs
@@ -71,6 +71,7 @@
         wants_detail: false,
         light: false,
         silent: 0,
+        list_age_ms: None,
     };
     let effects = news.step(now, Event::Asked { ticket: 1, pull });
     let answer = effects.into_iter().find_map(|effect| match effect {
