--- a/proxy/src/liveness.rs
+++ b/proxy/src/liveness.rs
@@ -62,6 +62,9 @@
     bad: u32,
     bad_since: Option<Duration>,
     was_away: bool,
+    /// Since when it is bound to its modest rate: while cold and ramping, and while it is a suspect that was
+    /// so when it failed.
+    cold_since: Option<Duration>,
     /// Its machine itself said that it is not there: no cut can feign that.
     refused: bool,
     last_good_at: Option<Duration>,
@@ -129,6 +132,7 @@
             bad: 0,
             bad_since: None,
             was_away: false,
+            cold_since: None,
             refused: false,
             last_good_at: None,
             steady_since: None,
@@ -145,9 +149,14 @@
     fn enter(&mut self, now: Duration, phase: Phase) {
         self.phase = phase;
         self.since = now;
-        if phase == Phase::Cold {
-            self.forgive();
-            self.next_cold_at = now + self.cold.turn;
+        match phase {
+            Phase::Cold => {
+                self.forgive();
+                self.next_cold_at = now + self.cold.turn;
+                self.cold_since = Some(now);
+            }
+            Phase::Live => self.cold_since = None,
+            Phase::Unknown | Phase::Ramping | Phase::Suspect => {}
         }
     }
 
@@ -156,6 +165,7 @@
     pub fn chill(&mut self, now: Duration, age: Duration) {
         self.enter(now, Phase::Cold);
         self.since = now.saturating_sub(age);
+        self.cold_since = Some(self.since);
         if age > Duration::ZERO {
             // Others have divided its rate among them already, and hear of this one only now.
             self.next_cold_at += HANDOVER;
@@ -172,11 +182,15 @@
         self.refused = false;
     }
 
-    /// A suspect that others probe is tried again after a rest.
+    /// A suspect that others probe is tried again after a rest; if it was cold when it failed, as a cold one.
     pub fn retry(&mut self, now: Duration) {
-        if self.phase == Phase::Suspect && now.saturating_sub(self.since) >= RETRY_AFTER {
-            self.trust(now);
+        if self.phase != Phase::Suspect || now.saturating_sub(self.since) < RETRY_AFTER {
+            return;
         }
+        let Some(cold_since) = self.cold_since else { return self.trust(now) };
+        self.enter(now, Phase::Cold);
+        self.since = cold_since;
+        self.cold_since = Some(cold_since);
     }
 
     /// Something speaks against it that only a probe can settle.
@@ -306,6 +320,11 @@
                 self.refused = false;
                 self.enter(now, Phase::Live);
             }
+            Phase::Suspect
+                if self.cold_since.is_some_and(|since| now >= since + 2 * cold.period) =>
+            {
+                self.cold_since = None;
+            }
             _ => {}
         }
     }
@@ -318,10 +337,10 @@
         }
     }
 
-    /// When a cold server may get its next request from here; never where this proxy has no part.
+    /// When a server that is bound to its modest rate may get its next request from here; never where this
+    /// proxy has no part.
     pub fn next_at(&self) -> Option<Duration> {
-        let is_bound = matches!(self.phase, Phase::Cold | Phase::Ramping);
-        is_bound.then_some(if self.cold.every.is_some() {
+        self.cold_since.is_some().then_some(if self.cold.every.is_some() {
             self.next_cold_at
         } else {
             Duration::MAX
@@ -333,7 +352,7 @@
     pub fn take(&mut self, now: Duration) {
         let Some(every) = self.cold.every else { return };
         let doublings = match self.phase {
-            Phase::Cold => 0,
+            Phase::Cold | Phase::Suspect if self.cold_since.is_some() => 0,
             Phase::Ramping => {
                 let age = now.saturating_sub(self.since).as_secs_f64();
                 let part = age / self.cold.period.as_secs_f64().max(1e-3);
--- a/proxy/src/liveness/tests.rs
+++ b/proxy/src/liveness/tests.rs
@@ -1,4 +1,4 @@
-use super::{Failure, Liveness, Phase};
+use super::{ColdRate, Failure, Liveness, Phase};
 use std::time::Duration;
 
 fn second(seconds: f64) -> Duration {
@@ -187,3 +187,65 @@
     server.bad(ms(2600), Failure::Refused);
     assert_eq!(server.phase, Phase::Suspect);
 }
+
+/// Incident 0018: a server that was cold when it failed was taken for well after a rest, by every proxy that does
+/// not probe it, and got whatever came; as a last resort it got that at once.
+#[test]
+fn a_cold_server_that_failed_is_tried_again_at_its_modest_rate() {
+    let rate = ColdRate::of(5.1, second(3.0), 0, 72);
+    let every = rate.every.expect("the first has a part");
+    for fails in [true, false] {
+        let mut server = Liveness::new(second(0.0));
+        server.by_traffic = true;
+        server.pulse(second(0.0), rate);
+        server.chill(second(0.0), Duration::ZERO);
+        if fails {
+            server.bad(second(0.5), Failure::Refused);
+        } else {
+            // The others say so.
+            server.hear(second(0.5), true, None);
+        }
+        assert_eq!(server.phase, Phase::Suspect);
+        let mut sent = 0;
+        for now_ms in 500..2900 {
+            let now = Duration::from_millis(now_ms);
+            server.retry(now);
+            server.pulse(now, rate);
+            if server.next_at().is_none_or(|at| now >= at) {
+                server.take(now);
+                sent += 1;
+            }
+        }
+        let most = (2400.0 / every.as_millis() as f64).ceil() as u32;
+        assert!(sent <= most, "{sent} in 2.4 s, and {most} are its rate");
+        assert_eq!(server.phase, Phase::Cold);
+        server.pulse(second(3.0), rate);
+        assert_eq!(server.phase, Phase::Ramping, "by the time at which it became cold");
+        server.pulse(second(6.0), rate);
+        assert_eq!((server.phase, server.next_at()), (Phase::Live, None));
+    }
+    // Without a part it gets nothing from here.
+    let mut server = Liveness::new(second(0.0));
+    server.by_traffic = true;
+    let none = ColdRate::of(5.1, second(3.0), 30, 72);
+    server.pulse(second(0.0), none);
+    server.chill(second(0.0), Duration::ZERO);
+    server.hear(second(0.5), true, None);
+    server.retry(second(2.1));
+    server.pulse(second(2.1), none);
+    assert_eq!(server.next_at(), Some(Duration::MAX));
+}
+
+/// One that is a suspect for longer than it would have been cold is an ordinary suspect.
+#[test]
+fn a_suspect_is_bound_to_its_rate_no_longer_than_it_would_have_been_cold() {
+    let rate = ColdRate::of(5.1, second(3.0), 0, 72);
+    let mut server = Liveness::new(second(0.0));
+    server.pulse(second(0.0), rate);
+    server.chill(second(0.0), Duration::ZERO);
+    server.bad(second(0.5), Failure::Refused);
+    server.pulse(second(5.9), rate);
+    assert!(server.next_at().is_some());
+    server.pulse(second(6.0), rate);
+    assert_eq!((server.phase, server.next_at()), (Phase::Suspect, None));
+}
