--- a/fleet/src/sim/data.rs
+++ b/fleet/src/sim/data.rs
@@ -1134,10 +1134,14 @@
     fn way_work(&mut self, index: usize, way: usize) {
         let host = self.daemons[index].host;
         let now = self.net.local(host);
+        let word = self.daemons[index].view.word.clone();
         let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
         let Some(own) = proxy.ways.get_mut(&way) else { return };
         let entry = &own.table.entries[own.index];
         let Some((connection, _)) = own.connection else { return };
+        if proxy.servers.is_withdrawn(&own.table, entry, &word.emptied) {
+            return self.missed(index, way, Miss::Withdrawn);
+        }
         let left = own.deadline.saturating_sub(now);
         own.chart.state = State::Sent;
         own.chart.sends += 1;
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -38,6 +38,7 @@
         VerdictMayHaveRun,
         Goes,
         FurtherGoes,
+        GoesWithdrawn,
         GoesOtherZone,
         GoesOtherRegion,
         BytesOtherZone,
@@ -806,6 +807,13 @@
         self.look(|now, want, may_go| servers.leaves(now, self.table, want, had, may_go))
     }
 
+    /// Whether the server must not get the request any more, by what is known now. A connection may have taken
+    /// long to come up (incident 0017).
+    fn is_withdrawn(&self) -> bool {
+        let latest = self.proxy.daemon.table.load();
+        self.proxy.servers.is_withdrawn(self.table, self.entry, &latest.word.emptied)
+    }
+
     fn bad(&self, failure: Failure) {
         self.proxy.note_bad(self.entry.slot, &self.entry.server.id, failure);
     }
@@ -817,6 +825,10 @@
         let connected = tokio::time::timeout_at(until, self.connection(chart.kind)).await;
         let (mut sender, greeted_at) = connected.unwrap_or(Err(Miss::NotConnected))?;
         chart.state = State::Greeted;
+        if self.is_withdrawn() {
+            self.proxy.tally.one(Counter::GoesWithdrawn);
+            return Err(Miss::Withdrawn);
+        }
 
         let body = match &mut told.body {
             TellBody::Whole(bytes) => daemon::body(bytes.clone()),
--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -47,6 +47,9 @@
 pub enum Miss {
     /// No connection, or not to the server that was meant.
     NotConnected,
+    /// The server is not to be used any more: it was marked as leaving, or its zone was emptied, while the
+    /// connection to it came up.
+    Withdrawn,
     /// The connection ended before any byte of the request was written.
     NotSent,
     /// The server says that it did not run it and never will, or that it is another server.
@@ -61,6 +64,13 @@
     Truncated,
 }
 
+impl Miss {
+    /// Whether the server has surely not run it, and never will.
+    pub fn is_untouched(self) -> bool {
+        matches!(self, Miss::NotConnected | Miss::Withdrawn | Miss::NotSent | Miss::TurnedAway)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
     Again,
@@ -123,15 +133,18 @@
         (may && pause < left).then_some(pause)
     }
 
-    /// After a go that missed. `may_go` takes one from the retry budget; it is asked last.
+    /// After a go that missed. `may_go` takes one from the retry budget; it is asked last, and not at all where
+    /// this proxy itself let go of a server that nothing was sent to.
     pub fn missed(&mut self, miss: Miss, is_late: bool, may_go: impl FnOnce() -> bool) -> Next {
-        let untouched = matches!(miss, Miss::NotConnected | Miss::NotSent | Miss::TurnedAway);
+        let untouched = miss.is_untouched();
         if !untouched {
             self.may_sent = true;
         }
         let refusal = match miss {
             _ if is_late => Refusal::Late,
-            Miss::NotConnected | Miss::NotSent | Miss::TurnedAway => Refusal::NoServer,
+            Miss::NotConnected | Miss::Withdrawn | Miss::NotSent | Miss::TurnedAway => {
+                Refusal::NoServer
+            }
             Miss::Silent => Refusal::Late,
             Miss::LostAfterSend | Miss::Misanswered | Miss::Truncated => Refusal::Lost,
         };
@@ -143,7 +156,7 @@
         if is_late || !may_repeat || !self.may_go_on() {
             return Next::End(refusal);
         }
-        if !may_go() {
+        if miss != Miss::Withdrawn && !may_go() {
             return Next::End(if self.may_sent { refusal } else { Refusal::NoBudget });
         }
         Next::Again
--- a/proxy/src/chart/tests.rs
+++ b/proxy/src/chart/tests.rs
@@ -57,6 +57,8 @@
     expect_test::expect![[r#"
         repeatable not-connected   budget true   goes again, not-run
         repeatable not-connected   budget false  no-budget 503, not-run
+        repeatable withdrawn       budget true   goes again, not-run
+        repeatable withdrawn       budget false  goes again, not-run
         repeatable not-sent        budget true   goes again, not-run
         repeatable not-sent        budget false  no-budget 503, not-run
         repeatable turned-away     budget true   goes again, not-run
@@ -71,6 +73,8 @@
         repeatable truncated       budget false  lost 502, may-have-run
         once       not-connected   budget true   goes again, not-run
         once       not-connected   budget false  no-budget 503, not-run
+        once       withdrawn       budget true   goes again, not-run
+        once       withdrawn       budget false  goes again, not-run
         once       not-sent        budget true   goes again, not-run
         once       not-sent        budget false  no-budget 503, not-run
         once       turned-away     budget true   goes again, not-run
@@ -106,10 +110,9 @@
                 let miss = misses[rest % misses.len()];
                 rest /= misses.len();
                 chart.goes += 1;
-                let is_sent = miss != Miss::NotConnected;
+                let is_sent = !matches!(miss, Miss::NotConnected | Miss::Withdrawn);
                 chart.sends += u32::from(is_sent);
-                let is_untouched =
-                    matches!(miss, Miss::NotConnected | Miss::NotSent | Miss::TurnedAway);
+                let is_untouched = !is_sent || matches!(miss, Miss::NotSent | Miss::TurnedAway);
                 has_touched |= !is_untouched;
                 let is_late = is(2) && turn == 2;
                 let next = chart.missed(miss, is_late, || !is(3) || turn < 1);
--- a/proxy/src/servers.rs
+++ b/proxy/src/servers.rs
@@ -943,6 +943,25 @@
         self.has_other(now, table, want, need) && (is_in_vain || may_go(need))
     }
 
+    /// Whether a server that was chosen from an earlier table is not to be used any more by the newest one:
+    /// it is leaving, or gone, or its zone was emptied.
+    pub fn is_withdrawn(
+        &self,
+        chosen_from: &Table,
+        entry: &Entry,
+        emptied: &std::collections::BTreeSet<String>,
+    ) -> bool {
+        if emptied.contains(&entry.server.zone) {
+            return true;
+        }
+        let newest = self.table.load();
+        if newest.revision == chosen_from.revision {
+            return false;
+        }
+        let now = newest.entries.iter().find(|one| one.slot == entry.slot);
+        now.is_none_or(|one| one.server.leaving)
+    }
+
     pub fn release(&self, slot: usize) {
         self.with(slot, |quick| quick.in_hand -= 1);
     }
@@ -1016,7 +1035,7 @@
             }
             // No proof against it: it may just have much to do. A probe will tell.
             Err(Miss::Silent) => self.moved(slot, Liveness::doubt),
-            Err(Miss::NotConnected | Miss::TurnedAway) => None,
+            Err(Miss::NotConnected | Miss::Withdrawn | Miss::TurnedAway) => None,
         };
         self.with(slot, |quick| {
             let is_busy = quick.demand(now) >= BUSY;
@@ -1029,7 +1048,7 @@
                 Err(Miss::Silent | Miss::Truncated | Miss::LostAfterSend | Miss::Misanswered) => {
                     quick.liveness.worked(now, false);
                 }
-                Err(Miss::NotSent | Miss::NotConnected | Miss::TurnedAway) => {}
+                Err(Miss::NotSent | Miss::NotConnected | Miss::Withdrawn | Miss::TurnedAway) => {}
             }
         });
         phase
--- a/proxy/src/servers/tests.rs
+++ b/proxy/src/servers/tests.rs
@@ -263,3 +263,34 @@
     assert_eq!(case.servers.need(own, now(10)), Need::Slow);
     assert!(!case.leaves("s-b1", 10).1);
 }
+
+/// Incident 0017: a connection may take long to come up, and the server may be marked as leaving, go or have its
+/// zone emptied meanwhile: nothing is sent to it then.
+#[test]
+fn a_server_that_is_withdrawn_while_its_connection_comes_up_gets_nothing() {
+    let case = case();
+    let chosen_from = case.servers.table.load_full();
+    let entry = chosen_from.entries[1].clone();
+    let is_withdrawn = |emptied: &std::collections::BTreeSet<String>| {
+        case.servers.is_withdrawn(&chosen_from, &entry, emptied)
+    };
+    assert!(!is_withdrawn(&case.emptied));
+    assert!(is_withdrawn(&["a2".to_string()].into()), "its zone is emptied");
+    let adopt = |revision: u64, change: &dyn Fn(&mut vanepath_setup::platform::PlatformList)| {
+        let mut list = list();
+        change(&mut list);
+        let now = Duration::from_secs(1);
+        case.servers.adopt(now, (1, revision), &case.setup, &list, |_, _| ColdRate::default());
+    };
+    adopt(2, &|list| list.servers[0].leaving = true);
+    assert!(!is_withdrawn(&case.emptied), "it is another one that leaves");
+    adopt(3, &|list| list.servers[1].leaving = true);
+    assert!(is_withdrawn(&case.emptied), "it leaves");
+    adopt(4, &|list| {
+        list.servers.remove(1);
+    });
+    assert!(is_withdrawn(&case.emptied), "it is gone");
+    // Another server with its name and another address is another one.
+    adopt(5, &|list| list.servers[1].address = "127.0.0.1:9099".parse().unwrap());
+    assert!(is_withdrawn(&case.emptied), "its life is over");
+}
--- a/proxy/src/shell.rs
+++ b/proxy/src/shell.rs
@@ -240,6 +240,10 @@
             &view.platform,
             |server, services| crate::servers::cold_rate(view, own, server, services),
         );
+        if let Some(read_at) = view.list_read_at.filter(|_| !notes.is_empty()) {
+            let age_ms = now.saturating_sub(read_at).as_millis();
+            log::info!("platform list {}, read {age_ms} ms ago", view.platform.revision);
+        }
         for note in notes {
             log::info!("{note}");
         }
