--- a/fleet/src/soak/operator.rs
+++ b/fleet/src/soak/operator.rs
@@ -83,8 +83,8 @@
         if let Order::Return(zone) = &order {
             let now = self.start.elapsed();
             self.with(|outcome| {
-                let open = outcome.emptied.iter_mut().rev().find(|one| one.zone == *zone);
-                open.into_iter().for_each(|one| one.to = now);
+                let is_open = |one: &&mut Emptied| one.zone == *zone && one.to == Duration::MAX;
+                outcome.emptied.iter_mut().filter(is_open).for_each(|one| one.to = now);
             });
         }
         // The same key with every sending: it counts once.
