--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -25,7 +25,8 @@
 
 impl Link {
     fn carries(&self, way: Way) -> bool {
-        !self.is_cut && !(self.is_mute && way == Way::FromDaemon)
+        let is_mute = self.is_mute && way == Way::FromDaemon;
+        !self.is_cut && !is_mute
     }
 }
 
