--- /dev/null
+++ b/fleet/src/sim/data/proxies.rs
@@ -0,0 +1,621 @@
+//! Proxies: the shell round the cores of a proxy, which decides nothing.
+
+use super::*;
+
+impl Sim {
+    /// News is in force at once: servers and classes as it wants them.
+    pub fn adopt_view(&mut self, index: usize) {
+        let now = self.net.local(self.daemons[index].host);
+        let view = self.daemons[index].view.clone();
+        let name = self.daemons[index].card.name.clone();
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let revision = vanepath_proxy::servers::revision_of(&view);
+        if proxy.revision == Some(revision) {
+            return;
+        }
+        let mut woken = Vec::new();
+        if proxy.revision.is_none_or(|old| old.0 != revision.0) {
+            proxy.classes.adopt(&view.setup);
+            woken = proxy.classes.wake();
+            proxy.request_counts.adopt(view.setup.services.iter().map(|one| one.name.as_str()));
+        }
+        proxy.revision = Some(revision);
+        let cold = |server: &vanepath_setup::platform::Server, services: &[usize]| {
+            vanepath_proxy::servers::cold_rate(&view, &name, server, services)
+        };
+        let mut list = (*view.platform).clone();
+        if self.breaks == Some(Break::IgnoresLeaving) {
+            list.servers.iter_mut().for_each(|server| server.leaving = false);
+        }
+        proxy.servers.adopt(now, revision, &view.setup, &list, cold);
+        proxy.paces.renew();
+        self.wake_ways(index, woken);
+    }
+
+    pub fn pulse_proxy(&mut self, index: usize) {
+        self.adopt_view(index);
+        let host = self.daemons[index].host;
+        let now = self.net.local(host);
+        let view = self.daemons[index].view.clone();
+        let name = self.daemons[index].card.name.clone();
+        let card = self.daemons[index].card.clone();
+        let leaving = self.daemons[index].leaving;
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        proxy.pulsed_at = now;
+        let revision = vanepath_proxy::servers::revision_of(&view);
+        let table = proxy.servers.table.load_full();
+        let blind_to: &[Phase] = match self.breaks {
+            Some(Break::FloodsCold) => &[Phase::Cold, Phase::Ramping],
+            // Who is not avoided is tried again and again.
+            Some(Break::UnboundRetries) => &[Phase::Cold, Phase::Ramping, Phase::Suspect],
+            _ => &[],
+        };
+        for entry in table.entries.iter().filter(|_| !blind_to.is_empty()) {
+            proxy.servers.moved(entry.slot, |liveness| {
+                liveness.forgive();
+                if blind_to.contains(&liveness.phase) {
+                    liveness.phase = Phase::Live;
+                }
+            });
+        }
+        let plan = (view.plan.epoch, view.plan.counter);
+        if proxy.plan != Some((plan, revision)) {
+            proxy.plan = Some((plan, revision));
+            proxy.servers.hear_plan(now, &view.plan);
+        }
+        proxy.paces.pulse(now, &view, &card, &table);
+        let pulsed = proxy.servers.pulse(now, &proxy.paces);
+        self.world.probes += pulsed.probes.len() as u64;
+        let is_fresh = view.is_fresh || self.breaks == Some(Break::StartsStale);
+        let ready = proxy.servers.is_fit(now, is_fresh, revision) && !leaving;
+        let mut detail = None;
+        let is_news = pulsed.is_news || std::mem::take(&mut proxy.moved);
+        if proxy.telling.is_due(now, is_news) {
+            let counts = proxy.classes.counts();
+            detail = Some(wire::Detail {
+                sights: proxy.servers.sights(now),
+                in_hand: counts.iter().map(|one| one.2 as u32).collect(),
+                waiting: counts.iter().map(|one| one.3 as u32).collect(),
+                taken: proxy.request_counts.tell(now),
+            });
+        }
+        for entry in pulsed.probes {
+            let address = table.entries[entry].server.address;
+            let purpose = Purpose::Probe { slot: table.entries[entry].slot, index: entry };
+            let limit = vanepath_proxy::pool::LIMIT;
+            self.net.ask(host, Net::host_at(address), limit, Body::Greet, purpose);
+        }
+        for note in pulsed.notes {
+            self.note(|| format!("{name}: {note}"));
+        }
+        self.daemons[index].is_well = ready;
+        if ready {
+            self.judge_service(index);
+        }
+        let report = wire::Report {
+            ready,
+            leaving,
+            revision: view.word.revision,
+            ..wire::Report::default()
+        };
+        self.step_news(index, news::Event::Report(report));
+        if let Some(detail) = detail {
+            self.step_news(index, news::Event::Detail(detail));
+        }
+        let Duty::Proxy(proxy) = &self.daemons[index].duty else { return };
+        if proxy.closed && proxy.ways.is_empty() {
+            self.crash(index, false);
+        }
+    }
+
+    /// Asks a daemon to stop in the planned way.
+    pub fn terminate(&mut self, index: usize) {
+        self.daemons[index].leaving = true;
+        let host = self.daemons[index].host;
+        let linger = match self.daemons[index].card.role {
+            wire::Role::Proxy => Duration::from_millis(3500),
+            _ => Duration::from_millis(300),
+        };
+        self.net.timer(host, linger, Timer::Close);
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        index: usize,
+        slot: usize,
+        entry: usize,
+        body: Option<Body>,
+        is_reset: bool,
+    ) {
+        let now = self.net.local(self.daemons[index].host);
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        proxy.servers.with(slot, |quick| quick.probing = false);
+        let table = proxy.servers.table.load_full();
+        let Some(entry) = table.entries.get(entry).filter(|entry| entry.slot == slot) else {
+            return;
+        };
+        let phase = match body {
+            Some(Body::Greeted { server, connection, is_cold, demand_milli })
+                if server == entry.server.id =>
+            {
+                proxy.servers.told(now, slot, demand_milli);
+                if is_cold {
+                    proxy.servers.moved(slot, |liveness| {
+                        if liveness.phase == Phase::Live {
+                            liveness.chill(now, Duration::ZERO);
+                        }
+                    });
+                }
+                let idle = Idle {
+                    connection,
+                    greeted_at: now,
+                    quiet_since: now,
+                    kept_for: vanepath_proxy::servers::IDLE_MOST,
+                    is_used: false,
+                };
+                proxy.servers.put_idle(slot, idle);
+                proxy.servers.good(now, slot)
+            }
+            Some(_) => proxy.servers.bad(now, slot, Failure::Refused),
+            None if is_reset => proxy.servers.bad(now, slot, Failure::Refused),
+            None => proxy.servers.bad(now, slot, Failure::Silent),
+        };
+        if let Some(phase) = phase {
+            proxy.moved = true;
+            let (name, id) = (self.daemons[index].card.name.clone(), entry.server.id.clone());
+            self.note(|| format!("{name}: server {id} is {phase}"));
+        }
+    }
+
+    pub(in crate::sim) fn is_fit(&self, index: usize) -> bool {
+        let now = self.net.local(self.daemons[index].host);
+        let Duty::Proxy(proxy) = &self.daemons[index].duty else { return false };
+        let view = &self.daemons[index].view;
+        let is_fresh = view.is_fresh || self.has(Break::StartsStale);
+        let revision = vanepath_proxy::servers::revision_of(view);
+        now.saturating_sub(proxy.pulsed_at) < news::FREEZE
+            && proxy.servers.is_fit(now, is_fresh, revision)
+    }
+
+    pub fn start_way(&mut self, index: usize, request: usize, call: CallId) {
+        let host = self.daemons[index].host;
+        let now = self.net.local(host);
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        if proxy.closed {
+            return self.net.reply(call, Body::Reset);
+        }
+        self.world.requests[request].carriers.push(host);
+        self.world.doors.push((self.net.now, request));
+        proxy.next_way += 1;
+        let way = proxy.next_way;
+        let table = proxy.servers.table.load_full();
+        proxy.ways.insert(
+            way,
+            Way {
+                call,
+                request,
+                chart: Chart::new(),
+                table,
+                rule: 0,
+                tried: Vec::new(),
+                received_at: now,
+                deadline: now + news::HOLD,
+                held: None,
+                waits: None,
+                in_hand: None,
+                index: 0,
+                connection: None,
+                work: None,
+            },
+        );
+        self.way_ready(index, way);
+    }
+
+    pub(super) fn way_timer(&mut self, index: usize, what: Timer) {
+        match what {
+            Timer::WayReady(way) => self.way_ready(index, way),
+            Timer::WayChoose(way) => self.way_choose(index, way),
+            Timer::WayLate(way) => self.way_late(index, way),
+            Timer::WaySoon(way, go) => self.way_soon(index, way, go),
+            Timer::Close => {
+                if let Duty::Proxy(proxy) = &mut self.daemons[index].duty {
+                    proxy.closed = true;
+                    // For callers it is down from here on.
+                    let host = self.daemons[index].host;
+                    self.net.trouble(host, Ill::Down);
+                } else {
+                    self.crash(index, false);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn way_ready(&mut self, index: usize, way: usize) {
+        let host = self.daemons[index].host;
+        let now = self.net.local(host);
+        if !self.is_fit(index) {
+            let Duty::Proxy(proxy) = &self.daemons[index].duty else { return };
+            let Some(own) = proxy.ways.get(&way) else { return };
+            if self.daemons[index].view.is_stuck {
+                return self.end_way(index, way, Err(Refusal::BelowFloor));
+            }
+            if now.saturating_sub(own.received_at) >= news::HOLD {
+                return self.end_way(index, way, Err(Refusal::NotReady));
+            }
+            return self.net.timer(host, Duration::from_millis(10), Timer::WayReady(way));
+        }
+        let region = self.daemons[index].card.region.clone();
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        own.table = proxy.servers.table.load_full();
+        self.judge_service(index);
+        self.judge_door(index);
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        let request = &self.world.requests[own.request];
+        let (verb, path) = (method(request.what), self.world.paths[request.what as usize]);
+        let setup = own.table.setup.clone();
+        let rule = setup.rule_for(verb, "h", path);
+        let Some(rule) = rule else {
+            return self.end_way(index, way, Err(Refusal::Unmatched));
+        };
+        own.rule = rule;
+        let facts = &setup.rules[rule];
+        let class = &setup.classes[facts.class];
+        own.chart.state = State::Matched;
+        own.chart.kind = class.kind;
+        own.chart.is_replayable = true;
+        own.deadline = own.received_at + class.deadline;
+        if !facts.allows(&region) {
+            return self.end_way(index, way, Err(Refusal::Misplaced));
+        }
+        let is_spoilt = class.kind == Kind::Once && own.request.is_multiple_of(50);
+        if self.breaks == Some(Break::RefusesFilings) && is_spoilt {
+            return self.end_way(index, way, Err(Refusal::NoServer));
+        }
+        proxy.request_counts.took(facts.service);
+        proxy.budget.took(now);
+        self.world.took.push(self.net.now);
+        own.chart.state = State::Queued;
+        let late = own.deadline.saturating_sub(now);
+        let class_index = proxy.classes.index(&class.name);
+        let Some(class_index) = class_index else {
+            return self.end_way(index, way, Err(Refusal::NotReady));
+        };
+        let entered = proxy.classes.enter(class_index, own.deadline);
+        match entered {
+            Entered::Taken(slot) => own.held = Some(slot),
+            Entered::Dropped => return self.end_way(index, way, Err(Refusal::NoRoom)),
+            Entered::Waits(number) => {
+                own.waits = Some(number);
+                proxy.waiting.insert(number, way);
+            }
+        }
+        let is_in = own.held.is_some();
+        self.net.timer(host, late, Timer::WayLate(way));
+        if is_in {
+            self.way_choose(index, way);
+        }
+    }
+
+    pub(super) fn wake_ways(&mut self, index: usize, woken: Vec<(u64, Slot)>) {
+        for (number, slot) in woken {
+            let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+            let Some(way) = proxy.waiting.remove(&number) else { continue };
+            if let Some(own) = proxy.ways.get_mut(&way) {
+                own.waits = None;
+                own.held = Some(slot);
+                self.way_choose(index, way);
+            }
+        }
+    }
+
+    pub(super) fn way_choose(&mut self, index: usize, way: usize) {
+        let host = self.daemons[index].host;
+        let now = self.net.local(host);
+        let (zone, region) = {
+            let card = &self.daemons[index].card;
+            (card.zone.clone(), card.region.clone())
+        };
+        let view = self.daemons[index].view.clone();
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        if now >= own.deadline {
+            return self.end_way(index, way, Err(Refusal::Late));
+        }
+        own.chart.state = State::Choosing;
+        let latest = proxy.servers.table.load_full();
+        if !Arc::ptr_eq(&latest.setup, &own.table.setup) {
+            let request = &self.world.requests[own.request];
+            let (verb, path) = (method(request.what), self.world.paths[request.what as usize]);
+            match latest.setup.rule_for(verb, "h", path) {
+                Some(rule) => {
+                    let is_within = latest.setup.rules[rule].allows(&region);
+                    own.rule = rule;
+                    own.table = latest.clone();
+                    if !is_within {
+                        return self.end_way(index, way, Err(Refusal::Misplaced));
+                    }
+                }
+                None => return self.end_way(index, way, Err(Refusal::Unmatched)),
+            }
+        }
+        own.table = latest;
+        let want = Want {
+            rule: own.rule,
+            service: own.table.setup.rules[own.rule].service,
+            emptied: &view.word.emptied,
+            zone: &zone,
+            region: &region,
+            tried: &own.tried,
+            looks: None,
+            is_past_aim: false,
+        };
+        let choice = proxy.servers.choose(now, &own.table, &want, self.net.random.draw());
+        let (entry, _service) = match choice {
+            Choice::Server(entry, service) => (entry, service),
+            Choice::Wait(until) if until < own.deadline => {
+                let pause = until.saturating_sub(now).max(Duration::from_millis(1));
+                let pause = pause.min(Duration::from_millis(50));
+                return self.net.timer(host, pause, Timer::WayChoose(way));
+            }
+            Choice::Crowded => return self.end_way(index, way, Err(Refusal::Crowded)),
+            _ => return self.end_way(index, way, Err(Refusal::NoServer)),
+        };
+        let slot = own.table.entries[entry].slot;
+        let address = own.table.entries[entry].server.address;
+        own.index = entry;
+        own.tried.push(slot);
+        own.in_hand = Some(slot);
+        own.chart.goes += 1;
+        own.chart.state = State::Connecting;
+        self.world.goes += 1;
+        if own.chart.goes > 1 {
+            self.world.further_goes.push(self.net.now);
+        }
+        if own.table.entries[entry].server.zone != zone {
+            self.world.goes_other_zone += 1;
+        }
+        let (connections, net_now) = (&self.world.connections, self.net.now);
+        let fit = |idle: &Idle<u64>| {
+            connections
+                .get(&idle.connection)
+                .is_some_and(|one| one.closed_at.is_none_or(|closed_at| closed_at > net_now))
+        };
+        let idle = proxy.servers.take_idle(now, slot, fit);
+        if self.passes(index, Point::BeforeConnect) {
+            return;
+        }
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        let is_lately = |idle: &Idle<u64>| {
+            own.chart.kind == Kind::Repeatable
+                || now.saturating_sub(idle.greeted_at) <= Duration::from_secs(1)
+        };
+        match idle {
+            Some(idle) if is_lately(&idle) => {
+                own.connection = Some((idle.connection, idle.greeted_at));
+                self.way_work(index, way);
+            }
+            _ => {
+                let limit = vanepath_proxy::pool::LIMIT.min(own.deadline - now);
+                let purpose = Purpose::Greet { way };
+                self.net.ask(host, Net::host_at(address), limit, Body::Greet, purpose);
+            }
+        }
+    }
+
+    pub(super) fn greeted(&mut self, index: usize, way: usize, body: Option<Body>, is_reset: bool) {
+        let now = self.net.local(self.daemons[index].host);
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        let entry = &own.table.entries[own.index];
+        match body {
+            Some(Body::Greeted { server, connection, is_cold, .. })
+                if server == entry.server.id =>
+            {
+                if is_cold {
+                    proxy.servers.moved(entry.slot, |liveness| {
+                        if liveness.phase == Phase::Live {
+                            liveness.chill(now, Duration::ZERO);
+                        }
+                    });
+                }
+                own.chart.state = State::Greeted;
+                own.connection = Some((connection, now));
+                self.way_work(index, way);
+            }
+            other => {
+                let failure =
+                    if other.is_some() || is_reset { Failure::Refused } else { Failure::Silent };
+                proxy.servers.bad(now, entry.slot, failure);
+                self.missed(index, way, Miss::NotConnected);
+            }
+        }
+    }
+
+    pub(super) fn way_work(&mut self, index: usize, way: usize) {
+        let host = self.daemons[index].host;
+        let now = self.net.local(host);
+        let word = self.daemons[index].view.word.clone();
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        let entry = &own.table.entries[own.index];
+        let Some((connection, _)) = own.connection else { return };
+        if proxy.servers.is_withdrawn(&own.table, entry, &word.emptied) {
+            return self.missed(index, way, Miss::Withdrawn);
+        }
+        let left = own.deadline.saturating_sub(now);
+        own.chart.state = State::Sent;
+        own.chart.sends += 1;
+        own.chart.sent_at = now;
+        proxy.servers.sent(now, entry.slot);
+        let body = Body::Work { request: own.request, connection, sent_at: self.net.now };
+        let target = Net::host_at(entry.server.address);
+        if self.passes(index, Point::BeforeSend) {
+            return;
+        }
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        self.world.requests[own.request].sent_to.push(target);
+        own.work = Some(self.net.ask(host, target, left, body, Purpose::Work { way }));
+        if let Some(pause) = own.chart.leave_after(left) {
+            let go = own.chart.goes;
+            self.net.timer(host, pause, Timer::WaySoon(way, go));
+        }
+        self.passes(index, Point::AfterSend);
+    }
+
+    /// A third of the time left is gone without a reply: to another server, if there is one.
+    pub(super) fn way_soon(&mut self, index: usize, way: usize, go: u32) {
+        let host = self.daemons[index].host;
+        let now = self.net.local(host);
+        let card = self.daemons[index].card.clone();
+        let view = self.daemons[index].view.clone();
+        let live = vanepath_proxy::servers::live_proxies(&view);
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        if own.chart.goes != go || own.chart.state != State::Sent {
+            return;
+        }
+        let slot = own.table.entries[own.index].slot;
+        let want = Want {
+            rule: own.rule,
+            service: own.table.setup.rules[own.rule].service,
+            emptied: &view.word.emptied,
+            zone: &card.zone,
+            region: &card.region,
+            tried: &own.tried,
+            looks: None,
+            is_past_aim: false,
+        };
+        let had = (slot, own.chart.sent_at);
+        let budget = &mut proxy.budget;
+        let may_go = |need| budget.may_go(now, live, need);
+        if proxy.servers.leaves(now, &own.table, &want, had, may_go) {
+            proxy.servers.worked(now, slot, Err(Miss::Silent));
+            if let Some(call) = own.work.take() {
+                self.net.forget(call);
+            }
+            self.missed(index, way, Miss::Silent);
+        } else if let Some(pause) = own.chart.leave_after(own.deadline.saturating_sub(now)) {
+            self.net.timer(host, pause, Timer::WaySoon(way, go));
+        }
+    }
+
+    pub(super) fn way_late(&mut self, index: usize, way: usize) {
+        let Duty::Proxy(proxy) = &self.daemons[index].duty else { return };
+        // What is with a server ends by its own limit.
+        if proxy.ways.get(&way).is_some_and(|own| own.waits.is_some()) {
+            self.end_way(index, way, Err(Refusal::Late));
+        }
+    }
+
+    pub(super) fn worked(&mut self, index: usize, way: usize, body: Option<Body>, is_reset: bool) {
+        let now = self.net.local(self.daemons[index].host);
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        let slot = own.table.entries[own.index].slot;
+        own.work = None;
+        let outcome = match body {
+            Some(Body::Worked { demand_milli, is_truncated: false }) => {
+                proxy.servers.told(now, slot, demand_milli);
+                Ok(())
+            }
+            Some(_) => Err(Miss::Truncated),
+            None if is_reset => Err(Miss::LostAfterSend),
+            None => Err(Miss::Silent),
+        };
+        proxy.servers.worked(now, slot, outcome);
+        if let Err(miss) = outcome {
+            return self.missed(index, way, miss);
+        }
+        if let Some((connection, greeted_at)) = own.connection.take() {
+            let idle = Idle {
+                connection,
+                greeted_at,
+                quiet_since: now,
+                kept_for: vanepath_proxy::servers::IDLE_MOST,
+                is_used: true,
+            };
+            proxy.servers.put_idle(slot, idle);
+        }
+        own.chart.state = State::Done;
+        self.end_way(index, way, Ok(()));
+    }
+
+    pub(super) fn missed(&mut self, index: usize, way: usize, miss: Miss) {
+        let now = self.net.local(self.daemons[index].host);
+        let live = vanepath_proxy::servers::live_proxies(&self.daemons[index].view);
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.get_mut(&way) else { return };
+        if let Some(slot) = own.in_hand.take() {
+            proxy.servers.release(slot);
+        }
+        own.connection = None;
+        let is_late = now >= own.deadline;
+        let slot = own.table.entries[own.index].slot;
+        let need = proxy.servers.need_after(miss, slot, own.chart.sent_at);
+        let budget = &mut proxy.budget;
+        match self.breaks {
+            Some(Break::FilingsGoAgain) => own.chart.kind = Kind::Repeatable,
+            Some(Break::LookupsGiveUp) => own.chart.sends = own.chart.sends_most,
+            _ => {}
+        }
+        let is_unbound = self.breaks == Some(Break::UnboundRetries);
+        let next =
+            own.chart.missed(miss, is_late, || is_unbound || budget.take_go(now, live, need));
+        let request = own.request;
+        match next {
+            Next::Again => self.way_choose(index, way),
+            Next::End(refusal) => {
+                self.world.requests[request].why += &format!("{miss}; ");
+                self.end_way(index, way, Err(refusal));
+            }
+        }
+    }
+
+    pub(super) fn end_way(&mut self, index: usize, way: usize, end: Result<(), Refusal>) {
+        let Duty::Proxy(proxy) = &mut self.daemons[index].duty else { return };
+        let Some(own) = proxy.ways.remove(&way) else { return };
+        if let Some(slot) = own.in_hand {
+            proxy.servers.release(slot);
+        }
+        if let Some(number) = own.waits {
+            proxy.classes.leave(number);
+            proxy.waiting.remove(&number);
+        }
+        let woken = own.held.map(|slot| proxy.classes.release(slot)).unwrap_or_default();
+        let is_spoilt = own.chart.kind == Kind::Once && own.request.is_multiple_of(50);
+        let verdict = match self.breaks {
+            Some(Break::LiesNotRun) if end.is_err() => Verdict::NotRun,
+            Some(Break::DoubtsFilings) if is_spoilt => Verdict::MayHaveRun,
+            _ => own.chart.verdict(),
+        };
+        let is_misplaced = end == Err(Refusal::Misplaced);
+        let view = &self.daemons[index].view;
+        let named: Vec<std::net::SocketAddr> = if is_misplaced {
+            let rule = &own.table.setup.rules[own.rule];
+            vanepath_proxy::servers::carriers(view, rule).map(|card| card.address).collect()
+        } else {
+            Vec::new()
+        };
+        let status = match end {
+            Ok(()) => 200,
+            Err(refusal) => {
+                let why = &mut self.world.requests[own.request].why;
+                *why += &format!("{refusal} at {}; ", self.daemons[index].card.name);
+                refusal.status(verdict).as_u16()
+            }
+        };
+        if self.passes(index, Point::BeforePassing) {
+            return;
+        }
+        self.net.reply(own.call, Body::Carried { verdict, status, named });
+        if self.passes(index, Point::AfterPassing) {
+            return;
+        }
+        self.wake_ways(index, woken);
+    }
+}
