--- a/fleet/src/sim/control.rs
+++ b/fleet/src/sim/control.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
+use vanepath_registry::list_reader::{Effect as Reads, ListReader, READ_MOST};
 use vanepath_registry::store_call::{Step, StoreCall};
 use vanepath_sibling::daemon::View;
 use vanepath_sibling::{news, wire};
@@ -96,6 +97,8 @@
     step_at: Duration,
     tenure: vanepath_registry::duty::Tenure,
     polled_at: Option<Duration>,
+    /// Reads lists of a platform that does not number them; a new one with each life.
+    reader: Option<vanepath_registry::list_reader::ListReader>,
     pub state: Option<vanepath_registry::platform::State>,
 }
 
@@ -187,6 +190,10 @@
     pub platform: Arc<vanepath_setup::platform::PlatformList>,
     /// When each revision of the platform list came.
     pub platform_at: Vec<(Duration, u64)>,
+    /// The platform does not tell the numbers of its lists.
+    pub is_platform_plain: bool,
+    /// Which of its lists each number stands for that a registry gave.
+    pub lists_read: std::collections::HashMap<u64, u64>,
     /// So many hold the word.
     pub stores: usize,
     pub world: super::data::World,
@@ -224,6 +231,8 @@
             platform_lies: false,
             platform: Arc::default(),
             platform_at: Vec::new(),
+            is_platform_plain: false,
+            lists_read: std::collections::HashMap::new(),
             stores: 3,
             world: Default::default(),
             reach: Default::default(),
@@ -884,14 +893,20 @@
         let ready = view.word.revision > 0 && view.is_fresh && !leaving;
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         registry.ready = ready;
-        if registry
-            .polled_at
-            .is_none_or(|polled_at| now >= polled_at + vanepath_registry::platform::EVERY)
-        {
+        let reads = match self.is_platform_plain {
+            true => {
+                let draw = self.net.random.draw();
+                let reader = registry.reader.get_or_insert_with(|| ListReader::new(&name, draw));
+                reader.pulse(now, &view) == Some(Reads::Read)
+            }
+            false => {
+                registry.polled_at.is_none_or(|at| now >= at + vanepath_registry::platform::EVERY)
+            }
+        };
+        if reads {
             registry.polled_at = Some(now);
-            let limit = Duration::from_secs(2);
             let target = self.platform_host;
-            self.net.ask(host, target, limit, Body::ReadPlatform, Purpose::Platform);
+            self.net.ask(host, target, READ_MOST, Body::ReadPlatform, Purpose::Platform);
         }
         self.daemons[index].is_well = ready;
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
@@ -929,6 +944,9 @@
         index: usize,
         list: Option<Arc<vanepath_setup::platform::PlatformList>>,
     ) {
+        if self.is_platform_plain {
+            return self.plain_list_told(index, list);
+        }
         let last = self.daemons[index].view.platform.clone();
         let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
         let Some(list) = list else { return };
@@ -939,6 +957,34 @@
         }
     }
 
+    /// The same for a platform that does not number its lists.
+    fn plain_list_told(
+        &mut self,
+        index: usize,
+        list: Option<Arc<vanepath_setup::platform::PlatformList>>,
+    ) {
+        let now = self.net.local(self.daemons[index].host);
+        let view = self.daemons[index].view.clone();
+        let Duty::Registry(registry) = &mut self.daemons[index].duty else { return };
+        let Some(reader) = &mut registry.reader else { return };
+        let shown = list.as_ref().map(|list| list.revision);
+        let servers = list.map(|list| list.servers.clone());
+        let told = reader.read(now, &view, servers);
+        if let (Some(Reads::Tell { list, began_at }), Some(shown)) = (told, shown) {
+            let known = self.lists_read.entry(list.revision).or_default();
+            *known = shown.max(*known);
+            self.step_news(index, news::Event::ListRead { list, began_at });
+        }
+    }
+
+    /// Which of the platform's lists this number stands for.
+    pub fn list_shown(&self, revision: u64) -> u64 {
+        match self.is_platform_plain {
+            true => self.lists_read.get(&revision).copied().unwrap_or_default(),
+            false => revision,
+        }
+    }
+
     /// The list, or what a platform in trouble says in its place; half the time it is well even then.
     fn platform_reply(&mut self) -> Option<Body> {
         if !self.platform_lies {
--- a/fleet/src/sim/day.rs
+++ b/fleet/src/sim/day.rs
@@ -37,6 +37,8 @@
     pub spares: usize,
     /// The faults run at one time, a little after each other, and not one after the other.
     pub overlap: bool,
+    /// The platform does not number its lists: registries do (design 4).
+    pub plain_lists: bool,
     /// What is broken on purpose.
     pub breaks: Option<super::breaks::Break>,
     /// Where a daemon is killed in the middle of what it does.
@@ -54,6 +56,7 @@
             stores: 3,
             spares: 0,
             overlap: false,
+            plain_lists: false,
             breaks: None,
             visit: None,
         }
@@ -123,6 +126,7 @@
         },
     };
     let mut sim = Sim::new(seed, delays);
+    sim.is_platform_plain = plan.plain_lists;
     sim.traces = plan.traces;
     sim.breaks = plan.breaks;
     sim.visit = plan.visit;
--- a/fleet/src/sim/reach.rs
+++ b/fleet/src/sim/reach.rs
@@ -114,7 +114,8 @@
                 reach.begun[index] = now;
             }
             if is_up && daemon.card.role == Role::Proxy {
-                let own = (daemon.view.word.revision, daemon.view.platform.revision);
+                let list = self.list_shown(daemon.view.platform.revision);
+                let own = (daemon.view.word.revision, list);
                 let least = everywhere.unwrap_or(own);
                 everywhere = Some((least.0.min(own.0), least.1.min(own.1)));
                 self.lags(&mut reach, index, own);
@@ -152,7 +153,9 @@
             part.iter().copied().filter(move |index| self.daemons[*index].card.role == role)
         };
         let mut words = part.iter().map(|index| word(&self.daemons[*index])).max().unwrap_or(0);
-        let lists = part.iter().map(|index| self.daemons[*index].news.lists.current().revision);
+        let lists = part
+            .iter()
+            .map(|index| self.list_shown(self.daemons[*index].news.lists.current().revision));
         let mut list = lists.max().unwrap_or(0);
         if of(Role::Registry).any(|index| {
             let host = self.daemons[index].host;
@@ -232,7 +235,7 @@
                 Duty::Proxy(proxy) => proxy.servers.table.load().revision.1,
                 _ => daemon.view.platform.revision,
             };
-            (daemon.view.word.revision, list)
+            (daemon.view.word.revision, self.list_shown(list))
         };
         let Some(floor) = self.reach.floors.get(index).copied() else { return };
         let known = &self.reach.known[index];
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -56,6 +56,50 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// Days on a platform that does not number its lists, with what befalls registries, core machines, the network and
+/// servers: what any registry has read all proxies go by in time, and none goes back (incident 0017).
+#[test]
+fn a_platform_without_numbers_is_followed_as_well() {
+    use Fault::*;
+    let kinds = [
+        None,
+        ServerLeaves,
+        AddressPassed,
+        KillRegistry,
+        FreezeRegistry,
+        KillControl,
+        KillAll,
+        ControlCutOff,
+        SplitControl,
+        OneWayCut,
+        CoreMachineDies,
+        CoreMachineFreezes,
+        CoreMachineCutOff,
+        SwapAllCore,
+        SlowNetwork,
+        ZoneCut,
+        RegionCut,
+    ];
+    let found = std::sync::Mutex::new(Vec::new());
+    on_threads(cores(), 2 * kinds.len(), |index| {
+        let deployment = [Deployment::Raiocerto, Deployment::Guild][index % 2];
+        // Servers leave on each of them.
+        let faults = [kinds[index / 2], ServerLeaves];
+        let plan =
+            Plan { plain_lists: true, overlap: true, rate: 0.3, ..Plan::new(deployment, &faults) };
+        for seed in 1..=2 {
+            for text in judge(&run(seed, &plan)).faults {
+                found
+                    .lock()
+                    .unwrap()
+                    .push(format!("seed {seed} {deployment:?} {faults:?}: {text}"));
+            }
+        }
+    });
+    let found = found.into_inner().unwrap();
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 /// The users' five worst days of the control side (docs/control.md), with three core machines and with five.
 #[test]
 fn the_worst_days_of_the_control_side() {
