--- a/fleet/src/soak/world.rs
+++ b/fleet/src/soak/world.rs
@@ -47,7 +47,8 @@
     /// Daemons that are to run again once they have ended.
     starting: Vec<usize>,
     signals: usize,
-    resets: u64,
+    /// How often the links towards each member were reset.
+    resets: Vec<u64>,
     last_trouble_at: Duration,
 }
 
@@ -68,6 +69,7 @@
             }
         }
         let current = (0..lives.len()).collect();
+        let resets = vec![0; fleet.members.len()];
         World {
             fleet,
             start: Instant::now(),
@@ -77,7 +79,7 @@
             open: Vec::new(),
             starting: Vec::new(),
             signals: 0,
-            resets: 0,
+            resets,
             last_trouble_at: Duration::ZERO,
         }
     }
@@ -296,6 +298,7 @@
 
     fn link(&mut self, daemon: Daemon, state: LinkState) {
         let key = format!("link {daemon:?}");
+        let index = self.index(daemon);
         let what = match daemon {
             Daemon::Proxy(place) => Trouble::ProxyLink(place),
             Daemon::Registry(_) | Daemon::Store(_) => Trouble::Core,
@@ -306,7 +309,7 @@
             LinkState::Mute => Link { is_mute: true, ..Link::default() },
             LinkState::Slow => Link { delay: Duration::from_millis(80), ..Link::default() },
             LinkState::Reset => {
-                self.resets += 1;
+                self.resets[index] += 1;
                 Link::default()
             }
         };
@@ -315,7 +318,7 @@
         } else {
             self.open(key, what);
         }
-        self.fleet.link(self.index(daemon), Link { resets: self.resets, ..link });
+        self.fleet.link(index, Link { resets: self.resets[index], ..link });
     }
 
     fn platform(&mut self, state: PlatformState) {
@@ -432,7 +435,8 @@
     async fn heal(&mut self, orders: &Orders) {
         for index in 0..self.fleet.members.len() {
             self.fleet.signal(index, Signal::CONT);
-            self.fleet.link(index, Link { resets: self.resets, ..Link::default() });
+            // Whole, and no connection over it ends for that.
+            self.fleet.link(index, Link { resets: self.resets[index], ..Link::default() });
         }
         self.platform(PlatformState::Good);
         let emptied: Vec<usize> = (0..self.fleet.shape.zones.len()).collect();
