--- a/fleet/src/commands/demo.rs
+++ b/fleet/src/commands/demo.rs
@@ -1,18 +1,17 @@
 //! The demonstration fleet.
 
+use super::matches;
 use std::time::Duration;
 
 /// A fleet of processes on this machine, with stand-in servers, callers and platform.
 pub fn run(arguments: &[String]) -> miette::Result<()> {
     let mut options = getopts::Options::new();
-    options.optflag("h", "help", "show this and end");
     options.optopt("", "deployment", "raiocerto (default) or guild", "NAME");
     options.optopt("", "seconds", "end by itself after so long", "N");
-    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
-    if matches.opt_present("help") {
-        println!("{}", options.usage("Usage: vanepath-fleet demo [options]"));
+    let more = "";
+    let Some(matches) = matches(options, arguments, "vanepath-fleet demo [options]", more)? else {
         return Ok(());
-    }
+    };
     let shape = match matches.opt_str("deployment").as_deref() {
         None | Some("raiocerto") => vanepath_fleet::shape::raiocerto(),
         Some("guild") => vanepath_fleet::shape::guild(),
--- a/fleet/src/commands/mod.rs
+++ b/fleet/src/commands/mod.rs
@@ -8,6 +8,28 @@
 pub mod soak;
 pub mod starts;
 
+/// Reads what a verb was given. `None`: its help was asked for, and printed, with `more` after its options.
+///
+/// # Errors
+/// An argument is not one of the options.
+pub fn matches(
+    mut options: getopts::Options,
+    arguments: &[String],
+    usage: &str,
+    more: &str,
+) -> miette::Result<Option<getopts::Matches>> {
+    options.optflag("h", "help", "show this and end");
+    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
+    if !matches.opt_present("help") {
+        return Ok(Some(matches));
+    }
+    println!("{}", options.usage(&format!("Usage: {usage}")));
+    if !more.is_empty() {
+        println!("{more}");
+    }
+    Ok(None)
+}
+
 /// The first and the last seed of a range such as `1-20`.
 ///
 /// # Errors
--- a/fleet/src/commands/replay.rs
+++ b/fleet/src/commands/replay.rs
@@ -1,19 +1,21 @@
 //! Recorded requests against a fleet that runs.
 
+use super::matches;
+
 /// The requests of a recorded file against a fleet that runs.
 pub fn run(arguments: &[String]) -> miette::Result<()> {
     let mut options = getopts::Options::new();
-    options.optflag("h", "help", "show this and end");
     options.optmulti("", "registry", "a directory to ask; again for further ones", "IP:PORT");
     options.optopt("", "zone", "the zone that the requests come from", "NAME");
     options.optopt("", "region", "its region", "NAME");
     options.optopt("", "factor", "so many times faster than recorded (default 1)", "F");
     options.optflag("", "filings", "replay what runs at most once too: it is filed again");
-    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
-    if matches.opt_present("help") {
-        println!("{}", options.usage("Usage: vanepath-fleet replay [options] FILE.har"));
+    let more = "";
+    let Some(matches) =
+        matches(options, arguments, "vanepath-fleet replay [options] FILE.har", more)?
+    else {
         return Ok(());
-    }
+    };
     let [file] = &matches.free[..] else {
         miette::bail!("one HAR file is wanted, not {}; see --help", matches.free.len());
     };
--- a/fleet/src/commands/scale.rs
+++ b/fleet/src/commands/scale.rs
@@ -1,11 +1,11 @@
 //! What the cores cost at several sizes.
 
+use super::matches;
 use std::time::Duration;
 
 /// The cores at several sizes, on one thread (docs/CAPACITY.md).
 pub fn run(arguments: &[String]) -> miette::Result<()> {
     let mut options = getopts::Options::new();
-    options.optflag("h", "help", "show this and end");
     options.optopt("", "daemons", "sizes of the fleet (default 14,84,250,670)", "N,N…");
     options.optopt("", "only", "memory, news, setups, proxies, registries or stores", "PART");
     options.optopt("", "seconds", "simulated seconds of quiet news (default 2)", "N");
@@ -15,14 +15,10 @@
     options.optflag("", "no-details", "proxies tell registries nothing of their servers");
     options.optflag("", "by-probes", "services as of old: judged by probes, no slots told");
     options.optflag("", "json", "JSON only");
-    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
-    if matches.opt_present("help") {
-        println!("{}", options.usage("Usage: vanepath-fleet scale [options]"));
-        println!(
-            "Servers, services and routes go with the daemons: 670 have 4,500, 270 and 1,100."
-        );
+    let more = "Servers, services and routes go with the daemons: 670 have 4,500, 270 and 1,100.";
+    let Some(matches) = matches(options, arguments, "vanepath-fleet scale [options]", more)? else {
         return Ok(());
-    }
+    };
     let whole = |name: &str, default: u64| match matches.opt_str(name) {
         None => Ok(default),
         Some(text) => {
--- a/fleet/src/commands/simulate.rs
+++ b/fleet/src/commands/simulate.rs
@@ -1,6 +1,6 @@
 //! Simulated days over a range of seeds.
 
-use super::seeds;
+use super::{matches, seeds};
 use std::time::Duration;
 use strum::IntoEnumIterator;
 use vanepath_fleet::sim::day::{Deployment, Fault, Plan};
@@ -8,7 +8,6 @@
 /// Runs days over a range of seeds and prints what the judges found.
 pub fn run(arguments: &[String]) -> miette::Result<()> {
     let mut options = getopts::Options::new();
-    options.optflag("h", "help", "show this and end");
     options.optopt("", "seeds", "first and last seed, as in 1-100 (default 1-20)", "A-B");
     options.optopt(
         "",
@@ -21,13 +20,12 @@
     options.optopt("", "operator-ms", "an operator does something about so often (900)", "N");
     options.optopt("", "threads", "seeds run at one time (default: all cores)", "N");
     options.optflag("", "trace", "print the history of each day that a judge finds fault with");
-    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
-    if matches.opt_present("help") {
-        let kinds: Vec<String> = Fault::iter().map(|fault| fault.to_string()).collect();
-        println!("{}", options.usage("Usage: vanepath-fleet simulate [options]"));
-        println!("Kinds of fault: {}", kinds.join(", "));
+    let kinds: Vec<String> = Fault::iter().map(|fault| fault.to_string()).collect();
+    let more = &format!("Kinds of fault: {}", kinds.join(", "));
+    let Some(matches) = matches(options, arguments, "vanepath-fleet simulate [options]", more)?
+    else {
         return Ok(());
-    }
+    };
     let (first, last) = seeds(matches.opt_str("seeds"), "1-20")?;
     let kind = matches.opt_str("fault").unwrap_or("each".to_string());
     let faults: Vec<Fault> = Fault::iter().collect();
--- a/fleet/src/commands/soak.rs
+++ b/fleet/src/commands/soak.rs
@@ -1,6 +1,6 @@
 //! A soak with real processes over a range of seeds.
 
-use super::seeds;
+use super::{matches, seeds};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +29,6 @@
 
 fn read(arguments: &[String]) -> miette::Result<Option<Options>> {
     let mut options = getopts::Options::new();
-    options.optflag("h", "help", "show this and end");
     options.optopt("", "seeds", "first and last seed, as in 1-50 (default 1-5)", "A-B");
     options.optopt("", "proxies", "proxies of a fleet, 2 to 78 (default 6)", "N");
     options.optopt("", "servers", "servers of a fleet, 6 to 140 (default 18)", "N");
@@ -39,15 +38,13 @@
     let kept = "where failed seeds leave script, logs and reasons (default: soak-failed in the folder for \
                 temporary files)";
     options.optopt("", "keep", kept, "DIR");
-    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
-    if matches.opt_present("help") {
-        println!("{}", options.usage("Usage: vanepath-fleet soak [options]"));
-        println!(
-            "Each seed plays its own script of troubles on a fleet of its own. Every {LARGE_EVERY}th seed has \
-             64 proxies."
-        );
+    let more = &format!(
+        "Each seed plays its own script of troubles on a fleet of its own. Every {LARGE_EVERY}th seed has \
+         64 proxies."
+    );
+    let Some(matches) = matches(options, arguments, "vanepath-fleet soak [options]", more)? else {
         return Ok(None);
-    }
+    };
     if let Some(word) = matches.free.first() {
         miette::bail!("'{word}' is not understood; see --help");
     }
--- a/fleet/src/commands/starts.rs
+++ b/fleet/src/commands/starts.rs
@@ -1,6 +1,6 @@
 //! How long daemons take from their start until they take work.
 
-use super::seeds;
+use super::{matches, seeds};
 use std::time::Duration;
 use strum::IntoEnumIterator;
 use vanepath_fleet::sim::day::{Deployment, Plan};
@@ -9,15 +9,14 @@
 pub fn run(arguments: &[String]) -> miette::Result<()> {
     use vanepath_fleet::sim::{breaks::Break, starts};
     let mut options = getopts::Options::new();
-    options.optflag("h", "help", "show this and end");
     options.optopt("", "seeds", "first and last seed, as in 1-8 (default)", "A-B");
     options.optopt("", "stores", "core machines (default 3)", "N");
     options.optflag("", "without-floor", "daemons go by whatever they are told first");
-    let matches = options.parse(arguments).map_err(|error| miette::miette!("{error}"))?;
-    if matches.opt_present("help") {
-        println!("{}", options.usage("Usage: vanepath-fleet starts [options]"));
+    let more = "";
+    let Some(matches) = matches(options, arguments, "vanepath-fleet starts [options]", more)?
+    else {
         return Ok(());
-    }
+    };
     let (first, last) = seeds(matches.opt_str("seeds"), "1-8")?;
     let stores = matches.opt_str("stores").and_then(|text| text.parse().ok()).unwrap_or(3);
     let breaks = matches.opt_present("without-floor").then_some(Break::NoFloor);
