--- a/fleet/tests/edges.rs
+++ b/fleet/tests/edges.rs
@@ -321,3 +321,31 @@
     })
     .await;
 }
+
+/// A proxy that stood still waits for fresh news before it goes to another server, and no longer than its
+/// caller does.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_goes_on_after_a_freeze_is_answered_in_its_time() {
+    let fleet = start(3).await;
+    fleet.servers.iter().for_each(|server| server.behave(Manner::Stuck));
+    let proxy = fleet.of("proxy")[0];
+    let address = fleet.members[proxy].address;
+    let sent = std::time::Instant::now();
+    let asked = tokio::spawn(async move {
+        let reply = vanepath_fleet::http::call(address, "GET", "/look/1", &[], b"").await;
+        (reply.map(|reply| reply.status), sent.elapsed())
+    });
+    let in_hand =
+        || fleet.servers.iter().any(|server| !server.state.arrivals.lock().unwrap().is_empty());
+    vanepath_fleet::harness::until("a server has it", Duration::from_secs(2), async || in_hand())
+        .await;
+    // Nobody is there to tell what is in force once it wakes.
+    let core = (0..fleet.members.len()).filter(|index| *index != proxy);
+    core.for_each(|index| fleet.freeze(index));
+    fleet.freeze(proxy);
+    tokio::time::sleep(Duration::from_millis(1800)).await;
+    fleet.wake(proxy);
+    let (status, took) = asked.await.unwrap();
+    assert_eq!(status, Some(504));
+    assert!(took < Duration::from_millis(3800), "{took:?} of 3 s");
+}
--- a/proxy/src/carry.rs
+++ b/proxy/src/carry.rs
@@ -401,7 +401,8 @@
         chart.state = State::Choosing;
         if chart.goes > 0 {
             // It may have stood still since the first go.
-            await_ready(proxy, proxy.now()).await?;
+            let ready = await_ready(proxy, proxy.now());
+            tokio::time::timeout_at(until_late(), ready).await.map_err(|_| Refusal::Late)??;
         }
         let (index, service) = loop {
             let latest = proxy.servers.table.load_full();
