--- a/proxy/src/chart.rs
+++ b/proxy/src/chart.rs
@@ -142,11 +142,9 @@
         }
         let refusal = match miss {
             _ if is_late => Refusal::Late,
-            Miss::NotConnected | Miss::Withdrawn | Miss::NotSent | Miss::TurnedAway => {
-                Refusal::NoServer
-            }
+            _ if untouched => Refusal::NoServer,
             Miss::Silent => Refusal::Late,
-            Miss::LostAfterSend | Miss::Misanswered | Miss::Truncated => Refusal::Lost,
+            _ => Refusal::Lost,
         };
         let may_repeat = match self.kind {
             Kind::Repeatable => self.is_replayable || untouched,
--- a/proxy/src/liveness.rs
+++ b/proxy/src/liveness.rs
@@ -160,12 +160,17 @@
         }
     }
 
+    /// Cold from now on, reckoned from an earlier moment.
+    fn cool(&mut self, now: Duration, since: Duration) {
+        self.enter(now, Phase::Cold);
+        self.since = since;
+        self.cold_since = Some(since);
+    }
+
     /// Starts over as cold: it came into the fleet while this proxy watched, it said so itself,
     /// or another proxy saw it come back `age` ago.
     pub fn chill(&mut self, now: Duration, age: Duration) {
-        self.enter(now, Phase::Cold);
-        self.since = now.saturating_sub(age);
-        self.cold_since = Some(self.since);
+        self.cool(now, now.saturating_sub(age));
         if age > Duration::ZERO {
             // Others have divided its rate among them already, and hear of this one only now.
             self.next_cold_at += HANDOVER;
@@ -188,9 +193,7 @@
             return;
         }
         let Some(cold_since) = self.cold_since else { return self.trust(now) };
-        self.enter(now, Phase::Cold);
-        self.since = cold_since;
-        self.cold_since = Some(cold_since);
+        self.cool(now, cold_since);
     }
 
     /// Something speaks against it that only a probe can settle.
