--- a/proxy/src/forward/rejection.rs
+++ b/proxy/src/forward/rejection.rs
@@ -5,10 +5,20 @@
 use hyper::Response;
 use hyper::header::{self, HeaderValue};
 use jzon::JsonValue;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use vanepath_cluster::node::{self, Body};
 use vanepath_config::ExecutionStatus;
 
+/// An attempt that was given up while its server may have been at work on the request.
+#[derive(Clone, Debug)]
+pub(super) struct AbandonedAttempt {
+    /// The id of the server.
+    pub server: String,
+    /// For how long the server had the request.
+    pub waited: Duration,
+}
+
 /// What the answer to a rejected request states besides the reason.
 #[derive(Default)]
 pub(super) struct RejectionDetails {
@@ -20,6 +30,8 @@
     pub closes_connection: bool,
     /// What is left of the request's time.
     pub time_left: Duration,
+    /// The last attempt that was given up, if any; for the log only.
+    pub abandoned: Option<AbandonedAttempt>,
 }
 
 /// Counts the rejection and answers it.
@@ -30,6 +42,7 @@
     details: &RejectionDetails,
 ) -> Response<Body> {
     count(proxy, rejection, execution_status);
+    report_abandoned(proxy, rejection, details);
     let format = proxy.node.settings.wire_format;
     let status_name: &'static str = execution_status.into();
     let body = json_body(rejection, status_name, details);
@@ -50,6 +63,19 @@
     response
 }
 
+/// A request that a server has should end with that server's response, above all in planned work: the
+/// log says which did not (incident 0019).
+fn report_abandoned(proxy: &Proxy, rejection: Rejection, details: &RejectionDetails) {
+    let Some(AbandonedAttempt { server, waited }) = &details.abandoned else { return };
+    proxy.counters.increment(Counter::RejectedAfterAbandoned);
+    if proxy.is_draining.load(Ordering::Relaxed) {
+        let waited_ms = waited.as_millis();
+        log::warn!(
+            "request rejected while draining ({rejection}): server {server} had it for {waited_ms} ms"
+        );
+    }
+}
+
 fn json_body(
     rejection: Rejection,
     status_name: &'static str,
--- a/proxy/src/forward/retry.rs
+++ b/proxy/src/forward/retry.rs
@@ -4,7 +4,7 @@
 use super::admission::{AdmissionPermit, wait_until_ready};
 use super::attempt::Attempt;
 use super::guards::InFlightGuard;
-use super::rejection::RejectionDetails;
+use super::rejection::{AbandonedAttempt, RejectionDetails};
 use super::response::{UpstreamResponse, relay};
 use super::routing::{RequestTiming, Route};
 use super::upstream_request::UpstreamRequest;
@@ -92,6 +92,9 @@
                 }
                 Err(error) => {
                     drop(in_flight);
+                    if error == AttemptError::Silent && self.proxy.now() < self.timing.deadline {
+                        self.record_abandoned(endpoint, lifecycle, details);
+                    }
                     self.after_failure(error, endpoint.slot, lifecycle, details)?;
                 }
             }
@@ -197,6 +200,17 @@
             && self.proxy.try_take_retry(&self.service_name, RetryReason::Lost)
     }
 
+    fn record_abandoned(
+        &self,
+        endpoint: &Endpoint,
+        lifecycle: &RequestLifecycle,
+        details: &mut RejectionDetails,
+    ) {
+        self.proxy.counters.increment(Counter::AttemptsAbandoned);
+        let waited = self.proxy.now().saturating_sub(lifecycle.sent_at);
+        details.abandoned = Some(AbandonedAttempt { server: endpoint.server.id.clone(), waited });
+    }
+
     /// Returns if another attempt may follow.
     fn after_failure(
         &self,
--- a/proxy/src/forward/state.rs
+++ b/proxy/src/forward/state.rs
@@ -79,6 +79,10 @@
         /// Attempts after the first of their request.
         #[strum(serialize = "furtherGoes")]
         Retries,
+        /// Attempts given up while their server may have been at work on the request.
+        AttemptsAbandoned,
+        /// Requests that got an answer of the proxy's own after such an attempt.
+        RejectedAfterAbandoned,
         /// Attempts given up before anything was sent, since the server was withdrawn.
         #[strum(serialize = "goesWithdrawn")]
         AttemptsWithdrawn,
