A program knows of its shutdown from the signal handler on

Change: the handler itself sets a flag (signal-hook), which Node::is_shutting_down reads; SIGINT as SIGTERM.

--- a/cluster/src/node/mod.rs
+++ b/cluster/src/node/mod.rs
@@ -25,7 +25,7 @@
 use crate::wire::{Handshake, NodeInfo, NodeStatus, SYSTEM};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 use vanepath_config::settings::Settings;
@@ -51,6 +51,7 @@
     pub stop: watch::Receiver<bool>,
     /// Who this node is.
     pub info: NodeInfo,
+    is_signalled: Arc<AtomicBool>,
     last_tick_ms: Arc<AtomicU64>,
 }
 
@@ -80,7 +81,7 @@
             ClusterView { wire_format: settings.wire_format, ..ClusterView::default() };
         let gossip =
             GossipActor::start(core, clock, transport.clone(), counters.clone(), first_view);
-        let stop = runtime::watch_shutdown_signals()?;
+        let signals = runtime::watch_shutdown_signals()?;
         tokio::spawn(peer_server::serve_peers(
             listener,
             handshake,
@@ -106,8 +107,9 @@
             gossip: gossip.address,
             table: gossip.table,
             view: gossip.view,
-            stop,
+            stop: signals.stop,
             info,
+            is_signalled: signals.is_signalled,
             last_tick_ms: gossip.last_tick_ms,
         }))
     }
@@ -123,9 +125,9 @@
         self.clock.now().saturating_sub(last_tick_at) < PAUSE_THRESHOLD
     }
 
-    /// The program is to shut down.
+    /// The program is to shut down: true from the signal on, before [`Node::stop`] turns.
     pub fn is_shutting_down(&self) -> bool {
-        *self.stop.borrow()
+        self.is_signalled.load(Ordering::Relaxed)
     }
 }
 
--- a/cluster/src/node/runtime.rs
+++ b/cluster/src/node/runtime.rs
@@ -1,5 +1,8 @@
 //! The threads of a program, the signals that stop it, and its random numbers.
 
+use signal_hook::flag;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -34,20 +37,33 @@
     outcome
 }
 
-/// Turns true upon SIGTERM or SIGINT.
-pub(super) fn watch_shutdown_signals() -> Result<watch::Receiver<bool>, miette::Report> {
-    let (sender, shutdown) = watch::channel(false);
-    let mut terminate = signal(SignalKind::terminate())
-        .map_err(|error| miette::miette!("cannot watch for signals: {error}"))?;
+/// The signals that stop a program.
+pub(super) struct ShutdownSignals {
+    /// Set within the signal handler: whatever runs after the signal sees it, before any task is told.
+    pub is_signalled: Arc<AtomicBool>,
+    /// Turns true once the program's tasks are told.
+    pub stop: watch::Receiver<bool>,
+}
+
+/// Watches for SIGTERM and SIGINT.
+pub(super) fn watch_shutdown_signals() -> Result<ShutdownSignals, miette::Report> {
+    let failed = |error| miette::miette!("cannot watch for signals: {error}");
+    let (sender, stop) = watch::channel(false);
+    let is_signalled = Arc::new(AtomicBool::new(false));
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        flag::register(kind.as_raw_value(), is_signalled.clone()).map_err(failed)?;
+    }
     tokio::spawn(async move {
         tokio::select! {
             _ = terminate.recv() => {}
-            _ = tokio::signal::ctrl_c() => {}
+            _ = interrupt.recv() => {}
         }
         log::info!("shutdown requested");
         sender.send_replace(true);
         // The sender stays, so that receivers never see a closed channel.
         std::future::pending::<()>().await;
     });
-    Ok(shutdown)
+    Ok(ShutdownSignals { is_signalled, stop })
 }
