--- a/proxy/src/connector.rs
+++ b/proxy/src/connector.rs
@@ -64,8 +64,9 @@
 /// bytes that belong to no request.
 ///
 /// # Errors
-/// [`Failure::Refused`] if nobody accepts, [`Failure::Silent`] after the time-out, and
-/// [`Failure::Broken`] if the connection ends at once.
+/// [`Failure::Refused`] if nobody accepts, [`Failure::Unreachable`] after the time-out,
+/// [`Failure::Broken`] if the connection ends at once, and [`Failure::Silent`] if this process has no
+/// file descriptor left.
 pub async fn open(
     endpoint: &Endpoint,
     is_far: bool,
@@ -85,7 +86,7 @@
     let stream = match timeout(limit, socket.connect(endpoint.server.address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) => return Err(Failure::Refused),
-        Err(_) => return Err(Failure::Silent),
+        Err(_) => return Err(Failure::Unreachable),
     };
     let _ = stream.set_nodelay(true);
     let mut builder = http1::Builder::new();
--- a/proxy/src/endpoints/mod.rs
+++ b/proxy/src/endpoints/mod.rs
@@ -20,7 +20,7 @@
 pub use measurements::ServedRequest;
 pub use probes::{ProbeSchedule, TickOutcome};
 pub use reporter::ObservationReporter;
-pub use selection::{CurrentAttempt, Selection, SelectionContext};
+pub use selection::{HedgeDecision, PendingAttempt, Selection, SelectionContext};
 pub use slow_start::slow_start_rate;
 pub use state::EndpointState;
 pub use table::{Endpoint, RoutingTable, TableRevision, revision_of};
--- a/proxy/src/endpoints/outcomes.rs
+++ b/proxy/src/endpoints/outcomes.rs
@@ -43,6 +43,13 @@
         self.update_health(slot, |health| health.record_failure(now, failure))
     }
 
+    /// Records the response to a request that counted as silent already: the server is there, and the
+    /// request stays among those that it was too slow for. Returns the new phase where it changed.
+    pub fn record_late_response(&self, now: Duration, slot: usize) -> Option<ServerPhase> {
+        self.with(slot, |state| state.last_response_at = now);
+        self.record_success(now, slot)
+    }
+
     /// Records the outcome of an attempt at this server, for its health and for the detection of
     /// outliers; returns the new phase where it changed.
     pub fn record_outcome(
--- a/proxy/src/endpoints/selection/mod.rs
+++ b/proxy/src/endpoints/selection/mod.rs
@@ -4,11 +4,14 @@
 //! no spillover, the endpoint of least cost is selected ([`least_cost`]); else the better of two by
 //! load within tiers of growing distance ([`tiered`]).
 
+mod hedging;
 mod least_cost;
 mod tiered;
 
+pub use hedging::{HedgeDecision, PendingAttempt};
+
 use super::{Endpoint, Endpoints, RoutingTable};
-use crate::health::{ServerHealth, ServerPhase};
+use crate::health::ServerHealth;
 use crate::retry_budget::RetryReason;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -47,15 +50,6 @@
     }
 }
 
-/// A request that waits for its response.
-#[derive(Clone, Copy, Debug)]
-pub struct CurrentAttempt {
-    /// Slot of the endpoint that has the request.
-    pub slot: usize,
-    /// When the request was sent to it.
-    pub sent_at: Duration,
-}
-
 /// The outcome of a selection.
 #[derive(Debug)]
 pub enum Selection {
@@ -173,23 +167,4 @@
         let context = SelectionContext { only_alternative_for: Some(reason), ..*context };
         matches!(self.select(now, table, &context, 0), Selection::Server { .. })
     }
-
-    /// Whether an idempotent request leaves a server that has had it for long. There must be another
-    /// endpoint; the request then goes there if `is_within_budget`, or else back to its client if it
-    /// waits in vain as far as is known: nobody had a response meanwhile and the server is suspect.
-    pub fn should_switch(
-        &self,
-        now: Duration,
-        table: &RoutingTable,
-        context: &SelectionContext<'_>,
-        current: CurrentAttempt,
-        is_within_budget: impl FnOnce(RetryReason) -> bool,
-    ) -> bool {
-        let reason = self.retry_reason(current.slot, current.sent_at);
-        let is_suspect =
-            self.with(current.slot, |state| state.health.phase == ServerPhase::Suspect);
-        let is_in_vain = is_suspect != Some(false) && reason == RetryReason::Lost;
-        self.has_alternative(now, table, context, reason)
-            && (is_in_vain || is_within_budget(reason))
-    }
 }
--- a/proxy/src/endpoints/tests.rs
+++ b/proxy/src/endpoints/tests.rs
@@ -1,4 +1,4 @@
-use super::{CurrentAttempt, Endpoints, Selection, SelectionContext, TableRevision};
+use super::{Endpoints, HedgeDecision, PendingAttempt, Selection, SelectionContext, TableRevision};
 use crate::health::{Failure, SlowStartRate};
 use crate::retry_budget::RetryReason;
 use std::collections::{BTreeMap, BTreeSet};
@@ -87,32 +87,29 @@
         }
     }
 
-    /// Whether an idempotent request of the second rule, sent to this server at `sent_s`, switches to
-    /// another: with a retry within the budget, and without.
-    fn switches(&self, id: &str, sent_s: u64) -> (bool, bool) {
+    /// What becomes of an idempotent request of the second rule that was sent to these servers at
+    /// `sent_s`, the last one latest: with a retry within the budget, without one, and without one at a
+    /// proxy that drains.
+    fn hedges(&self, ids: &[&str], sent_s: u64) -> [HedgeDecision; 3] {
         let table = self.endpoints.table.load_full();
-        let slot = self.slot(id);
+        let sent_at = Duration::from_secs(sent_s);
+        let tried: Vec<usize> = ids.iter().map(|id| self.slot(id)).collect();
+        let pending: Vec<PendingAttempt> =
+            tried.iter().map(|slot| PendingAttempt { slot: *slot, sent_at }).collect();
         let context = SelectionContext {
             rule: 1,
             service: table.config.rules[1].service,
             drained_zones: &self.drained_zones,
             zone: "a1",
             region: "a",
-            tried: &[slot],
+            tried: &tried,
             only_alternative_for: None,
             is_past_target: false,
         };
-        let sent_at = Duration::from_secs(sent_s);
-        let switches = |may| {
-            self.endpoints.should_switch(
-                sent_at,
-                &table,
-                &context,
-                CurrentAttempt { slot, sent_at },
-                |_| may,
-            )
-        };
-        (switches(true), switches(false))
+        [(true, false), (false, false), (false, true)].map(|(is_within_budget, is_draining)| {
+            let budget = |_| is_within_budget;
+            self.endpoints.decide_hedge(sent_at, &table, &context, &pending, is_draining, budget)
+        })
     }
 
     fn slot(&self, id: &str) -> usize {
@@ -285,9 +282,8 @@
 }
 
 /// A request at a server that answers others is slow, and its alternative must have free capacity.
-/// Where its server answers nobody, a full one will do, but no suspect one; and if its own is suspect
-/// too the request waits there in vain, and goes back to its client where a retry is not within the
-/// budget. Without an alternative it waits.
+/// Where its server answers nobody, a full one will do, but no suspect one. Without an alternative it
+/// waits.
 #[test]
 fn a_request_at_a_silent_server_accepts_a_full_alternative() {
     let case = case();
@@ -301,17 +297,45 @@
     assert_eq!(case.endpoints.retry_reason(slot, now(10)), RetryReason::Lost, "that was before");
     assert_eq!(case.select_alternative(1, 10, Some(RetryReason::Slow)), "none");
     assert_eq!(case.select_alternative(1, 10, Some(RetryReason::Lost)), "s-a1");
-    assert_eq!(case.switches("s-b1", 10), (true, false), "it may still answer");
+    assert_eq!(case.hedges(&["s-b1"], 10), [HEDGE_LOST, WAIT, WAIT], "it may still answer");
     for id in ["s-a1", "s-a2", "t-a1", "t-b1", "s-b1"] {
         case.endpoints.record_failure(now(10), case.slot(id), Failure::Refused);
     }
     assert_eq!(case.select_alternative(1, 10, Some(RetryReason::Lost)), "none");
-    assert_eq!(case.switches("s-b1", 10), (false, false), "nowhere else is better");
+    assert_eq!(case.hedges(&["s-b1"], 10), [WAIT; 3], "nowhere else is better");
     case.endpoints.update_health(case.slot("s-a1"), |health| health.mark_healthy(now(10)));
-    assert_eq!(case.switches("s-b1", 10), (true, true), "in vain");
+    assert_eq!(case.hedges(&["s-b1"], 10), [HEDGE_LOST, WAIT, WAIT], "it refuses others only");
     case.endpoints.record_outcome(now(11), slot, Ok(()));
     assert_eq!(case.endpoints.retry_reason(slot, now(10)), RetryReason::Slow);
-    assert!(!case.switches("s-b1", 10).1);
+    assert_eq!(case.hedges(&["s-b1"], 10)[1], WAIT);
+}
+
+const WAIT: HedgeDecision = HedgeDecision::Wait;
+const GIVE_UP: HedgeDecision = HedgeDecision::GiveUp;
+const HEDGE_LOST: HedgeDecision = HedgeDecision::Hedge(RetryReason::Lost);
+
+/// Incident 0019: a request waits in vain at a server that no connection comes about with since, and
+/// that nobody had a response of. It goes back to its client where another server is there and the
+/// budget is used up: not from a proxy that drains, and not while one of its servers may be at work.
+#[test]
+fn a_request_goes_back_to_its_client_only_from_unreachable_servers_and_never_while_draining() {
+    let case = case();
+    let now = Duration::from_secs;
+    let fail = |id, at, failure| case.endpoints.record_failure(now(at), case.slot(id), failure);
+    fail("s-b1", 9, Failure::Unreachable);
+    assert_eq!(case.hedges(&["s-b1"], 10), [HEDGE_LOST, WAIT, WAIT], "that was before");
+    for failure in [Failure::Silent, Failure::Broken, Failure::Unwell, Failure::Refused] {
+        fail("s-b1", 11, failure);
+        fail("s-b1", 11, failure);
+        assert_eq!(case.hedges(&["s-b1"], 10), [HEDGE_LOST, WAIT, WAIT], "{failure:?}");
+    }
+    fail("s-b1", 11, Failure::Unreachable);
+    assert_eq!(case.hedges(&["s-b1"], 10), [HEDGE_LOST, GIVE_UP, WAIT]);
+    assert_eq!(case.hedges(&["s-a2", "s-b1"], 10), [HEDGE_LOST, WAIT, WAIT], "s-a2 has it too");
+    fail("s-a2", 11, Failure::Unreachable);
+    assert_eq!(case.hedges(&["s-a2", "s-b1"], 10), [HEDGE_LOST, GIVE_UP, WAIT]);
+    case.endpoints.record_late_response(now(12), case.slot("s-b1"));
+    assert_eq!(case.hedges(&["s-b1"], 10)[1], WAIT, "it answers again");
 }
 
 /// Incident 0017: a connection may take long to open, and meanwhile the server may start draining, be
--- a/proxy/src/forward/admission.rs
+++ b/proxy/src/forward/admission.rs
@@ -64,7 +64,8 @@
     Ok(())
 }
 
-fn is_ready(proxy: &Proxy) -> bool {
+/// Whether this node knows the committed config by now.
+pub(super) fn is_ready(proxy: &Proxy) -> bool {
     let view = proxy.node.table.load();
     proxy.node.is_awake()
         && proxy.endpoints.is_ready(proxy.now(), view.is_fresh, revision_of(&view))
--- a/proxy/src/forward/attempt.rs
+++ b/proxy/src/forward/attempt.rs
@@ -1,87 +1,141 @@
 //! One attempt: connect, send, wait for the response, and prove that it belongs to the request.
 
+use super::connection::VerifiedConnection;
+use super::guards::InFlightGuard;
 use super::response::{UpstreamBody, UpstreamResponse, buffer_response};
 use super::routing::Route;
 use super::upstream_request::UpstreamRequest;
 use super::{Counter, Proxy};
-use crate::connector::{Sender, is_framed, keep_alive_timeout};
-use crate::endpoints::{CurrentAttempt, Endpoint, SelectionContext, ServedRequest};
+use crate::connector::{is_framed, keep_alive_timeout};
+use crate::endpoints::{Endpoint, ServedRequest};
 use crate::health::Failure;
-use crate::lifecycle::{AttemptError, RequestLifecycle, RequestState};
-use crate::retry_budget::RetryReason;
-use hyper::body::Incoming;
+use crate::lifecycle::AttemptError;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::response;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 use vanepath_cluster::node::Body;
-use vanepath_config::model::Service;
+use vanepath_config::model::{Idempotency, Service};
 
 /// The load that is assumed of a server that rejects a request without stating its load: full, in
 /// thousandths of its capacity.
 const FULL_LOAD_MILLI: u32 = 1000;
 
-/// One attempt of a request at one server.
-pub(super) struct Attempt<'a> {
-    pub proxy: &'a Arc<Proxy>,
-    pub route: &'a Route,
-    pub endpoint: &'a Endpoint,
-    pub service: &'a Service,
-    /// The service that was drawn for the request.
-    pub service_name: &'a str,
+const BYTES_PER_KILOBYTE: f64 = 1000.0;
+
+/// One attempt of a request at one server. It owns what it needs, so that it can be in progress beside
+/// another attempt of the same request.
+pub(super) struct Attempt {
+    pub proxy: Arc<Proxy>,
+    /// The route by the table that the server was selected from.
+    pub route: Route,
+    pub selected: SelectedEndpoint,
     /// The end of the request's time on the clock of the node.
     pub deadline: Duration,
-    /// The slots of the servers that were tried, this one included.
-    pub tried: &'a [usize],
+    /// Counts the request as in flight at the server while the attempt lasts.
+    pub in_flight: InFlightGuard,
+}
+
+/// The server that was selected for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SelectedEndpoint {
+    /// Its index in the routing table.
+    pub index: usize,
+    /// The index of the service that it was selected for.
+    pub service: usize,
+}
+
+/// A request on its way to a server, and what its response is checked against.
+pub(super) struct OutgoingRequest {
+    message: Request<Body>,
+    method: Method,
+    /// The request's id, where the wire format has ids.
+    id: Option<HeaderValue>,
+    /// Length of the body in bytes, as far as it is stated.
+    content_length: f64,
 }
 
 /// When a request was sent, and how late the server was expected to be then.
-struct SendRecord {
-    sent_at: Duration,
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendRecord {
+    pub sent_at: Duration,
     slowdown: f64,
 }
 
-impl Attempt<'_> {
-    /// Makes the attempt, within the request's time.
-    pub async fn run(
+impl Attempt {
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.route.table.endpoints[self.selected.index]
+    }
+
+    pub(super) fn service(&self) -> &Service {
+        &self.route.table.config.services[self.selected.service]
+    }
+
+    /// Takes a connection to the server, within the request's time.
+    pub async fn connect(
         &self,
-        lifecycle: &mut RequestLifecycle,
-        request: &mut UpstreamRequest,
-    ) -> Result<UpstreamResponse, AttemptError> {
+        idempotency: Idempotency,
+    ) -> Result<VerifiedConnection, AttemptError> {
         let deadline = self.proxy.timer_instant(self.deadline);
-        lifecycle.state = RequestState::Connecting;
-        let connecting = self.connection(lifecycle.idempotency);
-        let connected = tokio::time::timeout_at(deadline, connecting).await;
-        let mut connection = connected.unwrap_or(Err(AttemptError::NotConnected))?;
-        lifecycle.state = RequestState::Verified;
-        self.check_not_withdrawn()?;
+        let connected = tokio::time::timeout_at(deadline, self.connection(idempotency)).await;
+        connected.unwrap_or(Err(AttemptError::NotConnected))
+    }
 
+    /// The request as it is sent to this server, if the server may still get it.
+    pub fn prepare(&self, request: &mut UpstreamRequest) -> Result<OutgoingRequest, AttemptError> {
+        self.check_not_withdrawn()?;
+        let names = self.proxy.node.settings.wire_format.headers();
+        let id = names.request_id.and_then(|name| request.headers.get(name).cloned());
+        let content_length = content_length(&request.headers).unwrap_or(0.0);
         let mut message = request.next()?;
         self.add_attempt_headers(message.headers_mut());
-        let record = self.record_send(lifecycle);
-        let sent_at = record.sent_at;
-        let response =
-            self.send(&mut connection.sender, message, lifecycle, deadline, sent_at).await?;
+        Ok(OutgoingRequest { message, method: request.method.clone(), id, content_length })
+    }
+
+    /// Records that the request is sent now.
+    pub fn record_send(&self) -> SendRecord {
+        let (sent_at, slot) = (self.proxy.now(), self.endpoint().slot);
+        self.proxy.endpoints.record_sent(sent_at, slot);
+        SendRecord { sent_at, slowdown: self.proxy.endpoints.slowdown(sent_at, slot) }
+    }
+
+    /// Sends the request and waits for its response until the deadline.
+    pub async fn exchange(
+        &self,
+        mut connection: VerifiedConnection,
+        request: OutgoingRequest,
+        record: SendRecord,
+    ) -> Result<UpstreamResponse, AttemptError> {
+        let deadline = self.proxy.timer_instant(self.deadline);
+        let OutgoingRequest { message, method, id, content_length } = request;
+        let sending = connection.sender.try_send_request(message);
+        let sent = tokio::time::timeout_at(deadline, sending).await;
+        let sent = sent.map_err(|_| AttemptError::Silent)?;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            // The library gives the message back if it had not begun to write it.
+            Some(_) => AttemptError::NotSent,
+            None => AttemptError::LostAfterSend,
+        })?;
 
         let (head, incoming) = response.into_parts();
         self.observe_load(&head.headers);
-        self.check_belongs(&head, &request.headers)?;
-        self.check_framing(&head, &request.method)?;
+        self.check_belongs(&head, id.as_ref())?;
+        self.check_framing(&head, &method)?;
         if !head.status.is_server_error() {
-            self.observe_latency(&head.headers, &request.headers, &record);
+            self.observe_latency(&head.headers, content_length, record);
         }
+        let endpoint = self.endpoint();
         let body = UpstreamBody {
             buffered: VecDeque::new(),
             rest: Some(incoming),
             verified_at: connection.verified_at,
             connection: Some(connection.sender),
             keep_alive: keep_alive_timeout(&head.headers),
-            slot: self.endpoint.slot,
-            is_other_zone: self.endpoint.server.zone != self.proxy.node.settings.zone,
+            slot: endpoint.slot,
+            is_other_zone: endpoint.server.zone != self.proxy.node.settings.zone,
         };
         let mut response = UpstreamResponse { head, body };
         self.buffer(&mut response, deadline).await?;
@@ -104,14 +158,14 @@
             return true;
         }
         let drained_zones = &view.committed.drained_zones;
-        self.proxy.endpoints.is_withdrawn(&self.route.table, self.endpoint, drained_zones)
+        self.proxy.endpoints.is_withdrawn(&self.route.table, self.endpoint(), drained_zones)
     }
 
     /// Names the server that the request is for, and what is left of the time.
     fn add_attempt_headers(&self, headers: &mut HeaderMap) {
         let names = self.proxy.node.settings.wire_format.headers();
         if let Some(target) = names.target
-            && let Ok(id) = HeaderValue::from_str(&self.endpoint.server.id)
+            && let Ok(id) = HeaderValue::from_str(&self.endpoint().server.id)
         {
             headers.insert(target, id);
         }
@@ -121,85 +175,6 @@
         }
     }
 
-    fn record_send(&self, lifecycle: &mut RequestLifecycle) -> SendRecord {
-        lifecycle.state = RequestState::Sent;
-        lifecycle.sends += 1;
-        let sent_at = self.proxy.now();
-        lifecycle.sent_at = sent_at;
-        self.proxy.endpoints.record_sent(sent_at, self.endpoint.slot);
-        let slowdown = self.proxy.endpoints.slowdown(sent_at, self.endpoint.slot);
-        SendRecord { sent_at, slowdown }
-    }
-
-    /// Sends the request and waits for the head of the response. An idempotent request switches away
-    /// from a slow server as soon as there is another one, in time to be served there.
-    async fn send(
-        &self,
-        sender: &mut Sender,
-        message: Request<Body>,
-        lifecycle: &RequestLifecycle,
-        deadline: Instant,
-        sent_at: Duration,
-    ) -> Result<Response<Incoming>, AttemptError> {
-        let sending = sender.try_send_request(message);
-        tokio::pin!(sending);
-        let sent = loop {
-            let left = self.deadline.saturating_sub(self.proxy.now());
-            let delay = lifecycle.switch_after(left);
-            let until = delay.map_or(deadline, |delay| Instant::now() + delay);
-            match tokio::time::timeout_at(until, &mut sending).await {
-                Ok(sent) => break sent,
-                Err(_) if delay.is_none() || self.should_switch(sent_at) => {
-                    return Err(AttemptError::Silent);
-                }
-                Err(_) => {}
-            }
-        };
-        sent.map_err(|mut error| match error.take_message() {
-            // The library gives the message back if it had not begun to write it.
-            Some(_) => AttemptError::NotSent,
-            None => AttemptError::LostAfterSend,
-        })
-    }
-
-    /// Whether the request leaves this server, which has had it since `sent_at`.
-    fn should_switch(&self, sent_at: Duration) -> bool {
-        let endpoints = &self.proxy.endpoints;
-        let current = CurrentAttempt { slot: self.endpoint.slot, sent_at };
-        self.with_selection(|now, context, would_allow| {
-            endpoints.should_switch(now, &self.route.table, context, current, would_allow)
-        })
-    }
-
-    /// Whether a retry would find another server and be within the budget.
-    pub fn has_alternative(&self) -> bool {
-        let endpoints = &self.proxy.endpoints;
-        self.with_selection(|now, context, would_allow| {
-            endpoints.has_alternative(now, &self.route.table, context, RetryReason::Lost)
-                && would_allow(RetryReason::Lost)
-        })
-    }
-
-    /// Calls `query` with what is needed to look for another server, and with whether the retry
-    /// budget would allow that.
-    fn with_selection<R>(
-        &self,
-        query: impl FnOnce(Duration, &SelectionContext<'_>, &dyn Fn(RetryReason) -> bool) -> R,
-    ) -> R {
-        let proxy = self.proxy;
-        let now = proxy.now();
-        let view = proxy.node.table.load();
-        let service = self.route.service_index(self.service_name);
-        let drained_zones = &view.committed.drained_zones;
-        let context = self.route.selection_context(proxy, service, drained_zones, self.tried);
-        let live_proxies = proxy.live_proxies.load(Ordering::Relaxed);
-        let would_allow = |reason| {
-            let mut budgets = proxy.retry_budgets.lock().expect("no panic under this lock");
-            budgets.would_allow(now, self.service_name, live_proxies, reason)
-        };
-        query(now, &context, &would_allow)
-    }
-
     /// Records the load that the server states.
     fn observe_load(&self, headers: &HeaderMap) {
         let format = self.proxy.node.settings.wire_format;
@@ -209,7 +184,7 @@
         match value.to_str().ok().and_then(|text| format.load(text)) {
             Some(load_milli) => {
                 let now = self.proxy.now();
-                self.proxy.endpoints.observe_load(now, self.endpoint.slot, load_milli);
+                self.proxy.endpoints.observe_load(now, self.endpoint().slot, load_milli);
             }
             None => self.proxy.counters.increment(Counter::LoadReportsInvalid),
         }
@@ -219,11 +194,10 @@
     fn check_belongs(
         &self,
         head: &response::Parts,
-        sent_headers: &HeaderMap,
+        sent_id: Option<&HeaderValue>,
     ) -> Result<(), AttemptError> {
         let names = self.proxy.node.settings.wire_format.headers();
-        let id = |headers: &HeaderMap| names.request_id.and_then(|name| headers.get(name).cloned());
-        let (sent_id, returned_id) = (id(sent_headers), id(&head.headers));
+        let returned_id = names.request_id.and_then(|name| head.headers.get(name));
         if sent_id.is_some() && returned_id.is_some() && sent_id != returned_id {
             return Err(AttemptError::MismatchedResponse);
         }
@@ -234,7 +208,7 @@
                 self.record_failure(Failure::Refused);
             } else if !head.headers.contains_key(names.load) {
                 let now = self.proxy.now();
-                self.proxy.endpoints.observe_load(now, self.endpoint.slot, FULL_LOAD_MILLI);
+                self.proxy.endpoints.observe_load(now, self.endpoint().slot, FULL_LOAD_MILLI);
             }
             return Err(AttemptError::RejectedByServer);
         }
@@ -263,21 +237,18 @@
     }
 
     /// Records how long the server took (design 8.7).
-    fn observe_latency(&self, headers: &HeaderMap, sent_headers: &HeaderMap, record: &SendRecord) {
-        let length = |headers: &HeaderMap| -> Option<f64> {
-            headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-        };
-        let request_length = length(sent_headers).unwrap_or(0.0);
+    fn observe_latency(&self, headers: &HeaderMap, request_length: f64, record: SendRecord) {
         let class = self.route.class();
         let now = self.proxy.now();
+        let kilobytes = |length| (length + request_length) / BYTES_PER_KILOBYTE;
         let served = ServedRequest {
-            slot: self.endpoint.slot,
+            slot: self.endpoint().slot,
             class: &class.name,
-            service: &self.service.name,
+            service: &self.service().name,
             is_bulk: class.bulk,
             response_time: now.saturating_sub(record.sent_at),
             slowdown: record.slowdown,
-            kilobytes: length(headers).map(|length| (length + request_length) / 1000.0),
+            kilobytes: content_length(headers).map(kilobytes),
         };
         self.proxy.endpoints.record_response(now, served);
     }
@@ -290,7 +261,7 @@
         deadline: Instant,
     ) -> Result<(), AttemptError> {
         let is_bulk = self.route.class().bulk;
-        let buffering = buffer_response(self.proxy, &mut response.body, is_bulk);
+        let buffering = buffer_response(&self.proxy, &mut response.body, is_bulk);
         match tokio::time::timeout_at(deadline, buffering).await {
             Ok(Err(error)) => {
                 self.proxy.counters.increment(Counter::ResponsesTruncated);
@@ -301,6 +272,11 @@
     }
 
     pub(super) fn record_failure(&self, failure: Failure) {
-        self.proxy.record_failure(self.endpoint.slot, &self.endpoint.server.id, failure);
+        let endpoint = self.endpoint();
+        self.proxy.record_failure(endpoint.slot, &endpoint.server.id, failure);
     }
 }
+
+fn content_length(headers: &HeaderMap) -> Option<f64> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
--- a/proxy/src/forward/connection.rs
+++ b/proxy/src/forward/connection.rs
@@ -19,7 +19,7 @@
     pub verified_at: Duration,
 }
 
-impl Attempt<'_> {
+impl Attempt {
     /// A connection on which the server named itself, where the wire format does not name the target
     /// in each request; for a non-idempotent request it did so moments ago.
     pub(super) async fn connection(
@@ -44,7 +44,7 @@
         now: Duration,
         idempotency: Idempotency,
     ) -> Result<Option<VerifiedConnection>, AttemptError> {
-        let (proxy, slot) = (self.proxy, self.endpoint.slot);
+        let (proxy, slot) = (&self.proxy, self.endpoint().slot);
         let is_usable = |idle: &IdleConnection<Sender>| idle.connection.is_ready();
         let verifies_identity = self.verifies_identity();
         let runs_once = idempotency == Idempotency::NonIdempotent;
@@ -80,14 +80,14 @@
 
     async fn verify_again(&self, sender: &mut Sender) -> Result<HandshakeResponse, Failure> {
         let format = self.proxy.node.settings.wire_format;
-        connector::verify_identity(format, sender, self.endpoint, self.service).await
+        connector::verify_identity(format, sender, self.endpoint(), self.service()).await
     }
 
     /// A new connection; `now` is when the attempt began to look for one.
     async fn open_connection(&self, now: Duration) -> Result<VerifiedConnection, AttemptError> {
-        let (proxy, slot) = (self.proxy, self.endpoint.slot);
+        let (proxy, slot) = (&self.proxy, self.endpoint().slot);
         proxy.counters.increment(Counter::ConnectionsOpened);
-        let (sender, handshake) = self.connect().await.map_err(|failure| {
+        let (sender, handshake) = self.establish().await.map_err(|failure| {
             proxy.counters.increment(Counter::ConnectionsFailed);
             self.record_failure(failure);
             AttemptError::NotConnected
@@ -109,17 +109,18 @@
         Ok(VerifiedConnection { sender, verified_at: proxy.now() })
     }
 
-    async fn connect(&self) -> Result<(Sender, HandshakeResponse), Failure> {
-        let (proxy, slot) = (self.proxy, self.endpoint.slot);
-        let on_surplus_bytes = proxy.on_surplus_bytes(slot, &self.endpoint.server.id);
+    async fn establish(&self) -> Result<(Sender, HandshakeResponse), Failure> {
+        let (proxy, slot) = (&self.proxy, self.endpoint().slot);
+        let on_surplus_bytes = proxy.on_surplus_bytes(slot, &self.endpoint().server.id);
         if self.verifies_identity() {
             let format = proxy.node.settings.wire_format;
-            return connector::connect(format, self.endpoint, self.service, on_surplus_bytes).await;
+            return connector::connect(format, self.endpoint(), self.service(), on_surplus_bytes)
+                .await;
         }
-        let is_far = self.endpoint.server.region != proxy.node.settings.region;
+        let is_far = self.endpoint().server.region != proxy.node.settings.region;
         let is_narrow = proxy.downstream_limiter.is_some();
         let opened_at = proxy.now();
-        let sender = connector::open(self.endpoint, is_far, is_narrow, on_surplus_bytes).await?;
+        let sender = connector::open(self.endpoint(), is_far, is_narrow, on_surplus_bytes).await?;
         proxy.endpoints.record_connection(slot, proxy.now().saturating_sub(opened_at));
         Ok((sender, HandshakeResponse::default()))
     }
--- /dev/null
+++ b/proxy/src/forward/hedging.rs
@@ -0,0 +1,132 @@
+//! The search for another server while one may be at work on the request (hedged requests, design
+//! 8.2): the server that has it keeps it until one of them has responded.
+
+use super::admission::is_ready;
+use super::rejection::{RejectionDetails, UnansweredAttempt};
+use super::retry::{AttemptLoop, Turn};
+use crate::endpoints::{HedgeDecision, PendingAttempt, SelectionContext};
+use crate::health::ServerHealth;
+use crate::lifecycle::{Rejection, RequestLifecycle};
+use crate::retry_budget::RetryReason;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+impl AttemptLoop<'_> {
+    /// When to look for another server next; `None` while a connection to one is being made, and
+    /// where the request must not be sent again.
+    pub fn next_hedge_at(&self, lifecycle: &RequestLifecycle) -> Option<Duration> {
+        if self.pending.is_connecting() {
+            return None;
+        }
+        let now = self.proxy.now();
+        let left = self.timing.deadline.saturating_sub(now);
+        lifecycle.hedge_after(left).map(|delay| now + delay)
+    }
+
+    /// Sends the request to another server too if that is due and possible; what prevents it ends no
+    /// attempt that is in progress.
+    ///
+    /// # Errors
+    /// [`Rejection::Late`] if it is given up: it waits in vain, and a new request of the client may
+    /// be served in time.
+    pub fn hedge(
+        &mut self,
+        lifecycle: &mut RequestLifecycle,
+        details: &mut RejectionDetails,
+    ) -> Result<(), Rejection> {
+        match self.decide_hedge() {
+            HedgeDecision::Hedge(reason) if self.begin_hedge(reason, lifecycle) => return Ok(()),
+            HedgeDecision::GiveUp => {
+                self.note_unanswered(details);
+                return Err(Rejection::Late);
+            }
+            HedgeDecision::Hedge(_) | HedgeDecision::Wait => {}
+        }
+        self.request_probe();
+        self.hedge_at = self.next_hedge_at(lifecycle);
+        Ok(())
+    }
+
+    fn decide_hedge(&self) -> HedgeDecision {
+        let endpoints = &self.proxy.endpoints;
+        let pending: Vec<PendingAttempt> =
+            self.pending.sent().iter().map(|sent| sent.pending).collect();
+        let is_draining = self.proxy.is_draining();
+        self.with_selection(|now, context, would_allow| {
+            let table = &self.route.table;
+            endpoints.decide_hedge(now, table, context, &pending, is_draining, would_allow)
+        })
+    }
+
+    /// Whether a retry would find another server and be within the budget.
+    pub fn has_alternative(&self) -> bool {
+        let endpoints = &self.proxy.endpoints;
+        self.with_selection(|now, context, would_allow| {
+            endpoints.has_alternative(now, &self.route.table, context, RetryReason::Lost)
+                && would_allow(RetryReason::Lost)
+        })
+    }
+
+    /// Calls `query` with what is needed to look for another server, and with whether the retry
+    /// budget would allow that.
+    fn with_selection<R>(
+        &self,
+        query: impl FnOnce(Duration, &SelectionContext<'_>, &dyn Fn(RetryReason) -> bool) -> R,
+    ) -> R {
+        let proxy = self.proxy;
+        let now = proxy.now();
+        let view = proxy.node.table.load();
+        let service = self.route.service_index(&self.service_name);
+        let drained_zones = &view.committed.drained_zones;
+        let context = self.route.selection_context(proxy, service, drained_zones, &self.tried);
+        let live_proxies = proxy.live_proxies.load(Ordering::Relaxed);
+        let would_allow = |reason| {
+            let mut budgets = proxy.retry_budgets.lock().expect("no panic under this lock");
+            budgets.would_allow(now, &self.service_name, live_proxies, reason)
+        };
+        query(now, &context, &would_allow)
+    }
+
+    /// Begins an attempt at another server by the newest table, within the budget. Returns whether
+    /// it did.
+    fn begin_hedge(&mut self, reason: RetryReason, lifecycle: &mut RequestLifecycle) -> bool {
+        let mut route = self.route.clone();
+        // The newest config may have no rule for the request any more: it still ends as it began.
+        let refreshed = route.refresh(self.proxy, &mut RejectionDetails::default());
+        if refreshed.is_err() || !is_ready(self.proxy) {
+            return false;
+        }
+        self.route = route;
+        let Ok(Turn::Now(reserved)) = self.select_now() else { return false };
+        if !self.proxy.try_take_retry(&self.service_name, reason) {
+            return false;
+        }
+        self.mark_overdue();
+        self.begin_attempt(reserved, lifecycle);
+        true
+    }
+
+    /// The server that got the request last has had it for long.
+    fn mark_overdue(&mut self) {
+        let Some(latest) = self.pending.latest_mut().filter(|latest| !latest.is_overdue) else {
+            return;
+        };
+        latest.is_overdue = true;
+        self.proxy.record_overdue(latest.pending.slot, latest.server_id());
+    }
+
+    fn request_probe(&self) {
+        if let Some(latest) = self.pending.sent().last() {
+            let slot = latest.pending.slot;
+            self.proxy.endpoints.update_health(slot, ServerHealth::request_probe);
+        }
+    }
+
+    fn note_unanswered(&mut self, details: &mut RejectionDetails) {
+        self.mark_overdue();
+        let Some(latest) = self.pending.sent().last() else { return };
+        let waited = latest.waited(self.proxy.now());
+        details.unanswered =
+            Some(UnansweredAttempt { server: latest.server_id().to_string(), waited });
+    }
+}
--- a/proxy/src/forward/mod.rs
+++ b/proxy/src/forward/mod.rs
@@ -7,6 +7,8 @@
 mod connection;
 mod guards;
 mod headers;
+mod hedging;
+mod pending;
 mod rejection;
 mod request_body;
 mod response;
@@ -29,7 +31,6 @@
 use retry::AttemptLoop;
 use routing::{RequestTarget, RequestTiming, Route};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use tokio::task::JoinHandle;
 use upstream_request::UpstreamRequest;
 use validation::{check_declared_length, validate_head};
@@ -50,7 +51,7 @@
     let mut response = outcome.unwrap_or_else(|rejection| {
         rejection::respond(&proxy, rejection, lifecycle.execution_status(), &details)
     });
-    if proxy.is_draining.load(Ordering::Relaxed) {
+    if proxy.is_draining() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/proxy/src/forward/rejection.rs
+++ b/proxy/src/forward/rejection.rs
@@ -5,17 +5,16 @@
 use hyper::Response;
 use hyper::header::{self, HeaderValue};
 use jzon::JsonValue;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use vanepath_cluster::node::{self, Body};
 use vanepath_config::ExecutionStatus;
 
-/// An attempt that was given up while its server may have been at work on the request.
+/// An attempt whose server may be at work on a request that is rejected.
 #[derive(Clone, Debug)]
-pub(super) struct AbandonedAttempt {
+pub(super) struct UnansweredAttempt {
     /// The id of the server.
     pub server: String,
-    /// For how long the server had the request.
+    /// For how long the server has had the request.
     pub waited: Duration,
 }
 
@@ -30,8 +29,8 @@
     pub closes_connection: bool,
     /// What is left of the request's time.
     pub time_left: Duration,
-    /// The last attempt that was given up, if any; for the log only.
-    pub abandoned: Option<AbandonedAttempt>,
+    /// The attempt that was given up for the rejection, if any; for the log only.
+    pub unanswered: Option<UnansweredAttempt>,
 }
 
 /// Counts the rejection and answers it.
@@ -42,7 +41,7 @@
     details: &RejectionDetails,
 ) -> Response<Body> {
     count(proxy, rejection, execution_status);
-    report_abandoned(proxy, rejection, details);
+    report_unanswered(proxy, rejection, details);
     let format = proxy.node.settings.wire_format;
     let status_name: &'static str = execution_status.into();
     let body = json_body(rejection, status_name, details);
@@ -65,10 +64,10 @@
 
 /// A request that a server has should end with that server's response, above all in planned work: the
 /// log says which did not (incident 0019).
-fn report_abandoned(proxy: &Proxy, rejection: Rejection, details: &RejectionDetails) {
-    let Some(AbandonedAttempt { server, waited }) = &details.abandoned else { return };
-    proxy.counters.increment(Counter::RejectedAfterAbandoned);
-    if proxy.is_draining.load(Ordering::Relaxed) {
+fn report_unanswered(proxy: &Proxy, rejection: Rejection, details: &RejectionDetails) {
+    let Some(UnansweredAttempt { server, waited }) = &details.unanswered else { return };
+    proxy.counters.increment(Counter::RejectedWhilePending);
+    if proxy.is_draining() {
         let waited_ms = waited.as_millis();
         log::warn!(
             "request rejected while draining ({rejection}): server {server} had it for {waited_ms} ms"
--- a/proxy/src/forward/response.rs
+++ b/proxy/src/forward/response.rs
@@ -50,6 +50,25 @@
     pub is_other_zone: bool,
 }
 
+impl UpstreamBody {
+    /// Gives the connection back once the body is received.
+    pub fn release_connection(&mut self, proxy: &Proxy) {
+        if self.rest.is_some() {
+            return;
+        }
+        if let Some(connection) = self.connection.take() {
+            let idle = IdleConnection {
+                connection,
+                verified_at: self.verified_at,
+                idle_since: proxy.now(),
+                keep_alive: self.keep_alive,
+                is_used: true,
+            };
+            proxy.endpoints.put_idle(self.slot, idle);
+        }
+    }
+}
+
 /// Reads frames until the body is complete or too large to buffer; those of large responses as the
 /// bandwidth allows. May be cancelled between frames.
 ///
@@ -159,16 +178,7 @@
     /// The body is received: its connection is idle, and the guards are released.
     fn complete(&mut self) {
         self.upstream.rest = None;
-        if let Some(connection) = self.upstream.connection.take() {
-            let idle = IdleConnection {
-                connection,
-                verified_at: self.upstream.verified_at,
-                idle_since: self.proxy.now(),
-                keep_alive: self.upstream.keep_alive,
-                is_used: true,
-            };
-            self.proxy.endpoints.put_idle(self.upstream.slot, idle);
-        }
+        self.upstream.release_connection(&self.proxy);
         self.guards = None;
     }
 
--- a/proxy/src/forward/retry.rs
+++ b/proxy/src/forward/retry.rs
@@ -1,15 +1,17 @@
-//! Attempts at one server after the other, until there is a response to relay or the request is
-//! rejected (design 8.2).
+//! Attempts at servers until one of them has a response to relay or the request is rejected
+//! (design 8.2). A server that may be at work on the request keeps it until then, also while
+//! another one is tried ([`super::hedging`]).
 
 use super::admission::{AdmissionPermit, wait_until_ready};
-use super::attempt::Attempt;
+use super::attempt::{Attempt, SelectedEndpoint};
 use super::guards::InFlightGuard;
-use super::rejection::{AbandonedAttempt, RejectionDetails};
+use super::pending::{AttemptEvent, PendingAttempts, SentAttempt};
+use super::rejection::RejectionDetails;
 use super::response::{UpstreamResponse, relay};
 use super::routing::{RequestTiming, Route};
 use super::upstream_request::UpstreamRequest;
 use super::{Counter, Proxy};
-use crate::endpoints::{Endpoint, Selection, SelectionContext};
+use crate::endpoints::{Selection, SelectionContext};
 use crate::lifecycle::{AfterFailure, AttemptError, Rejection, RequestLifecycle, RequestState};
 use crate::retry_budget::RetryReason;
 use hyper::Response;
@@ -22,26 +24,42 @@
 const MIN_TURN_WAIT: Duration = Duration::from_millis(1);
 const MAX_TURN_WAIT: Duration = Duration::from_millis(50);
 
-/// The server that was selected for an attempt.
-struct SelectedEndpoint {
-    /// Its index in the routing table.
-    index: usize,
-    /// The index of the service that it was selected for.
-    service: usize,
+/// A server that was selected for an attempt, and on which the request counts as in flight.
+pub(super) struct ReservedEndpoint {
+    selected: SelectedEndpoint,
+    in_flight: InFlightGuard,
+}
+
+/// Whether a server can take the request now.
+pub(super) enum Turn {
+    Now(ReservedEndpoint),
+    /// Only servers that are warming up are left; the first takes a request at this time.
+    At(Duration),
+}
+
+/// The response of a server, and the request's place there.
+struct ServedAttempt {
+    response: UpstreamResponse,
+    in_flight: InFlightGuard,
 }
 
 /// One request after its admission.
 pub(super) struct AttemptLoop<'p> {
-    proxy: &'p Arc<Proxy>,
-    route: Route,
+    pub proxy: &'p Arc<Proxy>,
+    pub route: Route,
     /// The class at the time of the request's match.
     class: Class,
-    timing: RequestTiming,
+    pub timing: RequestTiming,
     /// The service that was drawn for the request.
-    service_name: String,
+    pub service_name: String,
     permit: AdmissionPermit,
     /// The slots of the servers that were tried.
-    tried: Vec<usize>,
+    pub tried: Vec<usize>,
+    pub pending: PendingAttempts,
+    /// When to look for another server beside those that have the request.
+    pub hedge_at: Option<Duration>,
+    /// The response of a server that failed, for the client if no other server serves the request.
+    failed: Option<ServedAttempt>,
 }
 
 impl<'p> AttemptLoop<'p> {
@@ -53,7 +71,18 @@
         service_name: String,
         permit: AdmissionPermit,
     ) -> AttemptLoop<'p> {
-        AttemptLoop { proxy, route, class, timing, service_name, permit, tried: Vec::new() }
+        AttemptLoop {
+            proxy,
+            route,
+            class,
+            timing,
+            service_name,
+            permit,
+            tried: Vec::new(),
+            pending: PendingAttempts::default(),
+            hedge_at: None,
+            failed: None,
+        }
     }
 
     /// Makes attempts until one ends the request.
@@ -63,46 +92,107 @@
         details: &mut RejectionDetails,
         request: &mut UpstreamRequest,
     ) -> Result<Response<Body>, Rejection> {
+        let outcome = self.first_response(lifecycle, details, request).await;
+        let served = match (outcome, self.failed) {
+            (Ok(served), _) | (Err(_), Some(served)) => served,
+            (Err(rejection), None) => return Err(rejection),
+        };
+        lifecycle.state = RequestState::Responding;
+        let counters = &self.proxy.counters;
+        counters.increment(Counter::Completed);
+        counters.add(Counter::AttemptsSuperseded, self.pending.sent().len() as u64);
+        let is_throttled = self.class.bulk && self.proxy.downstream_limiter.is_some();
+        let guards = (served.in_flight, self.permit);
+        Ok(relay(self.proxy, served.response, guards, is_throttled))
+    }
+
+    /// The first response that serves the request, of whichever attempt.
+    async fn first_response(
+        &mut self,
+        lifecycle: &mut RequestLifecycle,
+        details: &mut RejectionDetails,
+        request: &mut UpstreamRequest,
+    ) -> Result<ServedAttempt, Rejection> {
+        self.start_attempt(lifecycle, details).await?;
         loop {
-            lifecycle.state = RequestState::Selecting;
-            if lifecycle.attempts > 0 {
-                self.wait_until_ready_again().await?;
-            }
-            let selected = self.select(details).await?;
-            let endpoint = &self.route.table.endpoints[selected.index];
-            self.tried.push(endpoint.slot);
-            lifecycle.attempts += 1;
-            let in_flight = InFlightGuard { proxy: self.proxy.clone(), slot: endpoint.slot };
-            self.count_attempt(endpoint, lifecycle);
-            let attempt = self.attempt(endpoint, selected.service);
-            let outcome = attempt.run(lifecycle, request).await;
-            let result = outcome.as_ref().map(|_| ()).map_err(|error| *error);
-            self.proxy.record_outcome(endpoint.slot, &endpoint.server.id, result);
-            match outcome {
-                // The server failed or is busy and did not serve the request; another one may.
-                Ok(response) if self.should_retry_elsewhere(&attempt, &response, lifecycle) => {
-                    lifecycle.may_have_run = true;
-                }
-                Ok(response) => {
-                    lifecycle.state = RequestState::Responding;
-                    self.proxy.counters.increment(Counter::Completed);
-                    let is_throttled = self.class.bulk && self.proxy.downstream_limiter.is_some();
-                    let guards = (in_flight, self.permit);
-                    return Ok(relay(self.proxy, response, guards, is_throttled));
+            let until = self.hedge_at.map(|at| self.proxy.timer_instant(at));
+            match self.pending.next(until).await {
+                None => self.hedge(lifecycle, details)?,
+                Some(AttemptEvent::Connected { attempt, outcome }) => {
+                    let prepared =
+                        outcome.and_then(|connection| Ok((connection, attempt.prepare(request)?)));
+                    match prepared {
+                        Ok((connection, outgoing)) => {
+                            lifecycle.record_sent();
+                            let record = attempt.record_send();
+                            self.pending.send(attempt, connection, outgoing, record);
+                            self.hedge_at = self.next_hedge_at(lifecycle);
+                        }
+                        Err(error) => {
+                            self.record_outcome(&attempt, None, Err(error));
+                            self.after_failure(attempt, None, error, lifecycle, details).await?;
+                        }
+                    }
                 }
-                Err(error) => {
-                    drop(in_flight);
-                    if error == AttemptError::Silent && self.proxy.now() < self.timing.deadline {
-                        self.record_abandoned(endpoint, lifecycle, details);
+                Some(AttemptEvent::Ended { attempt, sent, outcome }) => {
+                    lifecycle.record_ended();
+                    let result = outcome.as_ref().map(|_| ()).map_err(|error| *error);
+                    self.record_outcome(&attempt, Some(&sent), result);
+                    match outcome {
+                        Ok(response) => {
+                            let in_flight = attempt.in_flight;
+                            let served = ServedAttempt { response, in_flight };
+                            if !self.is_better_elsewhere(&served, lifecycle) {
+                                return Ok(served);
+                            }
+                            self.keep_failed(served, lifecycle);
+                            self.try_elsewhere(lifecycle, details).await?;
+                        }
+                        Err(error) => {
+                            let sent_at = Some(sent.pending.sent_at);
+                            self.after_failure(attempt, sent_at, error, lifecycle, details).await?;
+                        }
                     }
-                    self.after_failure(error, endpoint.slot, lifecycle, details)?;
                 }
             }
         }
     }
 
+    /// Selects a server, waiting for one if need be, and begins an attempt there.
+    async fn start_attempt(
+        &mut self,
+        lifecycle: &mut RequestLifecycle,
+        details: &mut RejectionDetails,
+    ) -> Result<(), Rejection> {
+        lifecycle.state = RequestState::Selecting;
+        if lifecycle.attempts > 0 {
+            self.wait_until_ready_again().await?;
+        }
+        let reserved = self.select(details).await?;
+        self.begin_attempt(reserved, lifecycle);
+        Ok(())
+    }
+
+    /// Begins an attempt at a server that was selected by the present table.
+    pub fn begin_attempt(&mut self, reserved: ReservedEndpoint, lifecycle: &mut RequestLifecycle) {
+        let ReservedEndpoint { selected, in_flight } = reserved;
+        self.tried.push(in_flight.slot);
+        self.hedge_at = None;
+        lifecycle.attempts += 1;
+        lifecycle.state = RequestState::Connecting;
+        let attempt = Attempt {
+            proxy: self.proxy.clone(),
+            route: self.route.clone(),
+            selected,
+            deadline: self.timing.deadline,
+            in_flight,
+        };
+        self.count_attempt(&attempt, lifecycle);
+        self.pending.connect(attempt, lifecycle.idempotency);
+    }
+
     /// The process may have been paused since the first attempt.
-    async fn wait_until_ready_again(&self) -> Result<(), Rejection> {
+    async fn wait_until_ready_again(&mut self) -> Result<(), Rejection> {
         let ready = wait_until_ready(self.proxy, self.proxy.now());
         let deadline = self.proxy.timer_instant(self.timing.deadline);
         tokio::time::timeout_at(deadline, ready).await.map_err(|_| Rejection::Late)?
@@ -113,18 +203,22 @@
     async fn select(
         &mut self,
         details: &mut RejectionDetails,
-    ) -> Result<SelectedEndpoint, Rejection> {
+    ) -> Result<ReservedEndpoint, Rejection> {
         loop {
             // From here on the request goes by the config that is active now.
             self.route.refresh(self.proxy, details)?;
-            if let Some(selected) = self.try_select().await? {
-                return Ok(selected);
+            match self.select_now()? {
+                Turn::Now(reserved) => return Ok(reserved),
+                Turn::At(turn) => {
+                    let delay = turn.saturating_sub(self.proxy.now()).max(MIN_TURN_WAIT);
+                    tokio::time::sleep(delay.min(MAX_TURN_WAIT)).await;
+                }
             }
         }
     }
 
-    /// Selects a server, or waits a little and returns `None`.
-    async fn try_select(&self) -> Result<Option<SelectedEndpoint>, Rejection> {
+    /// Selects a server by the present table.
+    pub fn select_now(&self) -> Result<Turn, Rejection> {
         let proxy = self.proxy;
         let service = self.route.service_index(&self.service_name);
         let now = proxy.now();
@@ -132,98 +226,114 @@
         if now >= deadline {
             return Err(Rejection::Late);
         }
-        let selection = {
-            // Zones that were drained since the request came count too.
-            let view = proxy.node.table.load();
-            let drained_zones = &view.committed.drained_zones;
-            let context = SelectionContext {
-                is_past_target: self.timing.is_past_latency_target,
-                ..self.route.selection_context(proxy, service, drained_zones, &self.tried)
-            };
-            proxy.endpoints.select(now, &self.route.table, &context, proxy.random())
+        // Zones that were drained since the request came count too.
+        let view = proxy.node.table.load();
+        let drained_zones = &view.committed.drained_zones;
+        let context = SelectionContext {
+            is_past_target: self.timing.is_past_latency_target,
+            ..self.route.selection_context(proxy, service, drained_zones, &self.tried)
         };
-        match selection {
+        match proxy.endpoints.select(now, &self.route.table, &context, proxy.random()) {
             Selection::Server { endpoint: index, service } => {
-                Ok(Some(SelectedEndpoint { index, service }))
-            }
-            Selection::Wait(until) if until < deadline => {
-                let delay = until.saturating_sub(now).max(MIN_TURN_WAIT);
-                tokio::time::sleep(delay.min(MAX_TURN_WAIT)).await;
-                Ok(None)
+                let slot = self.route.table.endpoints[index].slot;
+                let selected = SelectedEndpoint { index, service };
+                let in_flight = InFlightGuard { proxy: proxy.clone(), slot };
+                Ok(Turn::Now(ReservedEndpoint { selected, in_flight }))
             }
+            Selection::Wait(until) if until < deadline => Ok(Turn::At(until)),
             Selection::Crowded => Err(Rejection::Crowded),
             // All that are left were tried, or there is none, or none has its turn in time.
             Selection::Wait(_) | Selection::None => Err(Rejection::NoServer),
         }
     }
 
-    fn count_attempt(&self, endpoint: &Endpoint, lifecycle: &RequestLifecycle) {
+    fn count_attempt(&self, attempt: &Attempt, lifecycle: &RequestLifecycle) {
         let (counters, settings) = (&self.proxy.counters, &self.proxy.node.settings);
+        let server = &attempt.endpoint().server;
         counters.increment(Counter::Attempts);
         if lifecycle.attempts > 1 {
             counters.increment(Counter::Retries);
         }
-        if endpoint.server.zone != settings.zone {
+        if server.zone != settings.zone {
             counters.increment(Counter::AttemptsOtherZone);
         }
-        if endpoint.server.region != settings.region {
+        if server.region != settings.region {
             counters.increment(Counter::AttemptsOtherRegion);
         }
     }
 
-    fn attempt<'a>(&'a self, endpoint: &'a Endpoint, service: usize) -> Attempt<'a> {
-        Attempt {
-            proxy: self.proxy,
-            route: &self.route,
-            endpoint,
-            service: &self.route.table.config.services[service],
-            service_name: &self.service_name,
-            deadline: self.timing.deadline,
-            tried: &self.tried,
+    /// Records how an attempt ended for the health of its server; `sent` if the request was sent.
+    fn record_outcome(
+        &self,
+        attempt: &Attempt,
+        sent: Option<&SentAttempt>,
+        result: Result<(), AttemptError>,
+    ) {
+        let endpoint = attempt.endpoint();
+        let (slot, id) = (endpoint.slot, &endpoint.server.id);
+        let is_overdue = sent.is_some_and(|sent| sent.is_overdue);
+        match result {
+            Ok(()) if is_overdue => self.proxy.record_late_response(slot, id),
+            Err(AttemptError::Silent) if is_overdue => {}
+            _ => self.proxy.record_outcome(slot, id, result),
         }
     }
 
-    /// Whether an idempotent request that a server failed is given to another one; takes a retry
-    /// from the budget if so.
-    fn should_retry_elsewhere(
-        &self,
-        attempt: &Attempt<'_>,
-        response: &UpstreamResponse,
-        lifecycle: &RequestLifecycle,
-    ) -> bool {
+    /// Whether an idempotent request that a server failed waits for another one that has it, or is
+    /// given to another one; takes a retry from the budget in the latter case.
+    fn is_better_elsewhere(&self, served: &ServedAttempt, lifecycle: &RequestLifecycle) -> bool {
         let may_repeat = lifecycle.idempotency == Idempotency::Idempotent
             && lifecycle.is_replayable
-            && response.head.status.is_server_error()
-            && lifecycle.may_retry();
-        may_repeat
-            && attempt.has_alternative()
+            && served.response.head.status.is_server_error();
+        if !may_repeat || !self.pending.is_empty() {
+            return may_repeat;
+        }
+        lifecycle.may_retry()
+            && self.has_alternative()
             && self.proxy.try_take_retry(&self.service_name, RetryReason::Lost)
     }
 
-    fn record_abandoned(
-        &self,
-        endpoint: &Endpoint,
-        lifecycle: &RequestLifecycle,
+    /// Keeps the response of a server that failed for the case that no other server serves the
+    /// request.
+    fn keep_failed(&mut self, mut served: ServedAttempt, lifecycle: &mut RequestLifecycle) {
+        lifecycle.may_have_run = true;
+        served.response.body.release_connection(self.proxy);
+        self.failed = Some(served);
+    }
+
+    /// Goes on after a failure: another attempt is in progress, or one is started.
+    async fn try_elsewhere(
+        &mut self,
+        lifecycle: &mut RequestLifecycle,
         details: &mut RejectionDetails,
-    ) {
-        self.proxy.counters.increment(Counter::AttemptsAbandoned);
-        let waited = self.proxy.now().saturating_sub(lifecycle.sent_at);
-        details.abandoned = Some(AbandonedAttempt { server: endpoint.server.id.clone(), waited });
+    ) -> Result<(), Rejection> {
+        if self.pending.is_empty() {
+            return self.start_attempt(lifecycle, details).await;
+        }
+        self.hedge_at = self.next_hedge_at(lifecycle).map(|_| self.proxy.now());
+        Ok(())
     }
 
-    /// Returns if another attempt may follow.
-    fn after_failure(
-        &self,
+    /// Returns if the request goes on.
+    async fn after_failure(
+        &mut self,
+        attempt: Attempt,
+        sent_at: Option<Duration>,
         error: AttemptError,
-        slot: usize,
         lifecycle: &mut RequestLifecycle,
         details: &mut RejectionDetails,
     ) -> Result<(), Rejection> {
         let is_late = self.proxy.now() >= self.timing.deadline;
-        let reason = self.proxy.endpoints.retry_reason_after(error, slot, lifecycle.sent_at);
+        let slot = attempt.endpoint().slot;
+        drop(attempt);
+        let reason =
+            self.proxy.endpoints.retry_reason_after(error, slot, sent_at.unwrap_or_default());
+        let has_others = !self.pending.is_empty();
         let try_take_retry = || self.proxy.try_take_retry(&self.service_name, reason);
-        match lifecycle.attempt_failed(error, is_late, try_take_retry) {
-            AfterFailure::Retry => Ok(()),
+        match lifecycle.attempt_failed(error, is_late, has_others, try_take_retry) {
+            AfterFailure::Retry | AfterFailure::Await => {
+                self.try_elsewhere(lifecycle, details).await
+            }
             AfterFailure::Reject(rejection) => {
                 details.detail = format!("{error} after {} goes", lifecycle.attempts);
                 Err(rejection)
--- a/proxy/src/forward/routing.rs
+++ b/proxy/src/forward/routing.rs
@@ -31,11 +31,12 @@
 }
 
 /// The rule that a request goes by, in the routing table that it was found in.
+#[derive(Clone)]
 pub(super) struct Route {
     pub table: Arc<RoutingTable>,
     /// The index of the rule.
     pub rule: usize,
-    target: RequestTarget,
+    target: Arc<RequestTarget>,
 }
 
 impl Route {
@@ -51,7 +52,7 @@
     ) -> Result<Route, Rejection> {
         let table = proxy.endpoints.table.load_full();
         let rule = find_rule(proxy, &table, &target, details)?;
-        Ok(Route { table, rule, target })
+        Ok(Route { table, rule, target: Arc::new(target) })
     }
 
     /// Switches to the newest table, and finds the rule again if it has another config.
--- a/proxy/src/forward/state.rs
+++ b/proxy/src/forward/state.rs
@@ -79,10 +79,10 @@
         /// Attempts after the first of their request.
         #[strum(serialize = "furtherGoes")]
         Retries,
-        /// Attempts given up while their server may have been at work on the request.
-        AttemptsAbandoned,
-        /// Requests that got an answer of the proxy's own after such an attempt.
-        RejectedAfterAbandoned,
+        /// Attempts whose server may have been at work on the request when another one responded.
+        AttemptsSuperseded,
+        /// Requests rejected before their deadline while a server may have been at work on them.
+        RejectedWhilePending,
         /// Attempts given up before anything was sent, since the server was withdrawn.
         #[strum(serialize = "goesWithdrawn")]
         AttemptsWithdrawn,
@@ -144,8 +144,6 @@
     pub counters: Arc<Counters>,
     /// Whether this proxy accepts requests.
     pub is_ready: AtomicBool,
-    /// Whether this proxy shuts down.
-    pub is_draining: AtomicBool,
     /// Whether a server's phase changed that registries do not know of yet.
     pub has_unreported_changes: AtomicBool,
     /// How many proxies share the retry budgets.
@@ -177,7 +175,6 @@
             retry_budgets: Mutex::new(RetryBudgets::new(retry_budget)),
             counters: Arc::default(),
             is_ready: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
             has_unreported_changes: AtomicBool::new(false),
             live_proxies: AtomicUsize::new(1),
             request_rates: Mutex::default(),
@@ -188,6 +185,11 @@
         }
     }
 
+    /// Whether this proxy shuts down.
+    pub fn is_draining(&self) -> bool {
+        self.node.is_shutting_down()
+    }
+
     /// The next random number (SplitMix64).
     pub(super) fn random(&self) -> u64 {
         let mut mixed = self.random_state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
@@ -258,6 +260,19 @@
         }
     }
 
+    /// Records that the server with this slot and id has had a request for long.
+    pub(super) fn record_overdue(&self, slot: usize, id: &str) {
+        self.record_outcome(slot, id, Err(AttemptError::Silent));
+    }
+
+    /// Records the response to a request that was overdue.
+    pub(super) fn record_late_response(&self, slot: usize, id: &str) {
+        if let Some(phase) = self.endpoints.record_late_response(self.now(), slot) {
+            self.has_unreported_changes.store(true, Ordering::Relaxed);
+            log::info!("server {id} is {phase}");
+        }
+    }
+
     /// What to do when a connection to this server brings bytes that belong to no request: the
     /// server counts as desynchronized.
     pub fn on_surplus_bytes(
--- a/proxy/src/health/mod.rs
+++ b/proxy/src/health/mod.rs
@@ -18,7 +18,9 @@
     Refused,
     /// A connection broke in the middle.
     Broken,
-    /// No response in time.
+    /// A connection was neither accepted nor refused in time.
+    Unreachable,
+    /// No response in time on an open connection.
     Silent,
     /// It responded that it is not well, or its response was invalid.
     Unwell,
@@ -58,6 +60,8 @@
     slow_start_since: Option<Duration>,
     /// Its machine itself refused a connection, which no network partition can feign.
     connection_refused: bool,
+    /// When a connection was last neither accepted nor refused; `None` after a success.
+    unreachable_at: Option<Duration>,
     last_success_at: Option<Duration>,
     /// Since when this proxy is in contact with it without a gap.
     contact_since: Option<Duration>,
@@ -82,6 +86,7 @@
             was_unreachable: false,
             slow_start_since: None,
             connection_refused: false,
+            unreachable_at: None,
             last_success_at: None,
             contact_since: None,
             is_probe_requested: false,
@@ -131,6 +136,7 @@
         self.failing_since = None;
         self.was_unreachable = false;
         self.connection_refused = false;
+        self.unreachable_at = None;
     }
 
     /// Gives a suspect server that other proxies probe requests again after a while; at its
@@ -159,6 +165,12 @@
             && matches!(self.phase, ServerPhase::Suspect | ServerPhase::WarmingUp)
     }
 
+    /// Whether no connection to it came about after `since`, and nothing has succeeded from then on. A
+    /// busy server still accepts or refuses connections: what tells it from one that is gone.
+    pub fn is_unreachable_since(&self, since: Duration) -> bool {
+        self.unreachable_at.is_some_and(|at| at > since)
+    }
+
     fn is_in_contact(&self, now: Duration) -> bool {
         self.last_success_at.is_some_and(|at| now.saturating_sub(at) < MAX_CONTACT_GAP)
     }
@@ -208,6 +220,7 @@
             self.contact_since = Some(now);
         }
         self.last_success_at = Some(now);
+        self.unreachable_at = None;
         self.is_probe_requested = false;
         self.consecutive_failures = 0;
         self.failing_since = None;
@@ -235,6 +248,9 @@
         self.consecutive_successes = 0;
         self.consecutive_failures += 1;
         self.connection_refused |= failure == Failure::Refused;
+        if failure == Failure::Unreachable {
+            self.unreachable_at = Some(now);
+        }
         let failing_since = *self.failing_since.get_or_insert(now);
         let failing_for = now.saturating_sub(failing_since);
         if failure == Failure::Refused || failing_for >= UNREACHABLE_TIMEOUT {
--- a/proxy/src/lifecycle.rs
+++ b/proxy/src/lifecycle.rs
@@ -112,6 +112,8 @@
 pub enum AfterFailure {
     /// Another attempt is made.
     Retry,
+    /// The request waits for another attempt, which is in progress.
+    Await,
     /// The request ends.
     Reject(Rejection),
 }
@@ -131,16 +133,16 @@
     pub sends: u32,
     /// How many such attempts the rule allows.
     pub max_sends: u32,
-    /// When it was last sent to a server, on the clock of the node.
-    pub sent_at: Duration,
+    /// Attempts that were sent and have not ended: their servers may be at work.
+    pub pending: u32,
     /// Whether any byte of it may have reached a server that may have run it.
     pub may_have_run: bool,
 }
 
 /// Attempts that reach no server come on top of those that a rule allows.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// The least time before a request switches away from a slow server.
-const MIN_SWITCH_DELAY: Duration = Duration::from_millis(300);
+/// The least time before a request at a slow server is sent to another one too.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(300);
 
 impl RequestLifecycle {
     /// A request that was just received.
@@ -152,7 +154,7 @@
             attempts: 0,
             sends: 0,
             max_sends: DEFAULT_MAX_ATTEMPTS,
-            sent_at: Duration::ZERO,
+            pending: 0,
             may_have_run: false,
         }
     }
@@ -166,7 +168,7 @@
     pub fn execution_status(&self) -> ExecutionStatus {
         match self.state {
             RequestState::Responding | RequestState::Done => ExecutionStatus::Ran,
-            _ if self.may_have_run => ExecutionStatus::MayHaveRun,
+            _ if self.may_have_run || self.pending > 0 => ExecutionStatus::MayHaveRun,
             _ => ExecutionStatus::NotRun,
         }
     }
@@ -174,20 +176,34 @@
     /// After how long without a response a request that was sent looks for another server, again and
     /// again: a third of `left`, what remains of its time. `None` for one that must not be sent
     /// twice, or whose time is too short.
-    pub fn switch_after(&self, left: Duration) -> Option<Duration> {
-        let may_switch =
+    pub fn hedge_after(&self, left: Duration) -> Option<Duration> {
+        let may_hedge =
             self.idempotency == Idempotency::Idempotent && self.is_replayable && self.may_retry();
-        let delay = (left / 3).max(MIN_SWITCH_DELAY);
-        (may_switch && delay < left).then_some(delay)
+        let delay = (left / 3).max(MIN_HEDGE_DELAY);
+        (may_hedge && delay < left).then_some(delay)
     }
 
-    /// Records a failed attempt and decides what follows. `try_take_retry` takes one retry from the
-    /// budget; it is called last, and not at all where this proxy itself withdrew from a server that
-    /// nothing was sent to.
+    /// Records that an attempt is sent now.
+    pub fn record_sent(&mut self) {
+        self.state = RequestState::Sent;
+        self.sends += 1;
+        self.pending += 1;
+    }
+
+    /// Records that an attempt that was sent has ended, with a response or with an error.
+    pub fn record_ended(&mut self) {
+        self.pending -= 1;
+    }
+
+    /// Records a failed attempt and decides what follows. While others are in progress (`has_others`)
+    /// the request is not ended: their servers may be at work on it (incident 0019). `try_take_retry` takes
+    /// one retry from the budget; it is called last, and not at all where this proxy itself withdrew
+    /// from a server that nothing was sent to.
     pub fn attempt_failed(
         &mut self,
         error: AttemptError,
         is_late: bool,
+        has_others: bool,
         try_take_retry: impl FnOnce() -> bool,
     ) -> AfterFailure {
         let is_not_sent = error.is_not_sent();
@@ -205,6 +221,9 @@
             // Retried only while provably no server has received it.
             Idempotency::NonIdempotent => is_not_sent && !self.may_have_run,
         };
+        if has_others {
+            return AfterFailure::Await;
+        }
         if is_late || !may_repeat || !self.may_retry() {
             return AfterFailure::Reject(rejection);
         }
--- a/proxy/src/lifecycle/tests.rs
+++ b/proxy/src/lifecycle/tests.rs
@@ -1,6 +1,7 @@
 use super::{AfterFailure, AttemptError, Rejection, RequestLifecycle};
 use std::time::Duration;
 use strum::IntoEnumIterator;
+use vanepath_config::ExecutionStatus;
 use vanepath_config::model::Idempotency;
 
 /// Clients that met overloaded servers retry apart from each other, with most of their time left.
@@ -13,10 +14,10 @@
     assert_eq!(Rejection::NoServer.retry_after(ms(10), 7), Some(ms(100)));
 }
 
-/// An idempotent request switches away from a slow server after a third of what remains, then a third
-/// of the rest; a non-idempotent request and the last attempt stay.
+/// An idempotent request looks for another server after a third of what remains, then a third of the
+/// rest; a non-idempotent request and the last attempt stay where they are.
 #[test]
-fn an_idempotent_request_switches_away_from_slow_servers() {
+fn an_idempotent_request_is_hedged_at_slow_servers() {
     let ms = Duration::from_millis;
     let mut lifecycle = RequestLifecycle {
         idempotency: Idempotency::Idempotent,
@@ -24,18 +25,18 @@
         attempts: 1,
         ..RequestLifecycle::new()
     };
-    assert_eq!(lifecycle.switch_after(ms(6000)), Some(ms(2000)));
-    assert_eq!(lifecycle.switch_after(ms(4000)), Some(ms(4000) / 3));
-    assert_eq!(lifecycle.switch_after(ms(600)), Some(ms(300)));
-    assert_eq!(lifecycle.switch_after(ms(300)), None);
+    assert_eq!(lifecycle.hedge_after(ms(6000)), Some(ms(2000)));
+    assert_eq!(lifecycle.hedge_after(ms(4000)), Some(ms(4000) / 3));
+    assert_eq!(lifecycle.hedge_after(ms(600)), Some(ms(300)));
+    assert_eq!(lifecycle.hedge_after(ms(300)), None);
     lifecycle.sends = lifecycle.max_sends;
-    assert_eq!(lifecycle.switch_after(ms(6000)), None);
+    assert_eq!(lifecycle.hedge_after(ms(6000)), None);
     let non_idempotent = RequestLifecycle {
         idempotency: Idempotency::NonIdempotent,
         attempts: 1,
         ..RequestLifecycle::new()
     };
-    assert_eq!(non_idempotent.switch_after(ms(6000)), None);
+    assert_eq!(non_idempotent.hedge_after(ms(6000)), None);
 }
 
 /// What follows from each attempt error, with and without budget, and what the client is answered.
@@ -51,9 +52,10 @@
                     attempts: 1,
                     ..RequestLifecycle::new()
                 };
-                let next = lifecycle.attempt_failed(first, false, || budget);
+                let next = lifecycle.attempt_failed(first, false, false, || budget);
                 let answer = match next {
                     AfterFailure::Retry => "goes again".to_string(),
+                    AfterFailure::Await => panic!("nothing else is in progress"),
                     AfterFailure::Reject(rejection) => {
                         format!(
                             "{rejection} {}",
@@ -74,9 +76,9 @@
         attempts: 1,
         ..RequestLifecycle::new()
     };
-    lifecycle.attempt_failed(AttemptError::Silent, false, || true);
+    lifecycle.attempt_failed(AttemptError::Silent, false, false, || true);
     assert_ne!(
-        lifecycle.attempt_failed(AttemptError::NotConnected, false, || true),
+        lifecycle.attempt_failed(AttemptError::NotConnected, false, false, || true),
         AfterFailure::Retry
     );
     expect_test::expect![[r#"
@@ -148,10 +150,11 @@
                     || matches!(error, AttemptError::NotSent | AttemptError::RejectedByServer);
                 has_touched |= !is_untouched;
                 let is_late = is(2) && turn == 2;
-                let next = lifecycle.attempt_failed(error, is_late, || !is(3) || turn < 1);
+                let next = lifecycle.attempt_failed(error, is_late, false, || !is(3) || turn < 1);
                 let status =
                     |rejection: Rejection| rejection.status(lifecycle.execution_status()).as_u16();
                 match next {
+                    AfterFailure::Await => panic!("nothing else is in progress"),
                     AfterFailure::Retry => {
                         assert!(
                             kind == Idempotency::Idempotent || !has_touched,
@@ -172,3 +175,23 @@
     }
     assert!(ended > count, "most sequences end");
 }
+
+/// Incident 0019: whatever becomes of one attempt, the request is not ended while another one is in
+/// progress, and takes nothing from the budget; if it ends all the same, nothing is promised.
+#[test]
+fn no_error_ends_a_request_whose_other_attempt_is_in_progress() {
+    for error in AttemptError::iter() {
+        for is_late in [false, true] {
+            let mut lifecycle = RequestLifecycle {
+                idempotency: Idempotency::Idempotent,
+                is_replayable: true,
+                attempts: 2,
+                ..RequestLifecycle::new()
+            };
+            lifecycle.record_sent();
+            let next = lifecycle.attempt_failed(error, is_late, true, || panic!("no retry"));
+            assert_eq!(next, AfterFailure::Await, "{error}");
+            assert_eq!(lifecycle.execution_status(), ExecutionStatus::MayHaveRun);
+        }
+    }
+}
--- a/proxy/src/shell/maintenance.rs
+++ b/proxy/src/shell/maintenance.rs
@@ -163,7 +163,7 @@
 
     async fn publish_status(&self, now: Duration, view: &ClusterView) {
         let proxy = &self.proxy;
-        let draining = proxy.is_draining.load(Ordering::Relaxed);
+        let draining = proxy.is_draining();
         let ready = proxy.endpoints.is_ready(now, view.is_fresh, self.revision) && !draining;
         if proxy.is_ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!("{}", if ready { "ready" } else { "not ready" });
--- a/proxy/src/shell/mod.rs
+++ b/proxy/src/shell/mod.rs
@@ -11,7 +11,6 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::watch;
 use vanepath_cluster::node::{self, HttpSettings, Node};
@@ -35,7 +34,7 @@
     let node = Node::start(settings, None).await?;
     let proxy = Arc::new(Proxy::new(node.clone()));
     maintenance::spawn(proxy.clone());
-    let stop_accepting = spawn_drain(proxy.clone(), DRAIN_DELAY.min(grace / 2));
+    let stop_accepting = spawn_drain(&node, DRAIN_DELAY.min(grace / 2));
     let http = HttpSettings {
         header_timeout: HEADER_READ_TIMEOUT,
         preserve_header_case: true,
@@ -61,12 +60,11 @@
 /// Drains the proxy on the signal to stop. Clients may still be on their way then: they are served
 /// for `delay`, with the hint to close their connections, before the returned channel turns true and
 /// no more are accepted.
-fn spawn_drain(proxy: Arc<Proxy>, delay: Duration) -> watch::Receiver<bool> {
+fn spawn_drain(node: &Node, delay: Duration) -> watch::Receiver<bool> {
     let (sender, receiver) = watch::channel(false);
-    let mut stop = proxy.node.stop.clone();
+    let mut stop = node.stop.clone();
     tokio::spawn(async move {
         let _ = stop.wait_for(|stop| *stop).await;
-        proxy.is_draining.store(true, Ordering::Relaxed);
         tokio::time::sleep(delay).await;
         sender.send_replace(true);
         std::future::pending::<()>().await;
--- a/proxy/src/shell/status.rs
+++ b/proxy/src/shell/status.rs
@@ -36,7 +36,7 @@
         "ready": ready,
         "fresh": view.is_fresh,
         "floor": view.read_index_json(),
-        "leaving": proxy.is_draining.load(Ordering::Relaxed),
+        "leaving": proxy.is_draining(),
         "revision": view.committed.revision,
         "setupRevision": view.committed.config_revision,
         "platformRevision": view.endpoints.revision,
--- a/testbed/src/sim/mutations.rs
+++ b/testbed/src/sim/mutations.rs
@@ -74,6 +74,8 @@
     /// The steering service gives no answers once faults have begun.
     #[strum(serialize = "directories-stay-down")]
     SteeringStaysDown,
+    /// A request that is sent to another server is cut off at those that have it.
+    CutsOffSlowServers,
     /// A node that starts uses whatever configuration it hears of first, without a read index.
     #[strum(serialize = "no-floor")]
     SkipsReadIndex,
--- a/testbed/src/sim/network/event.rs
+++ b/testbed/src/sim/network/event.rs
@@ -97,8 +97,13 @@
     SelectServer(usize),
     /// The deadline of a request that waits for admission.
     QueueTimeout(usize),
-    /// A proxy considers another server for a request whose attempt is slow.
-    SwitchServer(usize, u32),
+    /// A proxy considers another server for a request that waits for its response.
+    HedgeRequest {
+        /// The request in progress.
+        progress_id: usize,
+        /// Only the latest timer of a request counts.
+        timer: u32,
+    },
     /// A server has done a request.
     ServerDone {
         /// The call that carries the request.
--- a/testbed/src/sim/network/message.rs
+++ b/testbed/src/sim/network/message.rs
@@ -124,6 +124,8 @@
     Connect {
         /// The request in progress.
         progress_id: usize,
+        /// The number of the attempt.
+        attempt: u32,
     },
     /// A health check of a server.
     Probe {
@@ -136,6 +138,8 @@
     UpstreamRequest {
         /// The request in progress.
         progress_id: usize,
+        /// The number of the attempt.
+        attempt: u32,
     },
     /// Nothing waits for the reply.
     None,
--- a/testbed/src/sim/state/mod.rs
+++ b/testbed/src/sim/state/mod.rs
@@ -14,7 +14,7 @@
 pub use node::{DownPeriod, Node, Registry, RevisionChange, RoleState, Store};
 pub use operators::{Evacuation, Operation, OperatorCall};
 pub use proxy::Proxy;
-pub(in crate::sim) use proxy::RequestInProgress;
+pub(in crate::sim) use proxy::{AttemptInProgress, RequestInProgress};
 pub use reachability::{Knowable, KnownRevisions, Reachability, ZoneDrain, knowable_since};
 pub(in crate::sim) use traffic::Connection;
 pub use traffic::{
--- a/testbed/src/sim/traffic/mod.rs
+++ b/testbed/src/sim/traffic/mod.rs
@@ -2,6 +2,7 @@
 //! cores of the proxy and the client library decide: request lifecycle, admission, retry budget,
 //! endpoints and steering.
 
+mod attempts;
 mod clients;
 mod proxies;
 mod requests;
@@ -43,7 +44,7 @@
             Timer::AdmitRequest(_)
             | Timer::SelectServer(_)
             | Timer::QueueTimeout(_)
-            | Timer::SwitchServer(..)
+            | Timer::HedgeRequest { .. }
             | Timer::Close => {
                 if let Some(index) = self.by_host.get(&host).copied() {
                     self.proxy_timer(index, timer);
@@ -68,14 +69,14 @@
             (Purpose::Forward { request }, _) => {
                 self.proxy_replied(request, target, body, is_reset);
             }
-            (Purpose::Connect { progress_id }, Some(index)) => {
-                self.connected(index, progress_id, body, is_reset);
+            (Purpose::Connect { progress_id, attempt }, Some(index)) => {
+                self.connected(index, progress_id, attempt, body, is_reset);
             }
             (Purpose::Probe { slot, index: endpoint }, Some(index)) => {
                 self.probe_replied(index, slot, endpoint, body, is_reset);
             }
-            (Purpose::UpstreamRequest { progress_id }, Some(index)) => {
-                self.upstream_replied(index, progress_id, body, is_reset);
+            (Purpose::UpstreamRequest { progress_id, attempt }, Some(index)) => {
+                self.upstream_replied(index, progress_id, attempt, body, is_reset);
             }
             _ => {}
         }
--- a/testbed/src/sim/traffic/proxies.rs
+++ b/testbed/src/sim/traffic/proxies.rs
@@ -158,7 +158,7 @@
             }
             Some(_) => proxy.endpoints.record_failure(now, slot, Failure::Refused),
             None if is_reset => proxy.endpoints.record_failure(now, slot, Failure::Refused),
-            None => proxy.endpoints.record_failure(now, slot, Failure::Silent),
+            None => proxy.endpoints.record_failure(now, slot, Failure::Unreachable),
         };
         if let Some(phase) = phase {
             proxy.has_phase_changes = true;
@@ -184,8 +184,8 @@
             Timer::AdmitRequest(progress_id) => self.admit_request(index, progress_id),
             Timer::SelectServer(progress_id) => self.select_server(index, progress_id),
             Timer::QueueTimeout(progress_id) => self.queue_timed_out(index, progress_id),
-            Timer::SwitchServer(progress_id, attempt) => {
-                self.switch_if_slow(index, progress_id, attempt)
+            Timer::HedgeRequest { progress_id, timer } => {
+                self.hedge_request(index, progress_id, timer);
             }
             Timer::Close => {
                 if let RoleState::Proxy(proxy) = &mut self.nodes[index].role_state {
--- a/testbed/tests/days.rs
+++ b/testbed/tests/days.rs
@@ -165,6 +165,33 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// Incident 0019: a rolling restart beside a surge ends no request whose server may be at work on it. Proxies
+/// that cut a request off at a slow server before another one has responded are noticed.
+#[test]
+fn a_rolling_restart_during_a_surge_gives_up_no_request_at_its_server() {
+    use Fault::{RollingRestart, Surge, ZoneCut};
+    use vanepath_testbed::sim::mutations::Mutation;
+    let mut work = Vec::new();
+    for seed in 1..=4 {
+        work.push((seed, vec![RollingRestart, Surge]));
+        work.push((seed, vec![RollingRestart, Surge, ZoneCut]));
+    }
+    let given_up = std::sync::Mutex::new([0, 0]);
+    on_threads(cores(), work.len() * 2, |index| {
+        let (seed, faults) = &work[index / 2];
+        let is_mutated = index % 2 == 1;
+        let mutation = is_mutated.then_some(Mutation::CutsOffSlowServers);
+        let plan = Plan { mutation, ..Plan::new(Deployment::Guild, faults) };
+        let violations = check(&run(*seed, &plan)).violations;
+        let count =
+            violations.iter().filter(|line| line.contains("given up at its server")).count();
+        given_up.lock().unwrap()[usize::from(is_mutated)] += count;
+    });
+    let [intact, mutated] = given_up.into_inner().unwrap();
+    assert_eq!(intact, 0);
+    assert!(mutated > 0, "the check is blind");
+}
+
 /// A surge beside downloads that take seconds: clients that left slow proxies without taking from their
 /// retry budget had 586 of 2,621 requests run twice in ten seconds of the first of these scenarios.
 #[test]
