--- a/testbed/tests/losses.rs
+++ b/testbed/tests/losses.rs
@@ -321,6 +321,48 @@
     assert_eq!(fleet.execution_counts()["slow"], 1);
 }
 
+/// Incident 0019: a request that still waits for its turn when the grace period of a shutdown ends is answered
+/// before, with the promise that it did not run; it is not cut off with the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_queued_request_is_answered_before_the_grace_period_ends() {
+    let mut topology = small_topology(1);
+    topology.config = topology
+        .config
+        .replace(r#""room": 64"#, r#""room": 1"#)
+        .replace(r#""borrows": [{"from": "lookup", "most": 128}]"#, r#""borrows": []"#);
+    let mut fleet = start(topology).await;
+    let (zone, region) = (fleet.daemons[0].zone, fleet.daemons[0].region);
+    let mut settings = vec![("graceMs", jzon::JsonValue::from(2000))];
+    settings.extend(fleet.running_seeds());
+    let proxy = fleet.add_daemon("proxy", "proxy-short", zone, region, 61, &settings);
+    fleet.start_daemon(proxy);
+    wait_until("it is ready", SOON, async || {
+        fleet.get(proxy, "/vanepath/v1/ready").await.is_some_and(|reply| reply.status == 200)
+    })
+    .await;
+    let address = fleet.daemons[proxy].address;
+    let send = |id: &'static str| {
+        tokio::spawn(async move {
+            call(address, "GET", "/documents/1?waitMs=8000", &[("x-request", id)], b"").await
+        })
+    };
+    let first = send("first");
+    wait_until("a server has the first", SOON, async || {
+        fleet.execution_counts().contains_key("first")
+    })
+    .await;
+    let queued = send("queued");
+    wait_until("the second is queued", SOON, async || {
+        let status = fleet.page(proxy, "status").await;
+        status["classes"].members().any(|class| class["waiting"].as_u64() == Some(1))
+    })
+    .await;
+    assert!(fleet.terminate(proxy).await, "it did not end well");
+    let answer = queued.await.unwrap().expect("an answer");
+    assert_eq!((answer.status, answer.json()["verdict"].as_str()), (503, Some("not-run")));
+    first.abort();
+}
+
 /// Every daemon is restarted in its turn, under a burst of configurations and traffic. No revision of any of them is
 /// older than one that it had before, no lookup is lost, nothing is executed twice, and the operator's command finds
 /// no daemon behind.
