A draining proxy answers what servers have behind another request, and what waits at the end

A request read at the moment of the stop could be closed with its connection.

Change: the connection is closed behind the last request that was started, decided where a response is handed over (shell::connections), and none is started behind another one from the signal on; the library is polled before it is told to close. Shortly before the end of the grace period whatever waits for something other than a server is rejected as not run (before_shutdown).

--- a/proxy/src/forward/admission.rs
+++ b/proxy/src/forward/admission.rs
@@ -71,6 +71,26 @@
         && proxy.endpoints.is_ready(proxy.now(), view.is_fresh, revision_of(&view))
 }
 
+/// Waits for something other than a server, at most until the grace period of a shutdown is nearly
+/// over: the request then gets an answer while there is time for one.
+///
+/// # Errors
+/// Those of `wait`, and [`Rejection::NotReady`].
+pub(super) async fn before_shutdown<T>(
+    proxy: &Proxy,
+    wait: impl Future<Output = Result<T, Rejection>>,
+) -> Result<T, Rejection> {
+    let end = async {
+        let mut last_call = proxy.last_call.clone();
+        let _ = last_call.wait_for(|is_last_call| *is_last_call).await;
+    };
+    tokio::select! {
+        biased;
+        outcome = wait => outcome,
+        () = end => Err(Rejection::NotReady),
+    }
+}
+
 /// Takes a slot of the class, waiting in its queue until the deadline if need be.
 ///
 /// # Errors
--- a/proxy/src/forward/mod.rs
+++ b/proxy/src/forward/mod.rs
@@ -22,9 +22,8 @@
 
 use crate::lifecycle::{Rejection, RequestLifecycle, RequestState};
 use crate::pipelining::{self, RequestHead};
-use admission::{admit, wait_until_ready};
+use admission::{admit, before_shutdown, wait_until_ready};
 use guards::ClientDisconnectGuard;
-use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response};
 use rejection::RejectionDetails;
 use request_body::read_body_before;
@@ -48,13 +47,9 @@
     let mut details = RejectionDetails::default();
     let outcome = handle(&proxy, request, &mut lifecycle, &mut details).await;
     disconnect_guard.disarm();
-    let mut response = outcome.unwrap_or_else(|rejection| {
+    outcome.unwrap_or_else(|rejection| {
         rejection::respond(&proxy, rejection, lifecycle.execution_status(), &details)
-    });
-    if proxy.is_draining() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    response
+    })
 }
 
 /// The phases of a request, from its head to the response that is relayed. On an error `lifecycle`
@@ -68,7 +63,7 @@
     let received_at = proxy.now();
     let (mut head, incoming) = request.into_parts();
     let host = validate_head(&mut head).inspect_err(|_| details.closes_connection = true)?;
-    wait_until_ready(proxy, received_at).await?;
+    before_shutdown(proxy, wait_until_ready(proxy, received_at)).await?;
 
     let route = Route::find(proxy, RequestTarget::new(&head, host), details)?;
     let class = route.class().clone();
@@ -78,7 +73,7 @@
     check_declared_length(&incoming, &class).inspect_err(|_| details.closes_connection = true)?;
 
     lifecycle.state = RequestState::Queued;
-    let permit = admit(proxy, &class.name, timing.deadline).await?;
+    let permit = before_shutdown(proxy, admit(proxy, &class.name, timing.deadline)).await?;
     let service_name = route.pick_service(proxy);
     let body =
         read_body_before(proxy, timing.deadline, incoming, class.max_body_bytes, details).await?;
@@ -99,12 +94,12 @@
 }
 
 /// Starts an idempotent request that stands behind another one on its connection (design 8.9);
-/// `None` for any other, which waits for its turn.
+/// `None` for any other, and from a shutdown on, which waits for its turn.
 pub fn start_pipelined(
     proxy: &Arc<Proxy>,
     head: &RequestHead,
 ) -> Option<JoinHandle<pipelining::Response>> {
-    if head.method != "GET" && head.method != "HEAD" {
+    if proxy.is_draining() || (head.method != "GET" && head.method != "HEAD") {
         return None;
     }
     let host = head.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("host"))?;
--- a/proxy/src/forward/retry.rs
+++ b/proxy/src/forward/retry.rs
@@ -2,7 +2,7 @@
 //! (design 8.2). A server that may be at work on the request keeps it until then, also while
 //! another one is tried ([`super::hedging`]).
 
-use super::admission::{AdmissionPermit, wait_until_ready};
+use super::admission::{AdmissionPermit, before_shutdown, wait_until_ready};
 use super::attempt::{Attempt, SelectedEndpoint};
 use super::guards::InFlightGuard;
 use super::pending::{AttemptEvent, PendingAttempts, SentAttempt};
@@ -165,10 +165,11 @@
         details: &mut RejectionDetails,
     ) -> Result<(), Rejection> {
         lifecycle.state = RequestState::Selecting;
+        let proxy = self.proxy;
         if lifecycle.attempts > 0 {
-            self.wait_until_ready_again().await?;
+            before_shutdown(proxy, self.wait_until_ready_again()).await?;
         }
-        let reserved = self.select(details).await?;
+        let reserved = before_shutdown(proxy, self.select(details)).await?;
         self.begin_attempt(reserved, lifecycle);
         Ok(())
     }
--- a/proxy/src/pipelining/mod.rs
+++ b/proxy/src/pipelining/mod.rs
@@ -127,6 +127,12 @@
         if is_same { started.task.take() } else { None }
     }
 
+    /// Whether requests behind the present one were started: the connection must not be closed before
+    /// their responses (incident 0019).
+    pub fn has_started(&self) -> bool {
+        !self.state().started.is_empty()
+    }
+
     /// Records that the response to the request in flight was written or given up.
     pub fn finish(&self) {
         self.state().is_busy = false;
--- a/proxy/src/shell/connections.rs
+++ b/proxy/src/shell/connections.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
@@ -46,15 +47,19 @@
     let mut stopped = stop.clone();
     let stopping = async move { stopped.wait_for(|stop| *stop).await.is_ok() };
     tokio::pin!(stopping);
-    let mut is_stopping = false;
+    let mut is_stopped = false;
+    let mut is_closing = false;
     poll_fn(|context| {
-        if !is_stopping && stopping.as_mut().poll(context).is_ready() {
-            is_stopping = true;
-            connection.as_mut().graceful_shutdown();
-        }
         let start = |head: &RequestHead| forward::start_pipelined(&proxy, head);
         pipeline.poll(context, &start);
-        let polled = connection.as_mut().poll(context).map(|_| ());
+        let mut polled = connection.as_mut().poll(context).map(|_| ());
+        is_stopped = is_stopped || stopping.as_mut().poll(context).is_ready();
+        // What the client has sent by now is with the service: it is answered before the end.
+        if polled.is_pending() && is_stopped && !is_closing && !pipeline.has_started() {
+            is_closing = true;
+            connection.as_mut().graceful_shutdown();
+            polled = connection.as_mut().poll(context).map(|_| ());
+        }
         if polled.is_pending() {
             // The library may have received a request just now: read ahead of it too.
             pipeline.poll(context, &start);
@@ -64,12 +69,26 @@
     .await;
 }
 
-/// Answers one request as the library passes it.
+/// Answers one request as the library passes it. While the proxy drains, the connection ends with the
+/// response, unless servers have requests behind this one.
 async fn respond(
     proxy: &Arc<Proxy>,
     pipeline: &Pipeline,
     request: Request<Incoming>,
     has_admin_listener: bool,
+) -> Response {
+    let mut response = answer(proxy, pipeline, request, has_admin_listener).await;
+    if proxy.is_draining() && !pipeline.has_started() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer(
+    proxy: &Arc<Proxy>,
+    pipeline: &Pipeline,
+    request: Request<Incoming>,
+    has_admin_listener: bool,
 ) -> Response {
     let target = request.uri().path_and_query().map_or("", |target| target.as_str());
     let started = pipeline.receive(request.method().as_str(), target);
--- a/proxy/src/shell/mod.rs
+++ b/proxy/src/shell/mod.rs
@@ -19,6 +19,8 @@
 /// For how long clients are still accepted after the signal to stop, as long as a steering answer
 /// may be cached; at most half of the grace period.
 const DRAIN_DELAY: Duration = Duration::from_millis(3500);
+/// How long before the end of the grace period a request that no server has is answered.
+const LAST_CALL_MARGIN: Duration = Duration::from_millis(400);
 /// How long a client may take to send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// The buffer of the HTTP library for one client, in bytes.
@@ -32,9 +34,9 @@
     let listener = node::bind("listen", settings.listen).await?;
     let grace = settings.shutdown_grace;
     let node = Node::start(settings, None).await?;
-    let proxy = Arc::new(Proxy::new(node.clone()));
+    let drain = DrainSchedule::spawn(&node);
+    let proxy = Arc::new(Proxy::new(node.clone(), drain.last_call));
     maintenance::spawn(proxy.clone());
-    let stop_accepting = spawn_drain(&node, DRAIN_DELAY.min(grace / 2));
     let http = HttpSettings {
         header_timeout: HEADER_READ_TIMEOUT,
         preserve_header_case: true,
@@ -49,7 +51,7 @@
         tokio::time::sleep(grace).await;
     };
     tokio::select! {
-        _ = node::accept(listener, stop_accepting, serve) => log::info!("stopped"),
+        _ = node::accept(listener, drain.stop_accepting, serve) => log::info!("stopped"),
         _ = grace_period => {
             log::warn!("stopped at the end of the grace period with requests in flight");
         }
@@ -57,16 +59,34 @@
     Ok(())
 }
 
-/// Drains the proxy on the signal to stop. Clients may still be on their way then: they are served
-/// for `delay`, with the hint to close their connections, before the returned channel turns true and
-/// no more are accepted.
-fn spawn_drain(node: &Node, delay: Duration) -> watch::Receiver<bool> {
+/// The steps of a graceful shutdown; each turns true in its time after the signal to stop.
+struct DrainSchedule {
+    /// No more clients are accepted. Those on their way are served before, with the hint to close
+    /// their connections.
+    stop_accepting: watch::Receiver<bool>,
+    /// Requests that no server has get their answers.
+    last_call: watch::Receiver<bool>,
+}
+
+impl DrainSchedule {
+    fn spawn(node: &Node) -> DrainSchedule {
+        let grace = node.settings.shutdown_grace;
+        DrainSchedule {
+            stop_accepting: turns_true_after_stop(node, DRAIN_DELAY.min(grace / 2)),
+            last_call: turns_true_after_stop(node, grace.saturating_sub(LAST_CALL_MARGIN)),
+        }
+    }
+}
+
+/// A channel that turns true so long after the signal to stop.
+fn turns_true_after_stop(node: &Node, delay: Duration) -> watch::Receiver<bool> {
     let (sender, receiver) = watch::channel(false);
     let mut stop = node.stop.clone();
     tokio::spawn(async move {
         let _ = stop.wait_for(|stop| *stop).await;
         tokio::time::sleep(delay).await;
         sender.send_replace(true);
+        // The sender stays, so that receivers never see a closed channel.
         std::future::pending::<()>().await;
     });
     receiver
