--- a/registry/src/steering/tests.rs
+++ b/registry/src/steering/tests.rs
@@ -169,7 +169,7 @@
         from an unknown place: 8000 8001 for 2 s
         two of a gone: 8002 8004 for 2 s
         a1 emptied: 8002 8004 for 2 s
-        a lost: 8004 8003 for 2 s
+        a lost: 8002 8000 8001 for 2 s
         all lost: this directory knows no setup or no place yet
         not ready: this directory knows no setup or no place yet
         cut off: this directory is cut off, and what you have may be newer
@@ -191,6 +191,51 @@
     assert!(shown_addresses(&bound, true, "region=c&zone=c1").ends_with("for 2 s"));
 }
 
+/// Incident 0020: during rolling restarts all proxies of a region may drain or start at one time. Clients were
+/// then named proxies of whatever region, as after the loss of theirs; where a rule of their host is bound to
+/// regions they get those of its other regions, or else the restarting ones, which serve or soon will.
+#[test]
+fn bound_rules_keep_clients_within_their_regions_while_proxies_restart() {
+    let rules = r#"{"name": "b", "match": {"host": "bound"}, "class": "c", "service": "s", "regions": ["c", "a"]},
+        {"name": "o", "match": {"host": "only"}, "class": "c", "service": "s", "regions": ["c"]},
+        {"name": "f", "match": {"host": "free"}, "class": "c", "service": "s"}"#;
+    let shown = |view: &ClusterView| {
+        let answer = |host| shown_addresses(view, true, &format!("name={host}&region=c&zone=c1"));
+        ["bound", "only", "free"].map(answer).join(", ")
+    };
+    let mut text = String::new();
+    let mut show = |what: &str, view: &ClusterView| text += &format!("{what}: {}\n", shown(view));
+    let mut one = view(rules);
+    show("all ready", &one);
+    one.live[5].1.draining = true;
+    show("draining", &one);
+    one.live[5].1.ready = false;
+    show("draining, and accepts no more", &one);
+    one.live[5].1.draining = false;
+    show("starting", &one);
+    let committed =
+        CommittedConfig { drained_zones: ["c1".to_string()].into(), ..CommittedConfig::default() };
+    one.committed = Arc::new(committed);
+    show("starting in a drained zone", &one);
+    one.committed = Arc::default();
+    one.unreachable.push(one.live.remove(5));
+    show("lost", &one);
+    for (_, status) in &mut one.live {
+        status.draining = true;
+    }
+    show("lost, and all others drain", &one);
+    expect_test::expect![[r#"
+        all ready: 8005 for 2 s, 8005 for 2 s, 8005 8002 for 2 s
+        draining: 8002 8000 8001 for 2 s, 8005 for 0.5 s, 8002 8004 for 2 s
+        draining, and accepts no more: 8002 8000 8001 for 2 s, 8002 for 2 s, 8002 8004 for 2 s
+        starting: 8002 8000 8001 for 2 s, 8005 for 0.5 s, 8002 8004 for 2 s
+        starting in a drained zone: 8002 8000 8001 for 2 s, 8002 for 2 s, 8002 8004 for 2 s
+        lost: 8002 8000 8001 for 2 s, 8002 for 2 s, 8002 8004 for 2 s
+        lost, and all others drain: 8000 8001 8002 for 0.5 s, this directory knows no setup or no place yet, this directory knows no setup or no place yet
+    "#]]
+    .assert_eq(&text);
+}
+
 /// With very many proxies each answer has the maximum of addresses, each another part of them, and all
 /// proxies are named equally often.
 #[test]
