Clients with bound rules stay within their regions while proxies restart

Change: where a rule of the client's host is bound to regions and its own region has no proxy that takes requests, the answer names those of the rule's other regions; or else the restarting ones, for half a second: a draining proxy says for as long as it accepts clients that it is ready. A region that is really lost is left as before. Counters tell the sources apart.

--- a/proxy/src/forward/admission.rs
+++ b/proxy/src/forward/admission.rs
@@ -81,7 +81,7 @@
     wait: impl Future<Output = Result<T, Rejection>>,
 ) -> Result<T, Rejection> {
     let end = async {
-        let mut last_call = proxy.last_call.clone();
+        let mut last_call = proxy.drain.last_call.clone();
         let _ = last_call.wait_for(|is_last_call| *is_last_call).await;
     };
     tokio::select! {
--- a/proxy/src/forward/state.rs
+++ b/proxy/src/forward/state.rs
@@ -9,11 +9,12 @@
 use crate::lifecycle::AttemptError;
 use crate::request_rates::RequestRates;
 use crate::retry_budget::{RetryBudgets, RetryReason};
+use crate::shell::DrainSchedule;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 use vanepath_cluster::node::{self, Node};
 
@@ -144,8 +145,8 @@
     pub counters: Arc<Counters>,
     /// Whether this proxy accepts requests.
     pub is_ready: AtomicBool,
-    /// Turns true shortly before the end of the grace period of a shutdown.
-    pub(super) last_call: watch::Receiver<bool>,
+    /// The steps of a graceful shutdown.
+    pub drain: DrainSchedule,
     /// Whether a server's phase changed that registries do not know of yet.
     pub has_unreported_changes: AtomicBool,
     /// How many proxies share the retry budgets.
@@ -161,9 +162,8 @@
 }
 
 impl Proxy {
-    /// A proxy without servers and classes, which the maintenance actor brings. `last_call` turns true
-    /// shortly before the end of the grace period of a shutdown.
-    pub fn new(node: Arc<Node>, last_call: watch::Receiver<bool>) -> Proxy {
+    /// A proxy without servers and classes, which the maintenance actor brings.
+    pub fn new(node: Arc<Node>, drain: DrainSchedule) -> Proxy {
         let proves_answers = node.settings.wire_format.headers().request_id.is_some();
         let mut endpoints = Endpoints::default();
         endpoints.verifies_responses = proves_answers;
@@ -178,7 +178,7 @@
             retry_budgets: Mutex::new(RetryBudgets::new(retry_budget)),
             counters: Arc::default(),
             is_ready: AtomicBool::new(false),
-            last_call,
+            drain,
             has_unreported_changes: AtomicBool::new(false),
             live_proxies: AtomicUsize::new(1),
             request_rates: Mutex::default(),
--- a/proxy/src/shell/maintenance.rs
+++ b/proxy/src/shell/maintenance.rs
@@ -164,12 +164,16 @@
     async fn publish_status(&self, now: Duration, view: &ClusterView) {
         let proxy = &self.proxy;
         let draining = proxy.is_draining();
-        let ready = proxy.endpoints.is_ready(now, view.is_fresh, self.revision) && !draining;
+        let is_current = proxy.endpoints.is_ready(now, view.is_fresh, self.revision);
+        let ready = is_current && !draining;
         if proxy.is_ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!("{}", if ready { "ready" } else { "not ready" });
         }
         let revision = view.committed.revision;
-        let status = wire::NodeStatus { ready, draining, revision, ..wire::NodeStatus::default() };
+        // A proxy that drains still serves while it accepts clients (incident 0020).
+        let accepts = is_current && !*proxy.drain.stop_accepting.borrow();
+        let status =
+            wire::NodeStatus { ready: accepts, draining, revision, ..wire::NodeStatus::default() };
         proxy.node.publish_status(status).await;
     }
 
--- a/proxy/src/shell/mod.rs
+++ b/proxy/src/shell/mod.rs
@@ -35,7 +35,7 @@
     let grace = settings.shutdown_grace;
     let node = Node::start(settings, None).await?;
     let drain = DrainSchedule::spawn(&node);
-    let proxy = Arc::new(Proxy::new(node.clone(), drain.last_call));
+    let proxy = Arc::new(Proxy::new(node.clone(), drain.clone()));
     maintenance::spawn(proxy.clone());
     let http = HttpSettings {
         header_timeout: HEADER_READ_TIMEOUT,
@@ -60,12 +60,13 @@
 }
 
 /// The steps of a graceful shutdown; each turns true in its time after the signal to stop.
-struct DrainSchedule {
+#[derive(Clone)]
+pub struct DrainSchedule {
     /// No more clients are accepted. Those on their way are served before, with the hint to close
     /// their connections.
-    stop_accepting: watch::Receiver<bool>,
+    pub stop_accepting: watch::Receiver<bool>,
     /// Requests that no server has get their answers.
-    last_call: watch::Receiver<bool>,
+    pub last_call: watch::Receiver<bool>,
 }
 
 impl DrainSchedule {
--- a/registry/src/api/steering.rs
+++ b/registry/src/api/steering.rs
@@ -3,7 +3,7 @@
 use super::errors::ApiError;
 use super::response::ApiResponse;
 use crate::state::{Counter, Registry};
-use crate::steering::{self, SteeringError};
+use crate::steering::{self, AddressSource, SteeringError};
 use hyper::StatusCode;
 use vanepath_cluster::node;
 
@@ -32,10 +32,18 @@
     // Ready without a configuration too: addresses depend on the proxies alone.
     let is_ready = view.is_fresh && registry.node.is_awake() && !registry.node.is_shutting_down();
     let own = registry.own_location();
-    match steering::addresses(&view, is_ready, own, query, node::random()) {
-        Ok(response) => Ok(node::json_response(StatusCode::OK, &response)),
-        Err(error) => Err(rejected(registry, error)),
+    let answer = steering::addresses(&view, is_ready, own, query, node::random())
+        .map_err(|error| rejected(registry, error))?;
+    let counter = match answer.source {
+        AddressSource::OwnRegion => None,
+        AddressSource::OtherHomes => Some(Counter::AddressesOfOtherHomes),
+        AddressSource::Restarting => Some(Counter::AddressesOfRestarting),
+        AddressSource::Elsewhere => Some(Counter::AddressesElsewhere),
+    };
+    if let Some(counter) = counter {
+        registry.counters.increment(counter);
     }
+    Ok(node::json_response(StatusCode::OK, &answer.json()))
 }
 
 fn rejected(registry: &Registry, error: SteeringError) -> ApiError {
--- a/registry/src/steering/mod.rs
+++ b/registry/src/steering/mod.rs
@@ -15,7 +15,7 @@
 mod response;
 mod state_token;
 
-pub use addresses::{MAX_ADDRESSES, addresses};
+pub use addresses::{AddressSource, Addresses, MAX_ADDRESSES, addresses};
 pub use client::{BUCKETS, Client};
 pub use error::SteeringError;
 pub use pathways::{Pathway, pathways};
--- a/registry/src/steering/tests.rs
+++ b/registry/src/steering/tests.rs
@@ -120,6 +120,7 @@
 fn shown_addresses(view: &ClusterView, is_ready: bool, query: &str) -> String {
     match addresses(view, is_ready, ("a1", "a"), query, 0) {
         Ok(answer) => {
+            let answer = answer.json();
             let ports = answer["addresses"].members().filter_map(|one| one.as_str());
             let ports: Vec<&str> = ports.map(|one| one.rsplit(':').next().unwrap()).collect();
             format!("{} for {} s", ports.join(" "), answer["ttlS"])
@@ -169,7 +170,7 @@
         from an unknown place: 8000 8001 for 2 s
         two of a gone: 8002 8004 for 2 s
         a1 emptied: 8002 8004 for 2 s
-        a lost: 8002 8000 8001 for 2 s
+        a lost: 8004 8003 for 2 s
         all lost: this directory knows no setup or no place yet
         not ready: this directory knows no setup or no place yet
         cut off: this directory is cut off, and what you have may be newer
@@ -208,9 +209,9 @@
     let mut one = view(rules);
     show("all ready", &one);
     one.live[5].1.draining = true;
-    show("draining", &one);
+    show("it drains", &one);
     one.live[5].1.ready = false;
-    show("draining, and accepts no more", &one);
+    show("it drains and accepts no more", &one);
     one.live[5].1.draining = false;
     show("starting", &one);
     let committed =
@@ -226,8 +227,8 @@
     show("lost, and all others drain", &one);
     expect_test::expect![[r#"
         all ready: 8005 for 2 s, 8005 for 2 s, 8005 8002 for 2 s
-        draining: 8002 8000 8001 for 2 s, 8005 for 0.5 s, 8002 8004 for 2 s
-        draining, and accepts no more: 8002 8000 8001 for 2 s, 8002 for 2 s, 8002 8004 for 2 s
+        it drains: 8002 8000 8001 for 2 s, 8005 for 0.5 s, 8002 8004 for 2 s
+        it drains and accepts no more: 8002 8000 8001 for 2 s, 8002 for 2 s, 8002 8004 for 2 s
         starting: 8002 8000 8001 for 2 s, 8005 for 0.5 s, 8002 8004 for 2 s
         starting in a drained zone: 8002 8000 8001 for 2 s, 8002 for 2 s, 8002 8004 for 2 s
         lost: 8002 8000 8001 for 2 s, 8002 for 2 s, 8002 8004 for 2 s
@@ -252,7 +253,7 @@
         .collect();
     let mut counts = std::collections::BTreeMap::<String, u32>::new();
     for random in 0..200 {
-        let answer = addresses(&many, true, ("a1", "a"), "region=a", random).unwrap();
+        let answer = addresses(&many, true, ("a1", "a"), "region=a", random).unwrap().json();
         assert_eq!(answer["addresses"].members().len(), MAX_ADDRESSES);
         for one in answer["addresses"].members() {
             *counts.entry(one.as_str().unwrap().to_string()).or_default() += 1;
--- a/testbed/src/sim/traffic/proxies.rs
+++ b/testbed/src/sim/traffic/proxies.rs
@@ -65,7 +65,9 @@
         let ticked = proxy.endpoints.tick(now, &proxy.probe_schedule);
         self.world.probes += ticked.probes.len() as u64;
         let is_fresh = view.is_fresh || self.mutation == Some(Mutation::StartsFromStaleConfig);
-        let ready = proxy.endpoints.is_ready(now, is_fresh, revision) && !leaving;
+        let is_current = proxy.endpoints.is_ready(now, is_fresh, revision);
+        let ready = is_current && !leaving;
+        let accepts = is_current && !proxy.closed;
         let mut observations = None;
         let has_changes = ticked.has_changes || std::mem::take(&mut proxy.has_phase_changes);
         if proxy.reporter.is_due(now, has_changes) {
@@ -91,7 +93,7 @@
             self.check_service(index);
         }
         let status = wire::NodeStatus {
-            ready,
+            ready: accepts,
             draining: leaving,
             revision: view.committed.revision,
             ..wire::NodeStatus::default()
