Soak: requests cut off at servers that work on them, slow servers beside restarts

Change: servers record requests whose connection is closed while they work; an eleventh check finds those that ended before their deadline without a server's response, excused by faults of their own proxy alone; a series restarts proxies beside servers that take 2.5 s and others that reject; requests behind the last answer count as unanswered.

--- a/testbed/src/soak/clients/pipelining.rs
+++ b/testbed/src/soak/clients/pipelining.rs
@@ -37,7 +37,8 @@
         if stream.write_all(text.as_bytes()).await.is_err() {
             return;
         }
-        for request in requests {
+        let mut requests = requests.into_iter();
+        while let Some(request) = requests.next() {
             let timeout = RESPONSE_TIMEOUT * PIPELINE_DEPTH as u32;
             let reading = read_response(&mut stream, &mut received, &request);
             let ended = tokio::time::timeout(timeout, reading).await;
@@ -45,8 +46,8 @@
                 ended.unwrap_or(PipelinedEnd { end: RequestEnd::Timeout, is_last: true });
             shared.record(request, end);
             if is_last {
-                // The proxy did not read the requests behind it, or their end is not known: they are not
-                // recorded.
+                // The requests behind it have no answer: what servers had of these was lost.
+                requests.for_each(|request| shared.record(request, RequestEnd::ConnectionClosed));
                 return;
             }
         }
--- a/testbed/src/soak/invariants.rs
+++ b/testbed/src/soak/invariants.rs
@@ -25,13 +25,14 @@
 
 /// All violations of the invariants, a line each.
 pub fn check(observations: &Observations) -> Vec<String> {
-    let invariants: [fn(&Observations) -> Vec<String>; 10] = [
+    let invariants: [fn(&Observations) -> Vec<String>; 11] = [
         sent_to_draining_servers,
         sent_to_drained_zones,
         sent_to_wrong_services,
         executed_twice_or_misreported,
         mismatched_responses,
         in_flight_requests_lost,
+        given_up_at_servers_at_work,
         late_responses,
         revision_regressions,
         not_stable,
@@ -201,6 +202,31 @@
     violations
 }
 
+/// No request is given up before its deadline while a server works on it (incident 0019): a proxy that is killed,
+/// suspended or cut off is the only excuse.
+fn given_up_at_servers_at_work(observations: &Observations) -> Vec<String> {
+    let mut violations = Vec::new();
+    let cut_off = |one: &&Request| observations.cut_off.contains(&one.request_id);
+    for request in observations.requests.iter().filter(cut_off) {
+        let is_served = matches!(request.end, RequestEnd::Response { status: 200, .. });
+        let is_late = request.ended_at - request.sent_at >= DEADLINE;
+        let from = request.sent_at.saturating_sub(FAULT_AFTERMATH);
+        let is_of_proxy = |fault: &Fault| matches!(fault, Fault::Proxy(proxy) | Fault::ProxyLink(proxy) if *proxy == request.proxy);
+        let is_excused = observations.had_fault(from, request.ended_at, is_of_proxy);
+        if !is_served && !is_late && !is_excused {
+            violations.push(format!(
+                "{} {} of proxy {} was given up at a server at work on it: {} after {} ms",
+                request.kind,
+                request.request_id,
+                request.proxy,
+                request.end,
+                (request.ended_at - request.sent_at).as_millis()
+            ));
+        }
+    }
+    violations
+}
+
 /// Every request gets a response, and those that fail get it soon after their deadline.
 fn late_responses(observations: &Observations) -> Vec<String> {
     let mut violations = Vec::new();
--- a/testbed/src/soak/invariants/tests.rs
+++ b/testbed/src/soak/invariants/tests.rs
@@ -223,3 +223,32 @@
         assert!(grown(after).starts_with("proxy-1 had"), "{after:?}");
     }
 }
+
+/// Incident 0019: an answer of the proxy's own in place of the response of a server that worked on the request.
+#[test]
+fn a_request_given_up_at_a_server_at_work_is_found() {
+    let given_up = |change: fn(&mut Observations)| {
+        found(|observations| {
+            observations.cut_off.insert("n1".to_string());
+            observations.requests[0].end = RequestEnd::Response {
+                status: 504,
+                execution: "may-have-run".to_string(),
+                is_correct: false,
+            };
+            change(observations);
+        })
+    };
+    let expected = given_up(|_| {});
+    assert!(expected.contains("n1 of proxy 1 was given up at a server at work"), "{expected}");
+    // A fault of a server, and of another proxy, is no excuse.
+    fn with_fault(observations: &mut Observations, fault: Fault) {
+        observations.fault_intervals.push(FaultInterval { fault, from: ms(900), to: ms(1200) });
+    }
+    assert_eq!(given_up(|observations| with_fault(observations, Fault::Server)), expected);
+    assert_eq!(given_up(|observations| with_fault(observations, Fault::Proxy(2))), expected);
+    assert_eq!(given_up(|observations| with_fault(observations, Fault::Proxy(1))), "");
+    // At its deadline a request may end.
+    assert_eq!(given_up(|observations| observations.requests[0].ended_at = ms(5000)), "");
+    // A server is let go of once another one has responded.
+    assert_eq!(given_up(|observations| observations.requests[0].end = served()), "");
+}
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -1,7 +1,7 @@
 //! What a soak observed from outside: requests as their clients saw them, what servers received, and what was
 //! done to the fleet when. Times are from the start of the soak.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt::{Display, Formatter};
 use std::time::Duration;
 
@@ -189,6 +189,8 @@
     pub servers: Vec<ServerIncarnation>,
     /// How often each request was executed.
     pub runs: HashMap<String, u32>,
+    /// Requests that were cut off at a server that worked on them.
+    pub cut_off: HashSet<String>,
     /// All faults.
     pub fault_intervals: Vec<FaultInterval>,
     /// All drained zones.
--- a/testbed/src/soak/script.rs
+++ b/testbed/src/soak/script.rs
@@ -111,8 +111,9 @@
 }
 
 /// The series that scripts consist of.
-const SERIES: [fn(&mut ScriptBuilder<'_>); 14] = [
+const SERIES: [fn(&mut ScriptBuilder<'_>); 15] = [
     rolling_restart,
+    restart_beside_slow_servers,
     simultaneous_kills,
     suspensions,
     hang_ups,
@@ -202,8 +203,9 @@
     let count = 5 + builder.random.below(5);
     let first = builder.random.below(SERIES.len());
     for index in 0..count {
-        // Every series is used before any is used again, whatever the seed.
-        SERIES[(first + seed as usize + 5 * index) % SERIES.len()](&mut builder);
+        // Every series is used before any is used again, whatever the seed: the step and the number of
+        // series have no common factor.
+        SERIES[(first + seed as usize + 4 * index) % SERIES.len()](&mut builder);
     }
     if builder.random.chance(PLATFORM_FAULT_PROBABILITY) {
         platform_fault(&mut builder);
@@ -225,6 +227,24 @@
     }
 }
 
+/// Proxies are stopped while servers work long on requests, and others reject what is sent to them instead.
+fn restart_beside_slow_servers(builder: &mut ScriptBuilder<'_>) {
+    let at = builder.start_time();
+    let duration = builder.pause(3000, 5000);
+    for behavior in [Behavior::Slow, Behavior::Slow, Behavior::Slow, Behavior::Overloaded] {
+        let Some(server) = builder.server() else { break };
+        builder.step(at, Action::SetBehavior(server, behavior));
+        builder.step(at + duration, Action::SetBehavior(server, Behavior::Normal));
+    }
+    let mut stop_at = at + Duration::from_millis(600);
+    for proxy in builder.some_proxies(0.6) {
+        builder.step(stop_at, Action::Terminate(proxy));
+        let down = builder.pause(300, 2000);
+        builder.step(stop_at + down, Action::Start(proxy));
+        stop_at += Duration::from_millis(300);
+    }
+}
+
 fn simultaneous_kills(builder: &mut ScriptBuilder<'_>) {
     let at = builder.start_time();
     for proxy in builder.some_proxies(0.4) {
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -142,6 +142,7 @@
             requests,
             servers: self.server_incarnations(),
             runs: self.runs(),
+            cut_off: self.cut_off(),
             fault_intervals: self.faults.take_intervals(),
             drained_zones: outcome.drained_zones,
             acknowledged: outcome.acknowledged,
--- a/testbed/src/soak/world/servers.rs
+++ b/testbed/src/soak/world/servers.rs
@@ -3,7 +3,7 @@
 use super::{APPS, Incarnation, TICK, World};
 use crate::soak::record::{Arrival, Fault, ServerIncarnation};
 use crate::stub::{Behavior, ListedServer, StubServer};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// How long the removal of a server may cost the requests that it had in flight.
@@ -67,7 +67,8 @@
         let key = format!("behavior {server}");
         if behavior == Behavior::Normal {
             self.faults.end(&key);
-        } else {
+        } else if behavior != Behavior::Slow {
+            // A server that is only slow is no excuse for anything.
             self.faults.begin(key, Fault::Server);
         }
         self.fleet.servers[server].set_behavior(behavior);
@@ -94,6 +95,16 @@
         self.incarnations.iter().map(incarnation).collect()
     }
 
+    /// Requests that were cut off at a server that worked on them.
+    pub(super) fn cut_off(&self) -> HashSet<String> {
+        let mut all = HashSet::new();
+        for incarnation in &self.incarnations {
+            let cut_off = incarnation.state.cut_off.lock().expect("no panic under this lock");
+            all.extend(cut_off.iter().cloned());
+        }
+        all
+    }
+
     /// How often each request was executed, over all servers.
     pub(super) fn runs(&self) -> HashMap<String, u32> {
         let mut counts = HashMap::new();
--- a/testbed/src/stub/server.rs
+++ b/testbed/src/stub/server.rs
@@ -41,8 +41,14 @@
     Unhealthy,
     /// Responds with status 503 to everything but health checks.
     Overloaded,
+    /// Responds correctly, after [`SLOW_DELAY`].
+    Slow,
 }
 
+/// How long a slow server works on a request: longer than proxies wait before they look for another server, and
+/// shorter than clients do.
+pub const SLOW_DELAY: Duration = Duration::from_millis(2500);
+
 /// What a server counts and how it behaves; it outlives restarts of the server.
 pub struct ServerState {
     /// Identifier that it responds with.
@@ -61,6 +67,10 @@
     pub utilization_milli: AtomicU64,
     /// Whether it reports that it is warming up.
     pub is_warming_up: AtomicBool,
+    /// Requests whose connection was closed while it worked on them.
+    pub cut_off: Mutex<Vec<String>>,
+    /// It was stopped, which closes its connections.
+    is_stopped: AtomicBool,
 }
 
 impl ServerState {
@@ -106,6 +116,8 @@
             health_checks: AtomicU64::new(0),
             utilization_milli: AtomicU64::new(100),
             is_warming_up: AtomicBool::new(false),
+            cut_off: Mutex::default(),
+            is_stopped: AtomicBool::new(false),
         });
         StubServer::start_with(state, address).await
     }
@@ -122,6 +134,7 @@
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
         let listener = socket.listen(1024)?;
+        state.is_stopped.store(false, Ordering::Relaxed);
         let (stop, stopped) = watch::channel(false);
         let accept_task = tokio::spawn(accept(listener, state.clone(), stopped));
         Ok(StubServer { address, state, accept_task, stop })
@@ -129,6 +142,7 @@
 
     /// Stops at once, like a killed process: nothing listens, and all connections are closed.
     pub fn stop(&self) {
+        self.state.is_stopped.store(true, Ordering::Relaxed);
         self.accept_task.abort();
         self.stop.send_replace(true);
     }
@@ -184,6 +198,22 @@
     }
 }
 
+/// Records a request as cut off if it is dropped before the work is done.
+struct WorkGuard<'s> {
+    state: &'s ServerState,
+    request_id: &'s str,
+    is_done: bool,
+}
+
+impl Drop for WorkGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_done && !self.state.is_stopped.load(Ordering::Relaxed) {
+            let mut cut_off = self.state.cut_off.lock().expect("no panic under this lock");
+            cut_off.push(self.request_id.to_string());
+        }
+    }
+}
+
 /// Adds the headers that a server sends with every response.
 struct ResponseBuilder<'s> {
     state: &'s ServerState,
@@ -242,7 +272,7 @@
         Behavior::Silent | Behavior::Stalled => return std::future::pending().await,
         _ => {}
     }
-    execute(state, &request_id, &options).await;
+    execute(state, behavior, &request_id, &options).await;
     inject_fault(fault, behavior, options.size);
     if options.size > 0 {
         return response.build(200, download(&request_id, &options, in_flight));
@@ -307,11 +337,21 @@
     }
 }
 
-async fn execute(state: &ServerState, request_id: &str, options: &RequestOptions) {
+async fn execute(
+    state: &ServerState,
+    behavior: Behavior,
+    request_id: &str,
+    options: &RequestOptions,
+) {
     state.count_run(request_id);
+    let mut work = WorkGuard { state, request_id, is_done: false };
+    if behavior == Behavior::Slow {
+        tokio::time::sleep(SLOW_DELAY).await;
+    }
     if let Some(delay) = options.delay {
         tokio::time::sleep(delay).await;
     }
+    work.is_done = true;
 }
 
 /// Delay of the second response: longer than a proxy keeps a connection out of use after a response.
@@ -332,6 +372,7 @@
             fault.delayed_extra = Some((EXTRA_RESPONSE_DELAY, EXTRA_RESPONSE));
         }
         Behavior::Normal
+        | Behavior::Slow
         | Behavior::Silent
         | Behavior::Stalled
         | Behavior::Unhealthy
