--- a/proxy/src/forward/retry.rs
+++ b/proxy/src/forward/retry.rs
@@ -4,6 +4,7 @@
 
 use super::admission::{AdmissionPermit, before_shutdown, wait_until_ready};
 use super::attempt::{Attempt, SelectedEndpoint};
+use super::connection::VerifiedConnection;
 use super::guards::InFlightGuard;
 use super::pending::{AttemptEvent, PendingAttempts, SentAttempt};
 use super::rejection::RejectionDetails;
@@ -119,45 +120,72 @@
             match self.pending.next(until).await {
                 None => self.hedge(lifecycle, details)?,
                 Some(AttemptEvent::Connected { attempt, outcome }) => {
-                    let prepared =
-                        outcome.and_then(|connection| Ok((connection, attempt.prepare(request)?)));
-                    match prepared {
-                        Ok((connection, outgoing)) => {
-                            lifecycle.record_sent();
-                            let record = attempt.record_send();
-                            self.pending.send(attempt, connection, outgoing, record);
-                            self.hedge_at = self.next_hedge_at(lifecycle);
-                        }
-                        Err(error) => {
-                            self.record_outcome(&attempt, None, Err(error));
-                            self.after_failure(attempt, None, error, lifecycle, details).await?;
-                        }
-                    }
+                    self.on_connected(attempt, outcome, request, lifecycle, details).await?;
                 }
                 Some(AttemptEvent::Ended { attempt, sent, outcome }) => {
-                    lifecycle.record_ended();
-                    let result = outcome.as_ref().map(|_| ()).map_err(|error| *error);
-                    self.record_outcome(&attempt, Some(&sent), result);
-                    match outcome {
-                        Ok(response) => {
-                            let in_flight = attempt.in_flight;
-                            let served = ServedAttempt { response, in_flight };
-                            if !self.is_better_elsewhere(&served, lifecycle) {
-                                return Ok(served);
-                            }
-                            self.keep_failed(served, lifecycle);
-                            self.try_elsewhere(lifecycle, details).await?;
-                        }
-                        Err(error) => {
-                            let sent_at = Some(sent.pending.sent_at);
-                            self.after_failure(attempt, sent_at, error, lifecycle, details).await?;
-                        }
+                    let served = self.on_ended(attempt, sent, outcome, lifecycle, details).await?;
+                    if let Some(served) = served {
+                        return Ok(served);
                     }
                 }
             }
         }
     }
 
+    /// Sends the request over the connection to the server of an attempt.
+    async fn on_connected(
+        &mut self,
+        attempt: Attempt,
+        outcome: Result<VerifiedConnection, AttemptError>,
+        request: &mut UpstreamRequest,
+        lifecycle: &mut RequestLifecycle,
+        details: &mut RejectionDetails,
+    ) -> Result<(), Rejection> {
+        let prepared = outcome.and_then(|connection| Ok((connection, attempt.prepare(request)?)));
+        match prepared {
+            Ok((connection, outgoing)) => {
+                lifecycle.record_sent();
+                let record = attempt.record_send();
+                self.pending.send(attempt, connection, outgoing, record);
+                self.hedge_at = self.next_hedge_at(lifecycle);
+                Ok(())
+            }
+            Err(error) => {
+                self.record_outcome(&attempt, None, Err(error));
+                self.after_failure(attempt, None, error, lifecycle, details).await
+            }
+        }
+    }
+
+    /// Returns the response of an attempt that was sent, if it ends the request.
+    async fn on_ended(
+        &mut self,
+        attempt: Attempt,
+        sent: SentAttempt,
+        outcome: Result<UpstreamResponse, AttemptError>,
+        lifecycle: &mut RequestLifecycle,
+        details: &mut RejectionDetails,
+    ) -> Result<Option<ServedAttempt>, Rejection> {
+        lifecycle.record_ended();
+        let result = outcome.as_ref().map(|_| ()).map_err(|error| *error);
+        self.record_outcome(&attempt, Some(&sent), result);
+        let response = match outcome {
+            Ok(response) => response,
+            Err(error) => {
+                let sent_at = Some(sent.pending.sent_at);
+                self.after_failure(attempt, sent_at, error, lifecycle, details).await?;
+                return Ok(None);
+            }
+        };
+        let served = ServedAttempt { response, in_flight: attempt.in_flight };
+        if !self.is_better_elsewhere(&served, lifecycle) {
+            return Ok(Some(served));
+        }
+        self.keep_failed(served, lifecycle);
+        self.try_elsewhere(lifecycle, details).await?;
+        Ok(None)
+    }
+
     /// Selects a server, waiting for one if need be, and begins an attempt there.
     async fn start_attempt(
         &mut self,
