--- a/cluster/src/gossip/read_index_requests.rs
+++ b/cluster/src/gossip/read_index_requests.rs
@@ -18,7 +18,7 @@
     pub fn is_stalled(&self, now: Duration) -> bool {
         self.read_index.is_stalled(now)
             && self.live(now).any(|(info, status)| {
-                info.role == Role::Proxy && status.ready && info.name != self.own_info.name
+                info.role == Role::Proxy && status.is_available() && info.name != self.own_info.name
             })
     }
 
@@ -70,7 +70,7 @@
             .live(now)
             .filter(|(info, status)| {
                 let is_other = info.name != self.own_info.name;
-                is_other && info.role == Role::Store && status.ready && !status.draining
+                is_other && info.role == Role::Store && status.is_available()
             })
             .map(|(info, status)| (status.disk.and_then(|disk| disk.slot), info))
             .collect();
--- a/cluster/src/wire/node.rs
+++ b/cluster/src/wire/node.rs
@@ -64,9 +64,9 @@
     into = "(bool, bool, u64, bool, bool, Option<DiskStatus>, bool)"
 )]
 pub struct NodeStatus {
-    /// It takes work.
+    /// It takes work. A proxy that drains does so for as long as it accepts clients.
     pub ready: bool,
-    /// It shuts down gracefully.
+    /// It shuts down gracefully: new work is better given to others.
     pub draining: bool,
     /// The revision of the configuration in force there; 0: none.
     pub revision: u64,
@@ -80,6 +80,13 @@
     pub hears_majority: bool,
 }
 
+impl NodeStatus {
+    /// Whether it takes new work and is not about to stop.
+    pub fn is_available(&self) -> bool {
+        self.ready && !self.draining
+    }
+}
+
 tuple_encoded!(NodeStatus {
     ready: bool,
     draining: bool,
--- a/proxy/src/endpoints/mod.rs
+++ b/proxy/src/endpoints/mod.rs
@@ -149,8 +149,7 @@
 ) -> impl Iterator<Item = &'v wire::NodeInfo> {
     let all = view.live.iter().filter(|(node, status)| {
         node.role == wire::Role::Proxy
-            && status.ready
-            && !status.draining
+            && status.is_available()
             && rule.allows_region(&node.region)
             && !view.committed.drained_zones.contains(&node.zone)
     });
--- a/registry/src/api/status.rs
+++ b/registry/src/api/status.rs
@@ -84,7 +84,7 @@
         "region": info.region.as_str(),
         "zone": info.zone.as_str(),
         "address": info.address.to_string(),
-        "ready": status.ready,
+        "ready": status.is_available(),
         "leaving": status.draining,
         "revision": status.revision,
         "seat": status.disk.and_then(|disk| disk.slot),
--- a/registry/src/leader/zone_loads.rs
+++ b/registry/src/leader/zone_loads.rs
@@ -84,9 +84,8 @@
     for proxy in proxies {
         let zone = zones.entry(proxy.info.zone.clone()).or_default();
         zone.region = proxy.info.region.clone();
-        zone.has_proxies |= proxy.status.ready
-            && !proxy.status.draining
-            && !view.committed.drained_zones.contains(&proxy.info.zone);
+        zone.has_proxies |=
+            proxy.status.is_available() && !view.committed.drained_zones.contains(&proxy.info.zone);
         let rate = proxy.observations.request_rates.get(&view.config.services[service].name);
         let rate = f64::from(rate.copied().unwrap_or(0));
         zone.load += rate;
--- a/registry/src/steering/pathways.rs
+++ b/registry/src/steering/pathways.rs
@@ -65,8 +65,7 @@
 
 fn takes_requests(view: &ClusterView, info: &NodeInfo, status: &NodeStatus) -> bool {
     info.role == Role::Proxy
-        && status.ready
-        && !status.draining
+        && status.is_available()
         && !view.committed.drained_zones.contains(&info.zone)
 }
 
--- a/registry/src/steering/response.rs
+++ b/registry/src/steering/response.rs
@@ -102,7 +102,7 @@
 fn registries_json(view: &ClusterView) -> Vec<JsonValue> {
     view.live
         .iter()
-        .filter(|(info, status)| info.role == Role::Registry && status.ready && !status.draining)
+        .filter(|(info, status)| info.role == Role::Registry && status.is_available())
         .map(|(info, _)| info.address.to_string().into())
         .collect()
 }
--- a/registry/src/store_client/request.rs
+++ b/registry/src/store_client/request.rs
@@ -142,11 +142,10 @@
 
 /// The live stores that are members, in the order of the member table: the first of them proposes.
 pub fn stores(view: &ClusterView) -> Vec<NodeInfo> {
-    let is_available = |status: &NodeStatus| status.ready && !status.draining;
     let mut stores: Vec<(Option<u8>, &NodeInfo)> = view
         .live
         .iter()
-        .filter(|(info, status)| info.role == Role::Store && is_available(status))
+        .filter(|(info, status)| info.role == Role::Store && status.is_available())
         .map(|(info, status)| (status.disk.and_then(|disk| disk.slot), info))
         .collect();
     stores.sort_by_key(|(slot, _)| *slot);
