--- a/registry/src/store_client/request.rs
+++ b/registry/src/store_client/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 use vanepath_cluster::node::ClusterView;
-use vanepath_cluster::wire::{NodeInfo, NodeStatus, Role};
+use vanepath_cluster::wire::{NodeInfo, Role};
 use vanepath_store::protocol::{Change, Outcome, Request, Response};
 use vanepath_store::retransmission;
 
