Ages of the endpoint list at each stage, and why a read of it failed

Histograms (hdrhistogram) of the list's age when it is read, learned and used, on status pages and in the metrics; the log says why a read failed and after how long, and that one was superseded. No change of logic.

--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`wire`] - the messages between nodes
 //! - [`transport`] - connections between nodes
 //! - [`node`] - the runtime shell: clock, logging, gossip actor, HTTP, shutdown
-//! - [`mod@counters`] - metrics
+//! - [`mod@counters`], [`histogram`] - metrics
 
 #![warn(missing_docs)]
 
@@ -17,6 +17,7 @@
 pub mod counters;
 pub mod endpoint_cache;
 pub mod gossip;
+pub mod histogram;
 pub mod node;
 pub mod peer_selection;
 pub mod read_index;
--- a/cluster/src/node/cluster_view.rs
+++ b/cluster/src/node/cluster_view.rs
@@ -109,6 +109,11 @@
             && self.has_observations == gossip.has_observations(now)
     }
 
+    /// The time since the start of the latest read that is known to have returned this endpoint list.
+    pub fn endpoint_list_age(&self, now: Duration) -> Option<Duration> {
+        self.endpoint_list_read_at.map(|read_at| now.saturating_sub(read_at))
+    }
+
     /// The active revision; 0: this incarnation has no active configuration yet (design 5.8).
     pub fn active_revision(&self) -> u64 {
         self.read_index.as_ref().map_or(0, |_| self.committed.revision)
--- a/cluster/src/node/gossip_actor.rs
+++ b/cluster/src/node/gossip_actor.rs
@@ -1,6 +1,6 @@
 //! The actor that runs the gossip state machine, carries out its effects and publishes the cluster view.
 
-use super::{Clock, ClusterView};
+use super::{Clock, ClusterView, ListAges, ListStage};
 use crate::config_lease::ConfigLeaseView;
 use crate::gossip::{Effect, Event, Gossip, LogEvent, Peer};
 use crate::read_index::{READ_INDEX_TIMEOUT, ReadIndexSource};
@@ -34,6 +34,7 @@
     responders: HashMap<u64, oneshot::Sender<PullResponse>>,
     last_tick_ms: Arc<AtomicU64>,
     config_lease: Arc<ArcSwap<ConfigLeaseView>>,
+    list_ages: Arc<ListAges>,
 }
 
 /// Message: an event for the core.
@@ -58,6 +59,8 @@
     pub(super) last_tick_ms: Arc<AtomicU64>,
     /// The lease on the configuration of the core, which is never older than that of the current view.
     pub(super) config_lease: Arc<ArcSwap<ConfigLeaseView>>,
+    /// How old the endpoint list was when this node learned of it.
+    pub(super) list_ages: Arc<ListAges>,
 }
 
 impl GossipActor {
@@ -73,6 +76,7 @@
         let (view_sender, view_updates) = watch::channel(current_view.load_full());
         let last_tick_ms: Arc<AtomicU64> = Arc::default();
         let config_lease: Arc<ArcSwap<ConfigLeaseView>> = Arc::default();
+        let list_ages: Arc<ListAges> = Arc::default();
         let actor = GossipActor {
             core,
             clock,
@@ -83,9 +87,10 @@
             responders: HashMap::new(),
             last_tick_ms: last_tick_ms.clone(),
             config_lease: config_lease.clone(),
+            list_ages: list_ages.clone(),
         };
         let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
-        GossipHandle { address, current_view, view_updates, last_tick_ms, config_lease }
+        GossipHandle { address, current_view, view_updates, last_tick_ms, config_lease, list_ages }
     }
 
     fn perform(&mut self, effects: Vec<Effect>, own_address: &Address<GossipActor>) {
@@ -175,7 +180,13 @@
                 ReadIndexSource::Peers => Counter::ReadIndexesByPeers,
             });
         }
-        let (view, log_lines) = ClusterView::from_gossip(&self.core, &previous, self.clock.now());
+        let now = self.clock.now();
+        let (view, log_lines) = ClusterView::from_gossip(&self.core, &previous, now);
+        if view.endpoints.revision != previous.endpoints.revision
+            && let Some(age) = view.endpoint_list_age(now)
+        {
+            self.list_ages.record(ListStage::Learned, age);
+        }
         for line in log_lines {
             log::info!("{line}");
         }
--- a/cluster/src/node/mod.rs
+++ b/cluster/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod cluster_view;
 mod gossip_actor;
 mod http;
+mod list_ages;
 mod logging;
 mod pages;
 mod peer_server;
@@ -15,6 +16,7 @@
 pub use cluster_view::ClusterView;
 pub use gossip_actor::{GossipActor, HandleEvent, ListPeers};
 pub use http::{Body, BodyError, HttpSettings, accept, bind, body, json_response, serve_http};
+pub use list_ages::{ListAges, ListStage};
 pub use logging::init_logging;
 pub use pages::common_pages;
 pub use peer_server::StoreHandler;
@@ -42,6 +44,8 @@
     pub transport: Arc<Client>,
     /// The counters of the cluster layer.
     pub transport_counters: Arc<Counters>,
+    /// How old the endpoint list was at the stages of its way.
+    pub list_ages: Arc<ListAges>,
     /// The gossip actor.
     pub gossip: Address<GossipActor>,
     /// The current cluster view.
@@ -83,6 +87,7 @@
             ClusterView { wire_format: settings.wire_format, ..ClusterView::default() };
         let gossip =
             GossipActor::start(core, clock, transport.clone(), counters.clone(), initial_view);
+        let list_ages = gossip.list_ages;
         let signals = runtime::watch_shutdown_signals()?;
         tokio::spawn(peer_server::serve_peers(
             listener,
@@ -106,6 +111,7 @@
             clock,
             transport,
             transport_counters: counters,
+            list_ages,
             gossip: gossip.address,
             current_view: gossip.current_view,
             view_updates: gossip.view_updates,
--- a/proxy/src/forward/attempt.rs
+++ b/proxy/src/forward/attempt.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use vanepath_cluster::node::Body;
+use vanepath_cluster::node::{Body, ListStage};
 use vanepath_config::model::{Idempotency, Service};
 
 /// The load that is assumed of a server that rejects a request without stating its load: its full
@@ -105,6 +105,10 @@
     pub fn record_send(&self) -> SendRecord {
         let (sent_at, slot) = (self.proxy.now(), self.endpoint().slot);
         self.proxy.endpoints.record_sent(sent_at, slot);
+        let node = &self.proxy.node;
+        if let Some(age) = node.current_view.load().endpoint_list_age(sent_at) {
+            node.list_ages.record(ListStage::Used, age);
+        }
         SendRecord { sent_at, slowdown: self.proxy.endpoints.slowdown(sent_at, slot) }
     }
 
--- a/proxy/src/shell/maintenance.rs
+++ b/proxy/src/shell/maintenance.rs
@@ -98,8 +98,8 @@
             &view.endpoints,
             |server, services| slow_start_rate(view, own_name, server, services),
         );
-        if let Some(read_at) = view.endpoint_list_read_at.filter(|_| !log_lines.is_empty()) {
-            let age_ms = now.saturating_sub(read_at).as_millis();
+        if let Some(age) = view.endpoint_list_age(now).filter(|_| !log_lines.is_empty()) {
+            let age_ms = age.as_millis();
             log::info!("endpoint list {}, read {age_ms} ms ago", view.endpoints.revision);
         }
         for line in log_lines {
--- a/proxy/src/shell/status.rs
+++ b/proxy/src/shell/status.rs
@@ -9,12 +9,18 @@
 use jzon::JsonValue;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use vanepath_cluster::node::{self, Body, ClusterView};
+use vanepath_cluster::node::{self, Body, ClusterView, ListStage};
+
+/// The stages of the endpoint list's way at a proxy.
+const LIST_STAGES: [ListStage; 2] = [ListStage::Learned, ListStage::Used];
 
 /// Returns one of the pages that all programs have in common, or `/v1/status`; 404 for any other path.
 pub(super) fn admin_page(proxy: &Proxy, path: &str) -> Response<Body> {
     let ready = proxy.is_ready.load(Ordering::Relaxed);
-    let write_metrics = |metrics: &mut JsonValue| proxy.counters.write_json(metrics);
+    let write_metrics = |metrics: &mut JsonValue| {
+        proxy.counters.write_json(metrics);
+        proxy.node.list_ages.write_metrics(&LIST_STAGES, metrics);
+    };
     if let Some(page) = node::common_pages(&proxy.node, path, ready, write_metrics) {
         return page;
     }
@@ -41,6 +47,7 @@
         "setupRevision": view.committed.config_revision,
         "configLease": config_lease(proxy),
         "platformRevision": view.endpoints.revision,
+        "listAge": proxy.node.list_ages.as_json(&LIST_STAGES),
         "emptied": drained_zones,
         "epoch": view.plan.epoch,
         "holder": view.plan.leader.as_str(),
--- a/registry/src/api/mod.rs
+++ b/registry/src/api/mod.rs
@@ -18,9 +18,12 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use std::sync::Arc;
-use vanepath_cluster::node;
+use vanepath_cluster::node::{self, ListStage};
 use vanepath_store::protocol::Change;
 
+/// The stages of the endpoint list's way at a registry.
+const LIST_STAGES: [ListStage; 2] = [ListStage::Read, ListStage::Learned];
+
 /// Answers one request.
 pub async fn handle(registry: Arc<Registry>, request: Request<Incoming>) -> ApiResponse {
     let path = request.uri().path().to_string();
@@ -29,6 +32,7 @@
     let counters = &registry.counters;
     let common_page = node::common_pages(&registry.node, &path, registry.is_ready(), |metrics| {
         counters.write_json(metrics);
+        registry.node.list_ages.write_metrics(&LIST_STAGES, metrics);
     });
     if let Some(response) = common_page {
         return response;
--- a/registry/src/api/status.rs
+++ b/registry/src/api/status.rs
@@ -1,6 +1,7 @@
 //! `GET /v1/status`: the state of all nodes, routing rules and servers as this registry knows it (design
 //! 9.1).
 
+use super::LIST_STAGES;
 use super::response::ApiResponse;
 use super::zones::{drain_orders_json, drained_zones_json};
 use crate::state::Registry;
@@ -46,6 +47,7 @@
         "epoch": view.plan.epoch,
         "holder": view.plan.leader.as_str(),
         "platform": jzon::object! { "revision": view.endpoints.revision, "state": outcome },
+        "listAge": node.list_ages.as_json(&LIST_STAGES),
         "daemons": daemons,
         "lost": unreachable_names(&view, &peers),
         "ordersFromHere": rankings_json(registry, &view),
--- a/registry/src/discovery/poller.rs
+++ b/registry/src/discovery/poller.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use vanepath_cluster::gossip::Event;
-use vanepath_cluster::node::{self, ClusterView, HandleEvent, Node};
+use vanepath_cluster::node::{self, ClusterView, HandleEvent, ListStage, Node};
 use vanepath_config::endpoint_list::{self, EndpointList};
 use vanepath_config::settings;
 
@@ -88,11 +88,15 @@
         if read.is_err() {
             source.disconnect();
         }
+        let failure = read.as_ref().err().map(|error| {
+            let elapsed = node.clock.now().saturating_sub(started_at);
+            format!(" ({error}, after {} ms)", elapsed.as_millis())
+        });
         let outcome = poller.complete(started_at, read).await;
         let mut last_outcome =
             last_outcome.lock().expect("the poll outcome lock is never poisoned");
         if *last_outcome != outcome {
-            log::info!("endpoint list: {outcome}");
+            log::info!("endpoint list: {outcome}{}", failure.unwrap_or_default());
             *last_outcome = outcome;
         }
     }
@@ -127,11 +131,15 @@
         read: Result<ListRead, FetchError>,
     ) -> PollOutcome {
         let view = self.node.current_view.load_full();
+        let elapsed = self.node.clock.now().saturating_sub(began_at);
+        if read.is_ok() {
+            self.node.list_ages.record(ListStage::Read, elapsed);
+        }
         let (outcome, list) = self.evaluate_read(&view, read);
         if let Some(list) = list {
             if list.revision > view.endpoints.revision {
                 self.counters.increment(Counter::PlatformChanges);
-                log_list(&list, self.node.clock.now().saturating_sub(began_at));
+                log_list(&list, elapsed);
             }
             let event = Event::EndpointListRead { list, began_at };
             let _ = self.node.gossip.send(HandleEvent(event)).await;
@@ -151,7 +159,6 @@
     ) -> (PollOutcome, Option<Arc<EndpointList>>) {
         match read {
             Err(error) => {
-                log::debug!("reading the endpoint list failed: {error}");
                 let _ = self.sequencer.on_read_completed(self.node.clock.now(), view, None);
                 (PollOutcome::from(&error), None)
             }
@@ -173,6 +180,7 @@
                     Some(Effect::Publish { list, .. }) => Some(list),
                     Some(Effect::Superseded) => {
                         self.counters.increment(Counter::PlatformReadsOvertaken);
+                        log::info!("endpoint list: a read was superseded");
                         None
                     }
                     _ => None,
