--- a/registry/tests/cluster_model/checks.rs
+++ b/registry/tests/cluster_model/checks.rs
@@ -30,7 +30,10 @@
         let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
         for id in due {
             self.draining_since.remove(&id);
-            for node in &self.nodes {
+            for (index, node) in self.nodes.iter().enumerate() {
+                if !self.must_be_current(index) {
+                    continue;
+                }
                 let servers = &node.gossip.endpoints.current().servers;
                 if servers.iter().any(|server| server.id == id && !server.draining) {
                     let name = &node.gossip.node_info().name;
@@ -42,9 +45,12 @@
     }
 
     pub(super) fn check_final_lists(&mut self) {
-        let mut expected = self.platform_list.clone();
+        let mut expected = self.platform.list.clone();
         expected.sort_by(|left, right| left.id.cmp(&right.id));
-        for node in &self.nodes {
+        for (index, node) in self.nodes.iter().enumerate() {
+            if !self.must_be_current(index) {
+                continue;
+            }
             let mut known_servers = node.gossip.endpoints.current().servers.clone();
             known_servers.sort_by(|left, right| left.id.cmp(&right.id));
             if known_servers != expected {
--- a/registry/tests/cluster_model/mod.rs
+++ b/registry/tests/cluster_model/mod.rs
@@ -3,10 +3,16 @@
 //! unreliable network.
 
 mod checks;
+mod faults;
 mod network;
+mod platform;
 mod reads;
 
+pub use self::faults::{FaultKind, ReaderFault};
+
+use self::faults::FaultState;
 use self::network::{Message, PendingPull};
+use self::platform::Platform;
 use self::reads::PendingRead;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -32,6 +38,18 @@
     /// not.
     pub one_way_partition: Option<Range<Duration>>,
     pub duration: Duration,
+    /// The number of pages of the list before it changes.
+    pub pages: usize,
+    /// The number of zones over which the servers are spread.
+    pub zones: usize,
+    /// The round trip to the platform from each of the three regions.
+    pub platform_round_trips: [Duration; REGIONS],
+    /// The region of the registry whose name sorts first.
+    pub first_region: usize,
+    /// The number of calls per second that the platform accepts.
+    pub calls_per_second: usize,
+    /// A fault of the registry that reads the list at that time.
+    pub reader_fault: Option<ReaderFault>,
 }
 
 impl Scenario {
@@ -44,20 +62,30 @@
             max_page_delay: Duration::from_millis(1800),
             one_way_partition: None,
             duration: Duration::from_secs(40),
+            pages: 6,
+            zones: 1,
+            platform_round_trips: [2, 12, 24].map(Duration::from_millis),
+            first_region: 0,
+            calls_per_second: usize::MAX,
+            reader_fault: None,
         }
     }
 }
 
 const TIME_STEP: Duration = Duration::from_millis(2);
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-const PAGES: usize = 6;
-const SERVERS: usize = 36;
+/// The number of servers on a full page.
+const PAGE_SIZE: usize = 6;
+const REGIONS: usize = 3;
+/// The one-way delays between the regions and the center of the network.
+const ONE_WAY_DELAYS_MS: [u64; REGIONS] = [1, 6, 12];
 /// The start of the changes to the list; by then all nodes know each other and the first list.
 const CHANGES_BEGIN_AT: Duration = Duration::from_secs(6);
 
 struct Node {
     gossip: Gossip,
     view: ClusterView,
+    region: usize,
     one_way_delay: Duration,
     sequencer: ListSequencer,
     pending_read: Option<PendingRead>,
@@ -83,8 +111,8 @@
     connected: BTreeSet<(usize, usize)>,
     registries: usize,
     one_way_partition: Option<Range<Duration>>,
-    /// The platform's list.
-    platform_list: Vec<Server>,
+    platform: Platform,
+    reader_fault: FaultState,
     draining_since: BTreeMap<String, Duration>,
     violations: Vec<String>,
 }
@@ -93,12 +121,12 @@
     SocketAddr::from(([10, 0, 0, index as u8 + 1], 7720))
 }
 
-fn server(number: usize) -> Server {
+fn server(number: usize, zones: usize) -> Server {
     Server {
         id: format!("s-{number:04}"),
         address: SocketAddr::from(([10, 9, (number / 250) as u8, (number % 250) as u8], 80)),
         region: "a".into(),
-        zone: "a1".into(),
+        zone: format!("a{}", number % zones),
         labels: Default::default(),
         draining: false,
         warming_up: false,
@@ -112,7 +140,7 @@
     pub fn run(scenario: &Scenario, propagation_limit: Duration) -> Vec<String> {
         let mut model = ClusterModel::new(scenario);
         let mut change_at = CHANGES_BEGIN_AT;
-        let mut next_server = SERVERS;
+        let mut next_server = scenario.pages * PAGE_SIZE;
         while model.now < scenario.duration {
             model.now += TIME_STEP;
             // Series of changes, separated by pauses in which the last change has to reach all nodes.
@@ -123,9 +151,13 @@
                     if is_pause { 4000.0 } else { 150.0 + 700.0 * model.random_fraction() };
                 change_at = model.now + Duration::from_millis(pause_ms as u64);
             }
+            model.update_fault(scenario);
             model.deliver();
             model.time_out_pulls();
             for index in 0..model.nodes.len() {
+                if model.is_stopped(index) {
+                    continue;
+                }
                 model.tick(index);
                 if index < scenario.registries {
                     model.step_read(index, scenario);
@@ -150,7 +182,8 @@
             connected: BTreeSet::new(),
             registries: scenario.registries,
             one_way_partition: scenario.one_way_partition.clone(),
-            platform_list: (0..SERVERS).map(server).collect(),
+            platform: Platform::new(scenario),
+            reader_fault: FaultState::default(),
             draining_since: BTreeMap::new(),
             violations: Vec::new(),
         };
@@ -163,7 +196,7 @@
 
     fn new_node(&mut self, index: usize, scenario: &Scenario, seeds: Vec<SocketAddr>) -> Node {
         let is_registry = index < scenario.registries;
-        let location = index % 3;
+        let location = (index + scenario.first_region) % REGIONS;
         let info = NodeInfo {
             name: format!("{}{index}", if is_registry { "r" } else { "p" }),
             role: if is_registry { Role::Registry } else { Role::Proxy },
@@ -179,7 +212,8 @@
         Node {
             gossip,
             view: ClusterView::default(),
-            one_way_delay: Duration::from_millis([1, 6, 12][location]),
+            region: location,
+            one_way_delay: Duration::from_millis(ONE_WAY_DELAYS_MS[location]),
             sequencer,
             pending_read: None,
             tick_at: jitter,
@@ -201,18 +235,20 @@
     /// Changes the platform's list: a server begins to drain, the draining ones are removed, or a new one is
     /// added.
     fn change_platform_list(&mut self, next_server: &mut usize) {
-        let index = (self.random_fraction() * self.platform_list.len() as f64) as usize;
-        match (self.random_fraction() * 3.0) as u32 {
-            0 if self.platform_list.iter().any(|server| server.draining) => {
-                self.platform_list.retain(|server| !server.draining)
+        let index = (self.random_fraction() * self.platform.list.len() as f64) as usize;
+        let change = (self.random_fraction() * 3.0) as u32;
+        let Platform { list, zones, .. } = &mut self.platform;
+        match change {
+            0 if list.iter().any(|server| server.draining) => {
+                list.retain(|server| !server.draining)
             }
             1 => {
-                self.platform_list.push(Server { warming_up: true, ..server(*next_server) });
+                list.push(Server { warming_up: true, ..server(*next_server, *zones) });
                 *next_server += 1;
             }
             _ => {
-                self.platform_list[index].draining = true;
-                self.draining_since.entry(self.platform_list[index].id.clone()).or_insert(self.now);
+                list[index].draining = true;
+                self.draining_since.entry(list[index].id.clone()).or_insert(self.now);
             }
         }
     }
--- a/registry/tests/cluster_model/network.rs
+++ b/registry/tests/cluster_model/network.rs
@@ -24,6 +24,13 @@
                 return;
             }
             let ((_, number), (to, message)) = entry.remove_entry();
+            if let Some(resumes_at) = self.resumes_at(to) {
+                self.messages.insert((resumes_at, number), (to, message));
+                continue;
+            }
+            if self.is_stopped(to) {
+                continue;
+            }
             match message {
                 Message::Request { from, pull } => {
                     self.tickets.insert((to, number), from);
@@ -46,6 +53,9 @@
         let expired = self.pending_pulls.iter().filter(|(_, pull)| pull.deadline <= now);
         let expired: Vec<(usize, usize)> = expired.map(|(pair, _)| *pair).collect();
         for (requester, responder) in expired {
+            if self.is_stopped(requester) {
+                continue;
+            }
             self.pending_pulls.remove(&(requester, responder));
             self.connected.remove(&(requester, responder));
             let address = address_of_node(responder);
--- a/registry/tests/cluster_model/reads.rs
+++ b/registry/tests/cluster_model/reads.rs
@@ -1,6 +1,6 @@
 //! The registries' page-by-page reads of the platform's list.
 
-use super::{ClusterModel, PAGES, Scenario, TICK_INTERVAL};
+use super::{ClusterModel, PAGE_SIZE, Scenario, TICK_INTERVAL};
 use std::time::Duration;
 use vanepath_cluster::gossip::Event;
 use vanepath_config::endpoint_list::Server;
@@ -11,7 +11,8 @@
     /// The servers of the pages read so far.
     servers: Vec<Server>,
     pages: usize,
-    next_page_at: Duration,
+    /// When the next page arrives; `None`: the platform does not answer.
+    next_page_at: Option<Duration>,
     began_at: Duration,
 }
 
@@ -37,19 +38,24 @@
             self.end_read(index, false);
             return;
         }
-        if now < read.next_page_at {
+        if read.next_page_at.is_none_or(|at| now < at) {
+            return;
+        }
+        if !self.platform.accepts_call(now) {
+            self.end_read(index, false);
             return;
         }
         // The platform answers half a round trip before the page arrives; this difference is negligible here.
-        let size = self.platform_list.len().div_ceil(PAGES);
-        let page = self.platform_list.iter().skip(read.pages * size).take(size).cloned();
+        let list = &self.platform.list;
+        let page = list.iter().skip(read.pages * PAGE_SIZE).take(PAGE_SIZE).cloned();
         let page: Vec<Server> = page.collect();
+        let is_last = (read.pages + 1) * PAGE_SIZE >= list.len();
         let next_page_at = self.next_page_time(index, scenario);
         let read = self.nodes[index].pending_read.as_mut().expect("a read is in progress");
         read.servers.extend(page);
         read.pages += 1;
         read.next_page_at = next_page_at;
-        if read.pages == PAGES {
+        if is_last {
             self.end_read(index, true);
         }
     }
@@ -57,6 +63,9 @@
     fn end_read(&mut self, index: usize, is_complete: bool) {
         let now = self.now;
         let node = &mut self.nodes[index];
+        if is_complete {
+            self.reader_fault.last_reader = index;
+        }
         let servers = node.pending_read.take().map(|read| read.servers).filter(|_| is_complete);
         if let Some(Effect::Publish { list, began_at }) =
             node.sequencer.on_read_completed(now, &node.view, servers)
@@ -65,8 +74,8 @@
         }
     }
 
-    fn next_page_time(&mut self, index: usize, scenario: &Scenario) -> Duration {
-        let delay = 2 * self.nodes[index].one_way_delay
+    fn next_page_time(&mut self, index: usize, scenario: &Scenario) -> Option<Duration> {
+        let delay = scenario.platform_round_trips[self.nodes[index].region]
             + Duration::from_micros((self.random_fraction() * 4000.0) as u64);
         let is_slow = self.random_fraction() < scenario.slow_page_fraction;
         let page_delay = if is_slow {
@@ -74,6 +83,6 @@
         } else {
             Duration::ZERO
         };
-        self.now + delay + page_delay
+        Some(self.now + self.page_delay(index, delay + page_delay)?)
     }
 }
