A draining mark outlives an older list under a higher revision

Callers could reach a server again that a proxy had known as leaving. Cause: two registries that read at about the same time, one of them cut off, give the same number to their lists, and a random draw orders them; the list that was read earlier could replace the later one until the next read.

--- a/cluster/src/endpoint_cache.rs
+++ b/cluster/src/endpoint_cache.rs
@@ -3,9 +3,12 @@
 //!
 //! Invariants: the revision of the current list never decreases; `highest_revision` is never below it;
 //! `read_at` is the start time of a read that returned the current list, never of one that returned an
-//! earlier list.
+//! earlier list; a server that a later read showed as draining stays so (`drain_marks`).
+
+mod drain_marks;
 
 use crate::wire::EndpointListRead;
+use drain_marks::DrainMarks;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +20,11 @@
 /// The current endpoint list, its history and its freshness.
 #[derive(Debug, Default)]
 pub struct EndpointCache {
+    /// The list of the highest revision, as it was read.
+    published: Arc<EndpointList>,
+    /// The published list, with the draining marks that are retained from later reads.
     current: Arc<EndpointList>,
+    drain_marks: DrainMarks,
     /// Previously current lists, oldest first: bases for deltas to peers that still have them.
     earlier: VecDeque<Arc<EndpointList>>,
     /// Set when a delta to the current list gave another list than the sender's: the next pulls ask for the
@@ -37,14 +44,14 @@
 }
 
 impl EndpointCache {
-    /// The current list.
+    /// The current list, in which servers stay draining that a later read showed as draining.
     pub fn current(&self) -> &Arc<EndpointList> {
         &self.current
     }
 
     /// The revision that peers may use as the base of a delta; 0: they have to send the full list.
     pub fn known_revision(&self) -> u64 {
-        if self.needs_full_list { 0 } else { self.current.revision }
+        if self.needs_full_list { 0 } else { self.published.revision }
     }
 
     /// The highest revision that any node reported, whether or not its list has arrived.
@@ -57,40 +64,43 @@
         self.read_at
     }
 
-    /// Replaces the current list if this one is newer. Returns whether it was.
-    pub fn apply(&mut self, list: Arc<EndpointList>) -> bool {
+    /// Replaces the current list if this one has a higher revision. Returns whether it has. `read_at` is the
+    /// start of the latest known read that returned the list; `None`: the platform numbers its lists, so that
+    /// a higher revision is a later list.
+    pub fn apply(&mut self, list: Arc<EndpointList>, read_at: Option<Duration>) -> bool {
         self.observe_revision(list.revision);
-        if list.revision <= self.current.revision {
+        if list.revision <= self.published.revision {
             return false;
         }
-        let previous = std::mem::replace(&mut self.current, list);
+        let previous = std::mem::replace(&mut self.published, list);
         self.earlier.push_back(previous);
         if self.earlier.len() > MAX_EARLIER_LISTS {
             self.earlier.pop_front();
         }
         self.needs_full_list = false;
-        self.read_at = None;
+        self.read_at = read_at;
+        self.update_current();
         true
     }
 
     /// Like [`apply`](EndpointCache::apply), for a full list from a peer. A list that was requested after a
     /// failed delta also replaces a current list of the same revision.
-    pub fn apply_full(&mut self, list: EndpointList) -> bool {
-        if self.needs_full_list && list.revision == self.current.revision {
+    pub fn apply_full(&mut self, list: EndpointList, read_at: Option<Duration>) -> bool {
+        if self.needs_full_list && list.revision == self.published.revision {
             // The two nodes have different lists under the same revision. The node that requested the full
             // list adopts the peer's.
-            self.current = Arc::default();
+            self.published = Arc::default();
         }
-        self.apply(Arc::new(list))
+        self.apply(Arc::new(list), read_at)
     }
 
     /// Like [`apply`](EndpointCache::apply), for a delta to the current list. A delta whose result differs
     /// from the sender's list is discarded, and the next pulls ask for the full list.
-    pub fn apply_delta(&mut self, delta: &EndpointListDelta) -> bool {
-        match self.current.with_delta(delta) {
-            Some(list) => self.apply(Arc::new(list)),
+    pub fn apply_delta(&mut self, delta: &EndpointListDelta, read_at: Option<Duration>) -> bool {
+        match self.published.with_delta(delta) {
+            Some(list) => self.apply(Arc::new(list), read_at),
             None => {
-                self.needs_full_list |= delta.base == self.current.revision;
+                self.needs_full_list |= delta.base == self.published.revision;
                 false
             }
         }
@@ -100,13 +110,18 @@
     /// later than the latest recorded read of the current list.
     pub fn record_read(&mut self, revision: u64, began_at: Duration) -> bool {
         let is_newer =
-            revision == self.current.revision && self.read_at.is_none_or(|at| began_at > at);
+            revision == self.published.revision && self.read_at.is_none_or(|at| began_at > at);
         if is_newer {
             self.read_at = Some(began_at);
+            self.update_current();
         }
         is_newer
     }
 
+    fn update_current(&mut self) {
+        self.current = self.drain_marks.apply(&self.published, self.read_at);
+    }
+
     /// Records that a peer has reported a list of this revision.
     pub fn observe_revision(&mut self, revision: u64) {
         self.highest_revision = self.highest_revision.max(revision);
@@ -116,21 +131,21 @@
     pub fn latest_read(&self, now: Duration) -> Option<EndpointListRead> {
         let read_at = self.read_at?;
         let age_ms = now.saturating_sub(read_at).as_millis() as u32;
-        Some(EndpointListRead { revision: self.current.revision, age_ms })
+        Some(EndpointListRead { revision: self.published.revision, age_ms })
     }
 
     /// The update for a peer that has the list of `known_revision`; 0: it needs the full list.
     pub fn update_for(&self, known_revision: u64) -> EndpointUpdate {
-        if self.current.revision <= known_revision {
+        if self.published.revision <= known_revision {
             return EndpointUpdate::default();
         }
         let has_base = known_revision > 0;
         let base = self.earlier.iter().find(|list| has_base && list.revision == known_revision);
         match base {
             Some(base) => {
-                EndpointUpdate { delta: Some(self.current.delta_since(base)), full: None }
+                EndpointUpdate { delta: Some(self.published.delta_since(base)), full: None }
             }
-            None => EndpointUpdate { full: Some((*self.current).clone()), delta: None },
+            None => EndpointUpdate { full: Some((*self.published).clone()), delta: None },
         }
     }
 }
--- a/cluster/src/gossip/merge.rs
+++ b/cluster/src/gossip/merge.rs
@@ -73,18 +73,22 @@
             self.highest_reported_revision =
                 self.highest_reported_revision.max(response.read_index.unwrap_or(0));
         }
+        let list_read = response.list_read.map(|read| {
+            let age = Duration::from_millis(u64::from(read.age_ms));
+            (read.revision, now.saturating_sub(age))
+        });
+        let read_at = list_read.map(|(_, read_at)| read_at);
         if let Some(list) = response.endpoint_list {
-            let is_new = self.endpoints.apply_full(list);
+            let is_new = self.endpoints.apply_full(list, read_at);
             self.on_endpoint_list_applied(is_new, effects);
         }
         if let Some(delta) = response.endpoint_list_delta {
-            let is_new = self.endpoints.apply_delta(&delta);
+            let is_new = self.endpoints.apply_delta(&delta, read_at);
             self.on_endpoint_list_applied(is_new, effects);
         }
-        if let Some(read) = response.list_read {
-            let age = Duration::from_millis(u64::from(read.age_ms));
-            self.endpoints.observe_revision(read.revision);
-            self.record_list_read(read.revision, now.saturating_sub(age));
+        if let Some((revision, read_at)) = list_read {
+            self.endpoints.observe_revision(revision);
+            self.record_list_read(revision, read_at, effects);
         }
         if let Some(plan) = response.plan {
             self.apply_plan(Arc::new(plan), effects);
@@ -276,8 +280,17 @@
     }
 
     /// Records that a read of the platform returned the endpoint list of this revision.
-    pub(super) fn record_list_read(&mut self, revision: u64, began_at: Duration) {
+    pub(super) fn record_list_read(
+        &mut self,
+        revision: u64,
+        began_at: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let previous = self.endpoints.current().clone();
         let is_newer = self.endpoints.record_read(revision, began_at);
+        if !Arc::ptr_eq(&previous, self.endpoints.current()) {
+            effects.push(Effect::ViewChanged);
+        }
         if is_newer && self.own_info.role == Role::Registry {
             self.urgent_changes += 1;
         }
--- a/cluster/src/gossip/mod.rs
+++ b/cluster/src/gossip/mod.rs
@@ -355,14 +355,14 @@
                 self.record_config_read(revision, began_at);
             }
             Event::EndpointListReceived(list) => {
-                let is_new = self.endpoints.apply(list);
+                let is_new = self.endpoints.apply(list, None);
                 self.on_endpoint_list_applied(is_new, effects);
             }
             Event::EndpointListRead { list, began_at } => {
                 let revision = list.revision;
-                let is_new = self.endpoints.apply(list);
+                let is_new = self.endpoints.apply(list, Some(began_at));
                 self.on_endpoint_list_applied(is_new, effects);
-                self.record_list_read(revision, began_at);
+                self.record_list_read(revision, began_at, effects);
             }
             Event::PlanReceived(plan) => self.apply_plan(plan, effects),
             Event::ObservationsWanted => self.on_observations_wanted(now),
--- a/registry/tests/endpoint_list_order.rs
+++ b/registry/tests/endpoint_list_order.rs
@@ -49,6 +49,17 @@
     assert!(violations.is_empty(), "{} violations:\n{}", violations.len(), violations.join("\n"));
 }
 
+/// Guards against a draining server that gets requests again because two registries read the list at about the
+/// same time, one of them cut off, and the earlier read got the higher revision (incident 0022).
+#[test]
+fn no_mark_is_taken_back_while_two_registries_read() {
+    let partition = Duration::from_secs(10)..Duration::from_secs(22);
+    assert_none(&violations_of(90..=189, |seed| Scenario {
+        one_way_partition: Some(partition.clone()),
+        ..Scenario::without_faults(seed)
+    }));
+}
+
 fn assert_none(violations: &[String]) {
     assert!(violations.is_empty(), "{} violations:\n{}", violations.len(), violations.join("\n"));
 }
