The registry that reads the endpoint list best reads it, not the first by name

Cause: who reads a list that the platform does not number followed from names alone; the first two sat two regions from the platform, could never finish a read within its time-out, and kept the duty; the others read as a takeover only, each 3.0 s to 4.2 s. Registries now tell each other how long their reads take and whether they end; the order of reading follows from that, and from names among equals only. Whose read fails says so at once, and is measured again after a pause that doubles.

--- a/cluster/src/gossip/merge.rs
+++ b/cluster/src/gossip/merge.rs
@@ -26,6 +26,7 @@
         };
         if let Some(response) = response {
             self.freshness.on_reply(now);
+            let list_reading = response.list_reading;
             // The response to a pull that was sent before a pause may be as old as the pause is long.
             let session = self.sessions.get(&address);
             let sent_at = session.map(|session| session.sent_at);
@@ -37,6 +38,10 @@
             let mut peers = self.peers.iter_mut();
             if let Some(peer) = peers.find(|peer| peer.info.cluster_address == address) {
                 peer.last_reply_at = Some(now);
+                if peer.list_reading != list_reading {
+                    peer.list_reading = list_reading;
+                    effects.push(Effect::ViewChanged);
+                }
             }
         }
         self.finish_pull(now, address, outcome, effects);
@@ -196,6 +201,7 @@
             last_heartbeat_at: heartbeat_at,
             known_since: now,
             last_reply_at: None,
+            list_reading: None,
             refused_at: None,
             is_reported_unreachable: false,
             was_live: false,
--- a/cluster/src/gossip/mod.rs
+++ b/cluster/src/gossip/mod.rs
@@ -38,8 +38,8 @@
 use crate::peer_selection::Candidate;
 use crate::read_index::ReadIndex;
 use crate::wire::{
-    CommittedConfig, NodeInfo, NodeStatus, NodeVersion, ProxyObservations, PullRequest,
-    PullResponse, Role, TrafficShiftPlan, name_hash,
+    CommittedConfig, ListReading, NodeInfo, NodeStatus, NodeVersion, ProxyObservations,
+    PullRequest, PullResponse, Role, TrafficShiftPlan, name_hash,
 };
 use freshness::Freshness;
 use pending_pull::PendingPull;
@@ -106,6 +106,8 @@
         /// When the read began, on this node's clock.
         began_at: Duration,
     },
+    /// This registry reads the endpoint list better or worse than before.
+    ListReadingChanged(ListReading),
     /// This node has computed a traffic-shift plan as the leader, or has loaded one from its disk.
     PlanReceived(Arc<TrafficShiftPlan>),
     /// An operator has requested the observations of proxies from this registry.
@@ -173,6 +175,8 @@
     own_version: NodeVersion,
     own_status: NodeStatus,
     own_observations: ProxyObservations,
+    /// At a registry: how well it reads the endpoint list.
+    own_list_reading: Option<ListReading>,
     own_name_hash: u32,
     seeds: Vec<SocketAddr>,
     /// All known peers, live or not.
@@ -242,6 +246,7 @@
             },
             own_status: NodeStatus::default(),
             own_observations: ProxyObservations::default(),
+            own_list_reading: None,
             own_name_hash,
             seeds,
             peers: Vec::new(),
@@ -305,6 +310,15 @@
         self.freshness.is_fresh(now)
     }
 
+    /// How well the other registries read the endpoint list, by name, as far as they have told this one.
+    pub fn list_readings(&self) -> BTreeMap<String, ListReading> {
+        let readings = self.peers.iter().filter_map(|peer| {
+            let reading = peer.list_reading?;
+            Some((peer.info.name.clone(), reading))
+        });
+        readings.collect()
+    }
+
     /// The lease on this node's configuration (design 5.9).
     pub fn config_lease(&self) -> ConfigLeaseView {
         ConfigLeaseView {
@@ -364,6 +378,10 @@
                 self.on_endpoint_list_applied(is_new, effects);
                 self.record_list_read(revision, began_at, effects);
             }
+            Event::ListReadingChanged(reading) => {
+                self.own_list_reading = Some(reading);
+                self.urgent_changes += 1;
+            }
             Event::PlanReceived(plan) => self.apply_plan(plan, effects),
             Event::ObservationsWanted => self.on_observations_wanted(now),
             Event::SeedsChanged(mut seeds) => {
--- a/cluster/src/gossip/peer.rs
+++ b/cluster/src/gossip/peer.rs
@@ -1,6 +1,6 @@
 //! The state of one peer, and the rule by which it is live.
 
-use crate::wire::{NodeInfo, NodeStatus, NodeVersion, ProxyObservations, Role};
+use crate::wire::{ListReading, NodeInfo, NodeStatus, NodeVersion, ProxyObservations, Role};
 use std::time::Duration;
 
 /// The interval at which a node increments its heartbeat counter.
@@ -34,6 +34,8 @@
     pub(super) known_since: Duration,
     /// When it last replied to a pull of this node.
     pub(super) last_reply_at: Option<Duration>,
+    /// Registries only, at a registry: how well it reads the endpoint list, as its last reply said.
+    pub(super) list_reading: Option<ListReading>,
     /// When its address refused a connection: it counts as dead until a newer heartbeat (design 5.7).
     pub(super) refused_at: Option<Duration>,
     /// At a leaf: whether all registries that reported recently consider it unreachable.
--- a/cluster/src/gossip/pending_pull.rs
+++ b/cluster/src/gossip/pending_pull.rs
@@ -2,7 +2,7 @@
 //! polling).
 
 use super::{Effect, Gossip, LONG_POLL_TIMEOUT, unreachable_digest};
-use crate::wire::{NodeVersion, PlanVersion, PullRequest, Role, name_hash};
+use crate::wire::{ListReading, NodeVersion, PlanVersion, PullRequest, Role, name_hash};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -36,6 +36,8 @@
     checked_changes: u64,
     /// When the latest read of the endpoint list that the requester knows of began, on this node's clock.
     list_read_at: Option<Duration>,
+    /// How well this registry read the endpoint list when the pull was received.
+    list_reading: Option<ListReading>,
 }
 
 impl PendingPull {
@@ -100,6 +102,7 @@
             needs_read_index,
             checked_changes: 0,
             list_read_at: list_read_age.map(|age| now.saturating_sub(age)),
+            list_reading: self.own_list_reading,
         };
         if needs_versions || now >= pull.deadline || self.has_urgent_change(&pull) {
             self.respond(now, pull, effects);
@@ -153,6 +156,7 @@
             && pull.unreachable_digest != unreachable_digest(&self.unreachable_for(pull));
         has_new_unreachable
             || self.has_later_list_read(pull)
+            || (!pull.is_leaf && pull.list_reading != self.own_list_reading)
             || self.active_revision() > pull.config_revision
             || self.endpoints.current().revision > pull.endpoint_list_revision
             || self.plan.version() > pull.plan_version
--- a/cluster/src/gossip/response.rs
+++ b/cluster/src/gossip/response.rs
@@ -35,6 +35,7 @@
             endpoint_list: update.full,
             endpoint_list_delta: update.delta,
             list_read: self.endpoints.latest_read(now).filter(|_| sends_list_read),
+            list_reading: self.own_list_reading.filter(|_| !pull.is_leaf),
             plan: (self.plan.version() > pull.plan_version).then(|| (*self.plan).clone()),
             unreachable: is_reporting_registry.then(|| self.unreachable_for(pull)),
             resend_versions: false,
--- a/cluster/src/node/cluster_view.rs
+++ b/cluster/src/node/cluster_view.rs
@@ -3,8 +3,8 @@
 
 use crate::gossip::Gossip;
 use crate::read_index::EstablishedReadIndex;
-use crate::wire::{CommittedConfig, NodeInfo, NodeStatus, Role, TrafficShiftPlan};
-use std::collections::{HashMap, HashSet};
+use crate::wire::{CommittedConfig, ListReading, NodeInfo, NodeStatus, Role, TrafficShiftPlan};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_config::endpoint_list::EndpointList;
@@ -27,6 +27,8 @@
     pub endpoint_list_read_at: Option<Duration>,
     /// The highest revision of an endpoint list that any node reported.
     pub highest_endpoint_list_revision: u64,
+    /// At a registry: how well the other registries read the endpoint list, by name.
+    pub list_readings: BTreeMap<String, ListReading>,
     /// The newest traffic-shift plan.
     pub plan: Arc<TrafficShiftPlan>,
     /// All live nodes, this one first.
@@ -80,6 +82,7 @@
             endpoints: gossip.endpoints.current().clone(),
             endpoint_list_read_at: gossip.endpoints.read_at(),
             highest_endpoint_list_revision: gossip.endpoints.highest_revision(),
+            list_readings: gossip.list_readings(),
             plan: gossip.plan.clone(),
             live,
             unreachable: clone_nodes(gossip.unreachable(now)),
--- a/cluster/src/wire/mod.rs
+++ b/cluster/src/wire/mod.rs
@@ -15,7 +15,7 @@
     ServerObservation, ServerPhase, name_hash,
 };
 pub use plan::{PlanVersion, TrafficShiftPlan, WarmUp, ZoneShares};
-pub use pull::{EndpointListRead, PullRequest, PullResponse, RevisionConfirmation};
+pub use pull::{EndpointListRead, ListReading, PullRequest, PullResponse, RevisionConfirmation};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
--- a/cluster/src/wire/pull.rs
+++ b/cluster/src/wire/pull.rs
@@ -45,6 +45,27 @@
     pub list_read_age_ms: Option<u32>,
 }
 
+/// How well a registry reads the platform's endpoint list, as it tells the other registries. The better one
+/// is the lesser one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum ListReading {
+    /// Its last read succeeded; about how long its reads take, in milliseconds.
+    #[serde(rename = "ms")]
+    Able(u32),
+    /// Its last read failed.
+    #[serde(rename = "failed")]
+    Unable,
+}
+
+impl std::fmt::Display for ListReading {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            ListReading::Able(ms) => write!(formatter, "able to read in {ms} ms"),
+            ListReading::Unable => formatter.write_str("unable to read"),
+        }
+    }
+}
+
 /// A read of the platform that returned the endpoint list of this revision. Serialized as a tuple.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u64, u32)", into = "(u64, u32)")]
@@ -89,6 +110,9 @@
     /// The latest read of the sender's current endpoint list that the sender knows of.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub list_read: Option<EndpointListRead>,
+    /// From a registry to a registry: how well the sender reads the endpoint list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub list_reading: Option<ListReading>,
     /// A newer traffic-shift plan.
     pub plan: Option<TrafficShiftPlan>,
     /// For a leaf: the nodes that the sender considers unreachable, as sorted [`super::name_hash`] values.
--- a/registry/src/discovery/poller.rs
+++ b/registry/src/discovery/poller.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use vanepath_cluster::gossip::Event;
 use vanepath_cluster::node::{self, ClusterView, HandleEvent, ListStage, Node};
+use vanepath_cluster::wire::ListReading;
 use vanepath_config::endpoint_list::{self, EndpointList};
 use vanepath_config::settings;
 
@@ -68,6 +69,7 @@
         etag: None,
         is_numbered: false,
         started_at: None,
+        published_reading: None,
     };
     let mut interval = tokio::time::interval(TICK_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -93,6 +95,7 @@
             format!(" ({error}, after {} ms)", elapsed.as_millis())
         });
         let outcome = poller.complete(started_at, read).await;
+        poller.publish_reading().await;
         let mut last_outcome =
             last_outcome.lock().expect("the poll outcome lock is never poisoned");
         if *last_outcome != outcome {
@@ -114,6 +117,8 @@
     is_numbered: bool,
     /// Start of the last read.
     started_at: Option<Duration>,
+    /// What the other registries were last told of this registry's reads.
+    published_reading: Option<ListReading>,
 }
 
 impl EndpointPoller<'_> {
@@ -151,6 +156,17 @@
         outcome
     }
 
+    /// Tells the other registries how well this registry reads the list, if that has changed.
+    async fn publish_reading(&mut self) {
+        let reading = self.sequencer.reading().filter(|_| !self.is_numbered);
+        if let Some(reading) = reading.filter(|_| reading != self.published_reading) {
+            self.published_reading = Some(reading);
+            log::info!("endpoint list: this registry is {reading}");
+            let event = Event::ListReadingChanged(reading);
+            let _ = self.node.gossip.send(HandleEvent(event)).await;
+        }
+    }
+
     /// The outcome of a read, and the list to publish, if there is one.
     fn evaluate_read(
         &mut self,
@@ -172,11 +188,10 @@
                 (outcome, is_new.then(|| Arc::new(list)))
             }
             Ok(ListRead::Unnumbered(servers)) => {
-                let is_empty = servers.is_empty();
-                let outcome = if is_empty { PollOutcome::Empty } else { PollOutcome::Good };
-                let servers = (!is_empty).then_some(servers);
+                let outcome =
+                    if servers.is_empty() { PollOutcome::Empty } else { PollOutcome::Good };
                 let now = self.node.clock.now();
-                let list = match self.sequencer.on_read_completed(now, view, servers) {
+                let list = match self.sequencer.on_read_completed(now, view, Some(servers)) {
                     Some(Effect::Publish { list, .. }) => Some(list),
                     Some(Effect::Superseded) => {
                         self.counters.increment(Counter::PlatformReadsOvertaken);
--- a/registry/src/discovery/sequencer/tests.rs
+++ b/registry/src/discovery/sequencer/tests.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_cluster::node::ClusterView;
-use vanepath_cluster::wire::{NodeInfo, NodeStatus, Role};
+use vanepath_cluster::wire::{ListReading, NodeInfo, NodeStatus, Role};
 use vanepath_config::endpoint_list::{EndpointList, Server};
 
 fn ms(millis: u64) -> Duration {
@@ -244,3 +244,120 @@
     }
     reads
 }
+
+/// A sequencer of this name whose only read so far took this long; `None`: it failed.
+fn sequencer_after_read(name: &str, elapsed: Option<Duration>) -> ListSequencer {
+    let mut sequencer = ListSequencer::new(name, 0);
+    let view = view(&[(name, false)]);
+    assert_eq!(sequencer.on_tick(ms(0), &view), Some(Effect::Read));
+    let listed = elapsed.map(|_| servers(&["a"]));
+    sequencer.on_read_completed(elapsed.unwrap_or(READ_TIMEOUT), &view, listed);
+    sequencer
+}
+
+fn view_with_readings(readings: &[(&str, ListReading)]) -> ClusterView {
+    let registries: Vec<(&str, bool)> = readings.iter().map(|(name, _)| (*name, false)).collect();
+    let mut view = view(&registries);
+    view.list_readings =
+        readings.iter().map(|(name, reading)| (name.to_string(), *reading)).collect();
+    view
+}
+
+/// The registry whose reads take the least time reads first, and one whose read failed last, whatever their
+/// names (incident 0022).
+#[test]
+fn the_registry_that_reads_best_reads_first() {
+    use ListReading::{Able, Unable};
+    let is_first = |elapsed: Option<u64>, others: &[(&str, ListReading)]| {
+        let mut sequencer = sequencer_after_read("r5", elapsed.map(ms));
+        let mut view = view_with_readings(others);
+        view.endpoint_list_read_at = Some(ms(5000));
+        sequencer.on_tick(ms(5600), &view) == Some(Effect::Read)
+    };
+    assert!(is_first(Some(100), &[("r1", Able(450)), ("r2", Unable)]));
+    assert!(is_first(Some(100), &[("r1", Unable), ("r9", Able(100))]));
+    assert!(!is_first(Some(450), &[("r1", Unable), ("r9", Able(100))]));
+    assert!(!is_first(None, &[("r1", Unable), ("r9", Able(1400))]));
+    assert!(!is_first(None, &[("r1", Unable)]), "among equals the name decides");
+}
+
+/// The others take over once the first one should have been heard of, however long its reads take.
+#[test]
+fn the_takeover_delay_follows_the_time_of_the_first_reads() {
+    for (read_ms, delay) in [(50, 1200), (450, 1400), (900, 1850)] {
+        let readings = [("r1", ListReading::Able(read_ms))];
+        let mut view = view_with_readings(&readings);
+        view.endpoint_list_read_at = Some(ms(5000));
+        let is_due = |now: u64| {
+            let mut sequencer = sequencer_after_read("r5", Some(ms(1000)));
+            sequencer.on_tick(ms(now), &view) == Some(Effect::Read)
+        };
+        assert!(!is_due(5000 + delay - 1) && is_due(5000 + delay), "{read_ms} ms");
+    }
+}
+
+/// A registry whose read failed is measured again later and later, so that registries do not take turns at
+/// failing; a read that takes about as long as before is not reported anew.
+#[test]
+fn failed_reads_are_repeated_with_a_growing_pause() {
+    let mut view = view_with_readings(&[("r1", ListReading::Able(100))]);
+    let mut sequencer = sequencer_after_read("r5", Some(ms(50)));
+    assert_eq!(sequencer.reading(), Some(ListReading::Able(50)));
+    let mut now = 1000;
+    let mut trials = Vec::new();
+    sequencer.on_tick(ms(now), &view);
+    sequencer.on_read_completed(ms(now), &view, None);
+    assert_eq!(sequencer.reading(), Some(ListReading::Unable));
+    let mut last = now;
+    while trials.len() < 4 {
+        now += 50;
+        // The first one reads all the while.
+        view.endpoint_list_read_at = Some(ms(now));
+        if sequencer.on_tick(ms(now), &view) == Some(Effect::Read) {
+            trials.push(now - last);
+            last = now;
+            sequencer.on_read_completed(ms(now), &view, None);
+        }
+    }
+    assert_eq!(trials, [10_000, 20_000, 40_000, 60_000]);
+}
+
+/// Reads whose times vary by less than a factor of two do not change the order of reading.
+#[test]
+fn a_similar_time_is_not_reported_anew() {
+    let view = view_with_readings(&[("r5", ListReading::Unable)]);
+    let mut sequencer = sequencer_after_read("r5", Some(ms(100)));
+    for (number, (elapsed, reported)) in
+        [(190, 100), (60, 100), (210, 210), (400, 210), (100, 100)].into_iter().enumerate()
+    {
+        let began_at = ms(1000 * (number as u64 + 1));
+        sequencer.on_tick(began_at, &view);
+        sequencer.on_read_completed(began_at + ms(elapsed), &view, Some(servers(&["a"])));
+        assert_eq!(sequencer.reading(), Some(ListReading::Able(reported)), "{elapsed} ms");
+    }
+}
+
+/// A call that the platform rejects for its rate is no failed read: the registry pauses and reads on.
+#[test]
+fn a_rate_limited_read_pauses_and_keeps_the_order() {
+    let view = view_with_readings(&[("r9", ListReading::Able(400))]);
+    let mut sequencer = sequencer_after_read("r5", Some(ms(100)));
+    assert_eq!(sequencer.on_tick(ms(1000), &view), Some(Effect::Read));
+    sequencer.on_rate_limited(ms(1050));
+    assert_eq!(sequencer.reading(), Some(ListReading::Able(100)));
+    assert_eq!(sequencer.on_tick(ms(2049), &view), None);
+    assert_eq!(sequencer.on_tick(ms(2050), &view), Some(Effect::Read));
+}
+
+/// A read whose calls had to wait for the platform's rate may take that much longer.
+#[test]
+fn a_paced_read_may_take_longer() {
+    let view = view_with_readings(&[("r5", ListReading::Unable)]);
+    for (paced, expected) in [(0, ListReading::Unable), (2000, ListReading::Able(3000))] {
+        let mut sequencer = ListSequencer::new("r5", 0);
+        sequencer.on_tick(ms(0), &view);
+        sequencer.extend_read(ms(paced));
+        sequencer.on_read_completed(ms(3000), &view, Some(servers(&["a"])));
+        assert_eq!(sequencer.reading(), Some(expected));
+    }
+}
