A long endpoint list is read by zone, side by side, within the platform's rate

A list of more than six pages is now read by zone, the zones' chains side by side over connections that stay open: its time follows from the pages of one zone. All parts or no list; a page of the whole list with each read finds zones that the settings do not name. The pages of a read are a pure state machine (discovery::paged_read); calls keep to half of the platform's rate (call_pacer), and 429 pauses a registry without counting as a failed read.

--- a/config/src/settings/checks.rs
+++ b/config/src/settings/checks.rs
@@ -34,6 +34,7 @@
     let seeds = read_seeds(&mut object);
     let storage = read_storage(&mut object, role);
     let endpoint_list_url = read_endpoint_list_url(&mut object, role);
+    let endpoint_list_rate = object.number("platformCallsPerSecond", 0.1, 1e6);
     let grace_ms = object.integer("graceMs", 0, MAX_GRACE_MS).unwrap_or(DEFAULT_GRACE_MS);
     let admin_listen = read_address(&mut object, "pagesListen", Reachable::Locally);
     let steering_listen = read_address(&mut object, "directoryListen", Reachable::Locally);
@@ -56,6 +57,7 @@
         bootstrap_size: storage.bootstrap_size,
         may_bootstrap: storage.may_bootstrap,
         endpoint_list_url,
+        endpoint_list_rate,
         shutdown_grace: Duration::from_millis(grace_ms),
         admin_listen,
         steering_listen,
--- a/config/src/settings/keys.rs
+++ b/config/src/settings/keys.rs
@@ -78,6 +78,13 @@
         .given_as(Source::Json),
     Key::new("platform", "platform", "registry only: http://IP:PORT/PATH of the platform list")
         .of_role(Role::Registry),
+    Key::new(
+        "platformCallsPerSecond",
+        "platform-calls-per-second",
+        "registry only: calls that the platform takes for its list from all registries (file only)",
+    )
+    .of_role(Role::Registry)
+    .given_as(Source::FileOnly),
     Key::new("graceMs", "grace-ms", "how long a stop may take before what is left is cut")
         .given_as(Source::Json),
     Key::new(
--- a/config/src/settings/mod.rs
+++ b/config/src/settings/mod.rs
@@ -56,6 +56,9 @@
     pub may_bootstrap: bool,
     /// Registries only: the URL of the endpoint list, `http://IP:PORT/PATH`.
     pub endpoint_list_url: Option<String>,
+    /// Registries only: the calls per second that the platform accepts for its endpoint list from all
+    /// registries together; `None`: it states no limit.
+    pub endpoint_list_rate: Option<f64>,
     /// Time that a graceful shutdown may take before the requests still in flight are aborted.
     pub shutdown_grace: Duration,
     /// A separate address for the program's own pages (status, readiness, counters), if any.
--- a/config/src/wire_format.rs
+++ b/config/src/wire_format.rs
@@ -60,8 +60,14 @@
     /// All validation errors; no part of an invalid document may be used.
     fn parse_config(&self, bytes: &[u8]) -> Result<Config, Vec<ValidationError>>;
 
-    /// Parses one page of the endpoint list; `path` is the path of the list in the settings, `zones` maps
-    /// zones to their regions.
+    /// The path of the part of the endpoint list with the servers of one zone; `path` is the path of the
+    /// whole list. `None`: the platform serves the list as a whole only.
+    fn zone_path(&self, _path: &str, _zone: &str) -> Option<String> {
+        None
+    }
+
+    /// Parses one page of the endpoint list; `path` is the path of the list, or of the part that the page
+    /// belongs to, and `zones` maps zones to their regions.
     ///
     /// # Errors
     /// All validation errors; no part of an invalid list may be used.
--- a/registry/src/discovery/outcome.rs
+++ b/registry/src/discovery/outcome.rs
@@ -12,6 +12,8 @@
     Good,
     /// The platform did not answer in time, or with an error status.
     Unreachable,
+    /// The calls of all registries together are over the platform's rate limit.
+    RateLimited,
     /// The response is not a valid list.
     Malformed,
     /// The list has no servers and is rejected: a platform that has just started may not know its servers
@@ -24,7 +26,8 @@
 impl From<&FetchError> for PollOutcome {
     fn from(error: &FetchError) -> PollOutcome {
         match error {
-            FetchError::InvalidPage(_) | FetchError::TooManyPages => PollOutcome::Malformed,
+            FetchError::InvalidPage(_) | FetchError::TooManyPages(_) => PollOutcome::Malformed,
+            FetchError::RateLimited => PollOutcome::RateLimited,
             FetchError::Timeout
             | FetchError::Connect(_)
             | FetchError::Request(_)
--- a/registry/src/discovery/poller.rs
+++ b/registry/src/discovery/poller.rs
@@ -2,8 +2,8 @@
 //! use.
 
 use crate::discovery::outcome::PollOutcome;
-use crate::discovery::sequencer::{Effect, ListSequencer, READ_TIMEOUT};
-use crate::discovery::source::{EndpointListSource, FetchError, ListRead};
+use crate::discovery::sequencer::{Effect, ListSequencer};
+use crate::discovery::source::{EndpointListSource, FetchError, ListRead, ReadOutcome};
 use crate::state::{Counter, Counters};
 use hyper::header::HeaderValue;
 use std::sync::{Arc, Mutex};
@@ -56,12 +56,7 @@
         node.settings.endpoint_list_url.clone().expect("the settings require an endpoint list URL");
     let (address, path) =
         settings::split_url(&url).expect("the URL was validated with the settings");
-    let mut source = EndpointListSource::new(
-        address,
-        path,
-        node.settings.wire_format,
-        &node.settings.zone_regions,
-    );
+    let mut source = EndpointListSource::new(address, path, &node.settings);
     let mut poller = EndpointPoller {
         sequencer: ListSequencer::new(&node.info.name, node::random()),
         node: &node,
@@ -82,19 +77,13 @@
         }
         poller.started_at = Some(started_at);
         counters.increment(Counter::PlatformReads);
-        let read = source.read(poller.etag.as_ref());
-        let read = match tokio::time::timeout(READ_TIMEOUT, read).await {
-            Ok(read) => read,
-            Err(_) => Err(FetchError::Timeout),
-        };
-        if read.is_err() {
-            source.disconnect();
-        }
-        let failure = read.as_ref().err().map(|error| {
+        let ReadOutcome { result, paced } = source.read(poller.etag.as_ref()).await;
+        let failure = result.as_ref().err().map(|error| {
             let elapsed = node.clock.now().saturating_sub(started_at);
             format!(" ({error}, after {} ms)", elapsed.as_millis())
         });
-        let outcome = poller.complete(started_at, read).await;
+        poller.sequencer.extend_read(paced);
+        let outcome = poller.complete(started_at, result).await;
         poller.publish_reading().await;
         let mut last_outcome =
             last_outcome.lock().expect("the poll outcome lock is never poisoned");
@@ -174,6 +163,10 @@
         read: Result<ListRead, FetchError>,
     ) -> (PollOutcome, Option<Arc<EndpointList>>) {
         match read {
+            Err(FetchError::RateLimited) => {
+                self.sequencer.on_rate_limited(self.node.clock.now());
+                (PollOutcome::RateLimited, None)
+            }
             Err(error) => {
                 let _ = self.sequencer.on_read_completed(self.node.clock.now(), view, None);
                 (PollOutcome::from(&error), None)
--- a/registry/tests/cluster_model/mod.rs
+++ b/registry/tests/cluster_model/mod.rs
@@ -23,6 +23,8 @@
 use vanepath_cluster::node::ClusterView;
 use vanepath_cluster::wire::{NodeInfo, Role};
 use vanepath_config::endpoint_list::{EndpointList, Server};
+use vanepath_config::wire_format::SelectedFormat;
+use vanepath_registry::discovery::paged_read::ListLayout;
 use vanepath_registry::discovery::sequencer::ListSequencer;
 
 /// The parameters of one run.
@@ -88,6 +90,7 @@
     region: usize,
     one_way_delay: Duration,
     sequencer: ListSequencer,
+    layout: ListLayout,
     pending_read: Option<PendingRead>,
     tick_at: Duration,
     poll_at: Duration,
@@ -121,12 +124,16 @@
     SocketAddr::from(([10, 0, 0, index as u8 + 1], 7720))
 }
 
+fn zone_name(number: usize) -> String {
+    format!("a{number}")
+}
+
 fn server(number: usize, zones: usize) -> Server {
     Server {
         id: format!("s-{number:04}"),
         address: SocketAddr::from(([10, 9, (number / 250) as u8, (number % 250) as u8], 80)),
         region: "a".into(),
-        zone: format!("a{}", number % zones),
+        zone: zone_name(number % zones),
         labels: Default::default(),
         draining: false,
         warming_up: false,
@@ -208,6 +215,7 @@
         let random = (self.random_fraction() * u64::MAX as f64) as u64;
         let sequencer = ListSequencer::new(&info.name, random);
         let gossip = Gossip::new(info, seeds, scenario.seed * 100 + index as u64, Duration::ZERO);
+        let zones = (0..scenario.zones).map(zone_name);
         let jitter = Duration::from_millis((self.random_fraction() * 250.0) as u64);
         Node {
             gossip,
@@ -215,6 +223,7 @@
             region: location,
             one_way_delay: Duration::from_millis(ONE_WAY_DELAYS_MS[location]),
             sequencer,
+            layout: ListLayout::new(SelectedFormat(&platform::ZONED_FORMAT), "/servers", zones),
             pending_read: None,
             tick_at: jitter,
             poll_at: jitter,
--- a/registry/tests/cluster_model/reads.rs
+++ b/registry/tests/cluster_model/reads.rs
@@ -3,16 +3,15 @@
 use super::{ClusterModel, PAGE_SIZE, Scenario, TICK_INTERVAL};
 use std::time::Duration;
 use vanepath_cluster::gossip::Event;
-use vanepath_config::endpoint_list::Server;
+use vanepath_config::wire_format::EndpointListPage;
+use vanepath_registry::discovery::paged_read::{ListPart, PageRequest, PagedRead};
 use vanepath_registry::discovery::sequencer::{Effect, READ_TIMEOUT};
 
 /// A read of the list that is in progress.
 pub(super) struct PendingRead {
-    /// The servers of the pages read so far.
-    servers: Vec<Server>,
-    pages: usize,
-    /// When the next page arrives; `None`: the platform does not answer.
-    next_page_at: Option<Duration>,
+    read: PagedRead,
+    /// The calls in progress, and when their pages arrive; `None`: the platform does not answer.
+    calls: Vec<(PageRequest, Option<Duration>)>,
     began_at: Duration,
 }
 
@@ -24,13 +23,9 @@
             self.nodes[index].poll_at = now + TICK_INTERVAL;
             let node = &mut self.nodes[index];
             if node.sequencer.on_tick(now, &node.view) == Some(Effect::Read) {
-                let next_page_at = self.next_page_time(index, scenario);
-                self.nodes[index].pending_read = Some(PendingRead {
-                    servers: Vec::new(),
-                    pages: 0,
-                    next_page_at,
-                    began_at: now,
-                });
+                let (read, requests) = PagedRead::begin(&node.layout);
+                let calls = self.new_calls(index, scenario, requests);
+                self.nodes[index].pending_read = Some(PendingRead { read, calls, began_at: now });
             }
         }
         let Some(read) = &self.nodes[index].pending_read else { return };
@@ -38,35 +33,59 @@
             self.end_read(index, false);
             return;
         }
-        if read.next_page_at.is_none_or(|at| now < at) {
-            return;
-        }
-        if !self.platform.accepts_call(now) {
-            self.end_read(index, false);
-            return;
+        while let Some(request) = self.next_arrived(index) {
+            if !self.platform.accepts_call(now) {
+                self.end_read(index, false);
+                return;
+            }
+            // The platform answers half a round trip before the page arrives; this difference is negligible here.
+            let page = self.page_for(&request);
+            let node = &mut self.nodes[index];
+            let pending = node.pending_read.as_mut().expect("a read is in progress");
+            let next = pending.read.on_page(&mut node.layout, &request, page);
+            let calls = self.new_calls(index, scenario, next.expect("the list is not too long"));
+            let pending = self.nodes[index].pending_read.as_mut().expect("a read is in progress");
+            pending.calls.extend(calls);
+            if pending.read.is_complete() {
+                self.end_read(index, true);
+                return;
+            }
         }
-        // The platform answers half a round trip before the page arrives; this difference is negligible here.
-        let list = &self.platform.list;
-        let page = list.iter().skip(read.pages * PAGE_SIZE).take(PAGE_SIZE).cloned();
-        let page: Vec<Server> = page.collect();
-        let is_last = (read.pages + 1) * PAGE_SIZE >= list.len();
-        let next_page_at = self.next_page_time(index, scenario);
-        let read = self.nodes[index].pending_read.as_mut().expect("a read is in progress");
-        read.servers.extend(page);
-        read.pages += 1;
-        read.next_page_at = next_page_at;
-        if is_last {
-            self.end_read(index, true);
+    }
+
+    /// Removes a call whose page has arrived.
+    fn next_arrived(&mut self, index: usize) -> Option<PageRequest> {
+        let now = self.now;
+        let calls = &mut self.nodes[index].pending_read.as_mut()?.calls;
+        let arrived = calls.iter().position(|(_, at)| at.is_some_and(|at| at <= now))?;
+        Some(calls.remove(arrived).0)
+    }
+
+    /// The platform's answer to a request. The path of a page that is not the first one of its part ends with
+    /// the number of servers before it.
+    fn page_for(&self, request: &PageRequest) -> EndpointListPage {
+        let from = request.path.rsplit_once('#').map_or(0, |(_, from)| from.parse().unwrap());
+        let servers = self.platform.list.iter().filter(|server| match &request.part {
+            ListPart::Zone(zone) => server.zone == *zone,
+            ListPart::Whole | ListPart::Survey => true,
+        });
+        let servers: Vec<_> = servers.collect();
+        let to = (from + PAGE_SIZE).min(servers.len());
+        EndpointListPage {
+            revision: None,
+            servers: servers[from.min(to)..to].iter().map(|server| (*server).clone()).collect(),
+            next: (to < servers.len()).then(|| format!("{}#{to}", request.part_path)),
         }
     }
 
     fn end_read(&mut self, index: usize, is_complete: bool) {
         let now = self.now;
         let node = &mut self.nodes[index];
+        let pending = node.pending_read.take().filter(|_| is_complete);
         if is_complete {
             self.reader_fault.last_reader = index;
         }
-        let servers = node.pending_read.take().map(|read| read.servers).filter(|_| is_complete);
+        let servers = pending.map(|pending| pending.read.finish(&mut node.layout).servers);
         let reading = node.sequencer.reading();
         let effect = node.sequencer.on_read_completed(now, &node.view, servers);
         if let Some(Effect::Publish { list, began_at }) = effect {
@@ -78,6 +97,19 @@
         }
     }
 
+    fn new_calls(
+        &mut self,
+        index: usize,
+        scenario: &Scenario,
+        requests: Vec<PageRequest>,
+    ) -> Vec<(PageRequest, Option<Duration>)> {
+        let calls = requests.into_iter().map(|request| {
+            let arrives_at = self.next_page_time(index, scenario);
+            (request, arrives_at)
+        });
+        calls.collect()
+    }
+
     fn next_page_time(&mut self, index: usize, scenario: &Scenario) -> Option<Duration> {
         let delay = scenario.platform_round_trips[self.nodes[index].region]
             + Duration::from_micros((self.random_fraction() * 4000.0) as u64);
