Earlier endpoint lists are kept as deltas, not as whole lists

Only the changes are kept now and put together for a peer that is several lists behind; a registry no longer compares two lists for each of its requesters.

--- a/cluster/src/endpoint_cache.rs
+++ b/cluster/src/endpoint_cache.rs
@@ -1,5 +1,6 @@
-//! A node's cache of the endpoint list: the current list, recent earlier lists as bases for deltas, and when
-//! a read of the platform last confirmed that the current list is up to date (design 4). It does no I/O.
+//! A node's cache of the endpoint list: the current list, its latest changes for peers that have an earlier
+//! one, and when a read of the platform last confirmed that the current list is up to date (design 4). It does
+//! no I/O.
 //!
 //! Invariants: the revision of the current list never decreases; `highest_revision` is never below it;
 //! `read_at` is the start time of a read that returned the current list, never of one that returned an
@@ -14,8 +15,10 @@
 use std::time::Duration;
 use vanepath_config::endpoint_list::{EndpointList, EndpointListDelta};
 
-/// The number of earlier lists kept as bases for deltas.
-const MAX_EARLIER_LISTS: usize = 16;
+/// The number of kept changes of the list, and so of earlier lists that a peer may have as a base.
+const MAX_DELTAS: usize = 16;
+/// A change of more than this part of the list is not kept: the full list is about as short.
+const MAX_DELTA_FRACTION: usize = 2;
 
 /// The current endpoint list, its history and its freshness.
 #[derive(Debug, Default)]
@@ -25,8 +28,9 @@
     /// The published list, with the draining marks that are retained from later reads.
     current: Arc<EndpointList>,
     drain_marks: DrainMarks,
-    /// Previously current lists, oldest first: bases for deltas to peers that still have them.
-    earlier: VecDeque<Arc<EndpointList>>,
+    /// The latest changes of the published list, oldest first, for peers that still have an earlier one. Each
+    /// applies to the result of the one before it.
+    deltas: VecDeque<EndpointListDelta>,
     /// Set when a delta to the current list gave another list than the sender's: the next pulls ask for the
     /// full list.
     needs_full_list: bool,
@@ -72,15 +76,29 @@
         if list.revision <= self.published.revision {
             return false;
         }
-        let previous = std::mem::replace(&mut self.published, list);
-        self.earlier.push_back(previous);
-        if self.earlier.len() > MAX_EARLIER_LISTS {
-            self.earlier.pop_front();
+        let delta = list.delta_since(&self.published);
+        self.replace(list, delta, read_at);
+        true
+    }
+
+    fn replace(
+        &mut self,
+        list: Arc<EndpointList>,
+        delta: EndpointListDelta,
+        read_at: Option<Duration>,
+    ) {
+        if delta.change_count() * MAX_DELTA_FRACTION > list.servers.len() {
+            self.deltas.clear();
+        } else {
+            self.deltas.push_back(delta);
+        }
+        if self.deltas.len() > MAX_DELTAS {
+            self.deltas.pop_front();
         }
+        self.published = list;
         self.needs_full_list = false;
         self.read_at = read_at;
         self.update_current();
-        true
     }
 
     /// Like [`apply`](EndpointCache::apply), for a full list from a peer. A list that was requested after a
@@ -98,7 +116,14 @@
     /// from the sender's list is discarded, and the next pulls ask for the full list.
     pub fn apply_delta(&mut self, delta: &EndpointListDelta, read_at: Option<Duration>) -> bool {
         match self.published.with_delta(delta) {
-            Some(list) => self.apply(Arc::new(list), read_at),
+            Some(list) => {
+                self.observe_revision(list.revision);
+                let is_newer = list.revision > self.published.revision;
+                if is_newer {
+                    self.replace(Arc::new(list), delta.clone(), read_at);
+                }
+                is_newer
+            }
             None => {
                 self.needs_full_list |= delta.base == self.published.revision;
                 false
@@ -139,13 +164,12 @@
         if self.published.revision <= known_revision {
             return EndpointUpdate::default();
         }
-        let has_base = known_revision > 0;
-        let base = self.earlier.iter().find(|list| has_base && list.revision == known_revision);
-        match base {
-            Some(base) => {
-                EndpointUpdate { delta: Some(self.published.delta_since(base)), full: None }
-            }
-            None => EndpointUpdate { full: Some((*self.published).clone()), delta: None },
-        }
+        let has_base = |delta: &&EndpointListDelta| delta.base == known_revision;
+        let mut deltas = self.deltas.iter().skip_while(|delta| !has_base(delta));
+        let Some(first) = deltas.next().filter(|_| known_revision > 0) else {
+            return EndpointUpdate { full: Some((*self.published).clone()), delta: None };
+        };
+        let delta = deltas.fold(first.clone(), |delta, next| delta.followed_by(next));
+        EndpointUpdate { delta: Some(delta), full: None }
     }
 }
--- a/config/src/endpoint_list.rs
+++ b/config/src/endpoint_list.rs
@@ -74,6 +74,30 @@
     pub digest: u64,
 }
 
+impl EndpointListDelta {
+    /// The changes of this delta and then of the next one, which applies to its result.
+    pub fn followed_by(&self, next: &EndpointListDelta) -> EndpointListDelta {
+        let changed_next: HashSet<&str> =
+            next.changed.iter().map(|server| server.id.as_str()).collect();
+        let removed_next: HashSet<&str> = next.removed.iter().map(String::as_str).collect();
+        let is_changed_again = |id: &str| changed_next.contains(id) || removed_next.contains(id);
+        let changed = self.changed.iter().filter(|server| !is_changed_again(&server.id));
+        let removed = self.removed.iter().filter(|id| !is_changed_again(id));
+        EndpointListDelta {
+            base: self.base,
+            revision: next.revision,
+            changed: changed.chain(&next.changed).cloned().collect(),
+            removed: removed.chain(&next.removed).cloned().collect(),
+            digest: next.digest,
+        }
+    }
+
+    /// The number of servers that were changed, added or removed.
+    pub fn change_count(&self) -> usize {
+        self.changed.len() + self.removed.len()
+    }
+}
+
 impl EndpointList {
     /// A digest of the servers that does not depend on their order.
     pub fn digest(&self) -> u64 {
--- a/config/src/endpoint_list/tests.rs
+++ b/config/src/endpoint_list/tests.rs
@@ -45,5 +45,10 @@
             assert!(other.with_delta(&delta).is_none_or(|result| sorted(&result) == sorted(&next)));
         }
         assert_eq!(next.with_delta(&delta), None, "the list has another revision");
+        // Two deltas together give the same list as one after the other.
+        let last = list(revision + 2);
+        let both = delta.followed_by(&last.delta_since(&next));
+        let result = base.with_delta(&both).expect("a delta applies to its base");
+        assert_eq!((result.revision, sorted(&result)), (last.revision, sorted(&last)));
     }
 }
