A long reply between nodes may take as long as its bytes keep arriving

At the design size a proxy that starts gets 450 kB of endpoint list beside node infos and the configuration: over 1 s on a link of 3.1 Mbit/s, and with 22,000 tenants 2 MB more; it would give up, close the connection and ask again for ever. Now only the beginning of a reply has the time-out of the call, with what a long request takes to send; the rest fails when nothing arrives for 1 s. a_long_reply_on_a_narrow_link_arrives failed before.

--- a/cluster/src/transport.rs
+++ b/cluster/src/transport.rs
@@ -21,6 +21,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// The delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// A reply of which no further byte arrives for this long has failed.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The least that a link is expected to carry.
+const MIN_BYTES_PER_SECOND: f64 = 100_000.0;
 /// The maximum size of the buffer that is allocated for a frame before any of it has arrived.
 const INITIAL_BUFFER_BYTES: usize = 64 << 10;
 
@@ -100,6 +104,35 @@
     stream: &mut TcpStream,
     counters: &Counters,
 ) -> Result<Frame<T>, TransportError> {
+    let length = read_length(stream, counters).await?;
+    // The buffer grows with the bytes that arrive and not by the claimed length.
+    let mut bytes = Vec::with_capacity(length.min(INITIAL_BUFFER_BYTES));
+    let read = stream.take(length as u64).read_to_end(&mut bytes).await;
+    if read.map_err(|_| TransportError::Closed)? < length {
+        return Err(TransportError::Closed);
+    }
+    decode_frame(&bytes, counters)
+}
+
+/// Like [`read_frame`], for a frame that may take as long as it needs while bytes keep arriving.
+async fn read_long_frame<T: DeserializeOwned>(
+    stream: &mut TcpStream,
+    length: usize,
+    counters: &Counters,
+) -> Result<Frame<T>, TransportError> {
+    let mut bytes = Vec::with_capacity(length.min(INITIAL_BUFFER_BYTES));
+    let mut stream = stream.take(length as u64);
+    while bytes.len() < length {
+        let read = timeout(PROGRESS_TIMEOUT, stream.read_buf(&mut bytes)).await;
+        match read.map_err(|_| TransportError::Closed)? {
+            Ok(0) | Err(_) => return Err(TransportError::Closed),
+            Ok(_) => {}
+        }
+    }
+    decode_frame(&bytes, counters)
+}
+
+async fn read_length(stream: &mut TcpStream, counters: &Counters) -> Result<usize, TransportError> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await.map_err(|_| TransportError::Closed)?;
     let length = u32::from_be_bytes(length) as usize;
@@ -107,15 +140,16 @@
         counters.increment(Counter::PeerFramesOversized);
         return Err(TransportError::Oversized);
     }
-    // The buffer grows with the bytes that arrive and not by the claimed length.
-    let mut bytes = Vec::with_capacity(length.min(INITIAL_BUFFER_BYTES));
-    let read = stream.take(length as u64).read_to_end(&mut bytes).await;
-    if read.map_err(|_| TransportError::Closed)? < length {
-        return Err(TransportError::Closed);
-    }
-    counters.add(Counter::PeerBytesReceived, length as u64 + 4);
-    match wire::decode(&bytes) {
-        Ok(value) => Ok(Frame { value, bytes: length + 4 }),
+    Ok(length)
+}
+
+fn decode_frame<T: DeserializeOwned>(
+    bytes: &[u8],
+    counters: &Counters,
+) -> Result<Frame<T>, TransportError> {
+    counters.add(Counter::PeerBytesReceived, bytes.len() as u64 + 4);
+    match wire::decode(bytes) {
+        Ok(value) => Ok(Frame { value, bytes: bytes.len() + 4 }),
         Err(_) => {
             counters.increment(Counter::PeerFramesMalformed);
             Err(TransportError::Malformed)
@@ -123,12 +157,16 @@
     }
 }
 
-/// Returns the size of the frame in bytes.
 async fn write_frame<T: Serialize>(
     stream: &mut TcpStream,
     value: &T,
     counters: &Counters,
-) -> Result<usize, TransportError> {
+) -> Result<(), TransportError> {
+    let bytes = encode_frame(value, counters)?;
+    write_bytes(stream, &bytes, counters).await
+}
+
+fn encode_frame<T: Serialize>(value: &T, counters: &Counters) -> Result<Vec<u8>, TransportError> {
     let body = wire::encode(value);
     if body.len() > MAX_FRAME_BYTES {
         counters.increment(Counter::PeerFramesOversized);
@@ -137,9 +175,17 @@
     let mut bytes = Vec::with_capacity(body.len() + 4);
     bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
     bytes.extend_from_slice(&body);
-    stream.write_all(&bytes).await.map_err(|_| TransportError::Closed)?;
+    Ok(bytes)
+}
+
+async fn write_bytes(
+    stream: &mut TcpStream,
+    bytes: &[u8],
+    counters: &Counters,
+) -> Result<(), TransportError> {
+    stream.write_all(bytes).await.map_err(|_| TransportError::Closed)?;
     counters.add(Counter::PeerBytesSent, bytes.len() as u64);
-    Ok(bytes.len())
+    Ok(())
 }
 
 /// Rejects a node of another system or fleet.
@@ -168,8 +214,9 @@
         Client { handshake, counters, idle: Mutex::default() }
     }
 
-    /// Sends a request and waits for its reply, for at most `call_timeout`. `is_cross_zone` only affects
-    /// the counters.
+    /// Sends a request and waits for its reply. The reply must begin within `call_timeout`, to which the time is
+    /// added that a long request takes on a narrow link; it may then take as long as bytes keep arriving.
+    /// `is_cross_zone` only affects the counters.
     ///
     /// # Errors
     /// [`TransportError`]. After an error it is not known whether the request was executed, so callers must
@@ -182,8 +229,7 @@
         is_cross_zone: bool,
     ) -> Result<Reply, TransportError> {
         self.counters.increment(Counter::PeerCalls);
-        let outcome = timeout(call_timeout, self.call_once(address, request)).await;
-        let outcome = outcome.unwrap_or(Err(TransportError::Closed));
+        let outcome = self.call_once(address, request, call_timeout).await;
         if is_cross_zone && let Ok(reply) = &outcome {
             self.counters.add(Counter::PeerBytesOtherZone, reply.bytes as u64);
         }
@@ -200,20 +246,36 @@
         &self,
         address: SocketAddr,
         request: &Request,
+        call_timeout: Duration,
     ) -> Result<Frame<Reply>, TransportError> {
-        let idle = self.idle_connections().get_mut(&address).and_then(Vec::pop);
-        let mut stream = match idle {
-            Some(stream) => stream,
-            None => self.connect(address).await?,
-        };
-        let sent_bytes = write_frame(&mut stream, request, &self.counters).await?;
-        let reply = read_frame::<Reply>(&mut stream, &self.counters).await?;
+        let request = encode_frame(request, &self.counters)?;
+        let sending_time = Duration::from_secs_f64(request.len() as f64 / MIN_BYTES_PER_SECOND);
+        let beginning = self.begin_call(address, &request);
+        let begun = timeout(call_timeout + sending_time, beginning).await;
+        let (mut stream, reply_length) = begun.unwrap_or(Err(TransportError::Closed))?;
+        let reply = read_long_frame::<Reply>(&mut stream, reply_length, &self.counters).await?;
         let mut idle = self.idle_connections();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(stream);
         }
-        Ok(Frame { value: reply.value, bytes: sent_bytes + reply.bytes })
+        Ok(Frame { value: reply.value, bytes: request.len() + reply.bytes })
+    }
+
+    /// Sends the frame of a request; returns the connection, and the length of the reply once it begins.
+    async fn begin_call(
+        &self,
+        address: SocketAddr,
+        request: &[u8],
+    ) -> Result<(TcpStream, usize), TransportError> {
+        let idle = self.idle_connections().get_mut(&address).and_then(Vec::pop);
+        let mut stream = match idle {
+            Some(stream) => stream,
+            None => self.connect(address).await?,
+        };
+        write_bytes(&mut stream, request, &self.counters).await?;
+        let reply_length = read_length(&mut stream, &self.counters).await?;
+        Ok((stream, reply_length))
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream, TransportError> {
