--- a/cluster/src/gossip/response.rs
+++ b/cluster/src/gossip/response.rs
@@ -27,14 +27,13 @@
         }
         let is_reporting_registry = pull.is_leaf && self.own_info.role == Role::Registry;
         let update = self.endpoints.update_for(pull.endpoint_list_revision);
-        let sends_list_read = !pull.is_leaf || update.full.is_some() || update.delta.is_some();
         PullResponse {
             nodes: self.node_deltas(now, pull),
             config: (self.active_revision() > pull.config_revision)
                 .then(|| (*self.committed).clone()),
             endpoint_list: update.full,
             endpoint_list_delta: update.delta,
-            list_read: self.endpoints.latest_read(now).filter(|_| sends_list_read),
+            list_read: self.endpoints.latest_read(now),
             list_reading: self.own_list_reading.filter(|_| !pull.is_leaf),
             plan: (self.plan.version() > pull.plan_version).then(|| (*self.plan).clone()),
             unreachable: is_reporting_registry.then(|| self.unreachable_for(pull)),
--- a/proxy/src/endpoints/mod.rs
+++ b/proxy/src/endpoints/mod.rs
@@ -13,6 +13,7 @@
 mod reporter;
 mod selection;
 mod slow_start;
+mod stale_list;
 mod state;
 mod subset;
 mod table;
@@ -28,6 +29,7 @@
 
 use crate::health::ServerPhase;
 use crate::latency_model::{RequestProfiles, ZonePools};
+use stale_list::StaleList;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -56,6 +58,7 @@
     pub verifies_responses: bool,
     pools: Mutex<ZonePools>,
     profiles: Mutex<RequestProfiles>,
+    stale_list: StaleList,
 }
 
 impl<C> Default for Endpoints<C> {
@@ -67,6 +70,7 @@
             verifies_responses: false,
             pools: Mutex::default(),
             profiles: Mutex::default(),
+            stale_list: StaleList::default(),
         }
     }
 }
--- a/proxy/src/endpoints/selection/least_cost.rs
+++ b/proxy/src/endpoints/selection/least_cost.rs
@@ -141,6 +141,7 @@
             ServerPhase::Suspect => SelectionPass::LastResort,
             ServerPhase::Unknown => SelectionPass::Fallback,
             _ if state.health.is_degraded(self.now, allows_trial) => SelectionPass::Fallback,
+            _ if self.endpoints.may_be_draining(state) => SelectionPass::Fallback,
             _ => SelectionPass::Preferred,
         }
     }
--- a/proxy/src/endpoints/selection/tiered.rs
+++ b/proxy/src/endpoints/selection/tiered.rs
@@ -227,7 +227,8 @@
             || (load_milli >= FULL_LOAD_MILLI && !state.is_load_report_stale(self.now));
         let allows_trial = self.is_idempotent && state.in_flight == 0;
         let is_fallback = state.health.phase == ServerPhase::Unknown
-            || state.health.is_degraded(self.now, allows_trial);
+            || state.health.is_degraded(self.now, allows_trial)
+            || self.endpoints.may_be_draining(state);
         let is_usable = !is_suspect && !is_full && is_fallback == (pass == SelectionPass::Fallback);
         is_usable.then_some((state.in_flight + 1) * u64::from(100 + load_milli))
     }
--- a/proxy/src/endpoints/state.rs
+++ b/proxy/src/endpoints/state.rs
@@ -50,6 +50,8 @@
     /// Whether it has sent bytes that belong to no request: each connection then carries one request
     /// at most.
     pub(super) is_desynchronized: bool,
+    /// When it last announced the end of a connection in a response.
+    pub(super) announced_close_at: Option<Duration>,
     pub(super) last_probe_at: Option<Duration>,
     /// Whether this proxy was in contact with it at the last tick.
     pub(super) was_in_contact: bool,
@@ -79,6 +81,7 @@
             idle: Vec::new(),
             probing: false,
             is_desynchronized: false,
+            announced_close_at: None,
             last_probe_at: None,
             was_in_contact: false,
         }
--- a/proxy/src/endpoints/tests.rs
+++ b/proxy/src/endpoints/tests.rs
@@ -411,3 +411,26 @@
     update(5, &|list| list.servers[1].address = "127.0.0.1:9099".parse().unwrap());
     assert!(is_withdrawn(&fixture.drained_zones), "it was replaced");
 }
+
+/// While the list is older than it may be, a server that has announced the end of a connection since then is
+/// used only if there is no other; a current list is believed.
+#[test]
+fn a_server_that_closes_connections_is_avoided_while_the_list_is_stale() {
+    let fixture = fixture();
+    let (near, read_at) = (fixture.slot("s-a1"), Some(Duration::from_secs(10)));
+    assert!(!fixture.endpoints.observe_list_age(Duration::from_secs(11), read_at));
+    fixture.endpoints.record_closing(Duration::from_secs(11), near);
+    assert_eq!(fixture.select(1, 11), "s-a1", "the list is current");
+    assert!(fixture.endpoints.observe_list_age(Duration::from_secs(13), read_at));
+    assert!(fixture.endpoints.has_stale_list());
+    assert_eq!(fixture.select(1, 13), "s-a2");
+    for id in ["s-a2", "s-b1", "t-a1", "t-b1"] {
+        fixture.endpoints.record_closing(Duration::from_secs(13), fixture.slot(id));
+    }
+    assert_eq!(fixture.select(1, 13), "s-a1", "there is no other");
+    // A later read shows no mark.
+    let later = Some(Duration::from_secs(14));
+    assert!(fixture.endpoints.observe_list_age(Duration::from_secs(14), later));
+    assert!(!fixture.endpoints.has_stale_list());
+    assert_eq!(fixture.select(1, 14), "s-a2", "s-a1 has two requests in flight");
+}
--- a/proxy/src/forward/attempt.rs
+++ b/proxy/src/forward/attempt.rs
@@ -134,6 +134,9 @@
         self.observe_load(&head.headers);
         self.check_belongs_to_request(&head, id.as_ref())?;
         self.check_framing(&head, &method)?;
+        if announces_close(&head.headers) {
+            self.proxy.endpoints.record_closing(self.proxy.now(), self.endpoint().slot);
+        }
         if !head.status.is_server_error() {
             self.observe_latency(&head.headers, content_length, record);
         }
@@ -298,6 +301,14 @@
     }
 }
 
+/// Whether the server closes the connection after this response (RFC 9112, section 9.6).
+fn announces_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options =
+        values.filter_map(|value| value.to_str().ok()).flat_map(|text| text.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 fn content_length(headers: &HeaderMap) -> Option<f64> {
     headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/proxy/src/shell/maintenance.rs
+++ b/proxy/src/shell/maintenance.rs
@@ -121,6 +121,9 @@
     /// Applies the traffic-shift plan, assigns the subset, and starts the health checks that are due.
     fn tick_endpoints(&mut self, now: Duration, view: &ClusterView) {
         let proxy = &self.proxy;
+        if proxy.endpoints.observe_list_age(now, view.endpoint_list_read_at) {
+            log_list_age(proxy, now, view);
+        }
         proxy.live_proxies.store(live_proxies(view), Ordering::Relaxed);
         let table = proxy.endpoints.table.load_full();
         let plan = view.plan.version();
@@ -200,3 +203,11 @@
         }
     }
 }
+
+fn log_list_age(proxy: &Proxy, now: Duration, view: &ClusterView) {
+    let age_ms = view.endpoint_list_age(now).map_or(0, |age| age.as_millis());
+    match proxy.endpoints.has_stale_list() {
+        true => log::info!("endpoint list is stale: last read {age_ms} ms ago"),
+        false => log::info!("endpoint list is current again: read {age_ms} ms ago"),
+    }
+}
--- a/proxy/src/shell/status.rs
+++ b/proxy/src/shell/status.rs
@@ -47,6 +47,7 @@
         "setupRevision": view.committed.config_revision,
         "configLease": config_lease(proxy),
         "platformRevision": view.endpoints.revision,
+        "listStale": proxy.endpoints.has_stale_list(),
         "listAge": proxy.node.list_ages.as_json(&LIST_STAGES),
         "emptied": drained_zones,
         "epoch": view.plan.epoch,
