--- a/testbed/src/sim/event_loop.rs
+++ b/testbed/src/sim/event_loop.rs
@@ -80,6 +80,11 @@
                     self.step_store_call(index, store_call);
                 }
             }
+            Timer::ListReadEnded => {
+                if let Some(index) = self.node_by_host.get(&host).copied() {
+                    self.list_read_ended(index);
+                }
+            }
             Timer::NextOperatorCall => operators::next_call(self),
             other => self.traffic_timer(host, other),
         }
--- a/testbed/src/sim/mutations.rs
+++ b/testbed/src/sim/mutations.rs
@@ -79,6 +79,8 @@
     /// A starting node uses the first configuration that it receives, without waiting for a read index.
     #[strum(serialize = "no-floor")]
     SkipsReadIndex,
+    /// The registry whose name sorts first reads the endpoint list, whether or not it can.
+    ReadsListsByName,
     /// Proxies accept keys that no tenant has.
     AcceptsUnknownKeys,
     /// Proxies name another tenant than the one that has the key.
--- a/testbed/src/sim/network/event.rs
+++ b/testbed/src/sim/network/event.rs
@@ -56,6 +56,8 @@
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timer {
+    /// The last page of a registry's read of the endpoint list has arrived, or the read has timed out.
+    ListReadEnded,
     /// A registry's next step of a call to the stores.
     StoreCall(usize),
     /// A client's next poll of the steering service.
--- a/testbed/src/sim/scenario/fleet.rs
+++ b/testbed/src/sim/scenario/fleet.rs
@@ -15,6 +15,7 @@
     let topology = plan.deployment.topology();
     let mut sim = Sim::new(seed, delays(plan.deployment));
     sim.has_unversioned_lists = plan.unversioned_lists;
+    sim.list_pages = plan.list_pages;
     sim.is_traced = plan.is_traced;
     sim.mutation = plan.mutation;
     sim.planned_crash = plan.planned_crash;
--- a/testbed/src/sim/scenario/plan.rs
+++ b/testbed/src/sim/scenario/plan.rs
@@ -47,6 +47,9 @@
     pub overlap: bool,
     /// The platform serves endpoint lists without revisions, and registries number them (design 4).
     pub unversioned_lists: bool,
+    /// The number of pages of the endpoint list, which are read one after the other, from a platform in the
+    /// region of the registry whose name sorts last. Only with `unversioned_lists`.
+    pub list_pages: u32,
     /// Requests need API keys, and operators change the keys of tenants in series.
     pub tenants: bool,
     /// The deliberate defect to run with.
@@ -69,6 +72,7 @@
             spares: 0,
             overlap: false,
             unversioned_lists: false,
+            list_pages: 1,
             tenants: false,
             mutation: None,
             planned_crash: None,
--- a/testbed/src/sim/state/mod.rs
+++ b/testbed/src/sim/state/mod.rs
@@ -60,6 +60,8 @@
     pub platform_list: Arc<EndpointList>,
     /// Whether the platform's lists have no revision, so that registries have to assign one.
     pub has_unversioned_lists: bool,
+    /// The number of pages of an unversioned list.
+    pub list_pages: u32,
     /// The platform's own revision of each list, by the revision that a registry assigned.
     pub source_list_revisions: HashMap<u64, u64>,
     /// The number of member slots of the stores.
@@ -109,6 +111,7 @@
             endpoint_lists_faulty: false,
             platform_list: Arc::default(),
             has_unversioned_lists: false,
+            list_pages: 1,
             source_list_revisions: HashMap::new(),
             member_slots: 3,
             world: World::default(),
--- a/testbed/src/sim/state/node.rs
+++ b/testbed/src/sim/state/node.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use vanepath_cluster::node::ClusterView;
 use vanepath_cluster::{gossip, wire};
+use vanepath_config::endpoint_list::EndpointList;
 use vanepath_registry::discovery::sequencer::ListSequencer;
 use vanepath_registry::leader::LeadershipReadiness;
 use vanepath_registry::store_client::StoreRequest;
@@ -51,6 +52,8 @@
     /// Assigns revisions to the lists of a platform that does not number them. Each incarnation has
     /// a new one.
     pub(in crate::sim) list_sequencer: Option<ListSequencer>,
+    /// The list whose pages are being read.
+    pub(in crate::sim) arriving_list: Option<Arc<EndpointList>>,
 }
 
 /// The state of a node's role.
--- a/testbed/tests/days.rs
+++ b/testbed/tests/days.rs
@@ -109,6 +109,54 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// The time from a change of the platform's list until all proxies go by it (design 4).
+const LIST_SHARE: Duration = Duration::from_millis(2000);
+
+/// A plan with a long list that only a registry in the platform's region, the last one by name, reads in time.
+fn long_list_plan(fault: Fault) -> Plan {
+    Plan {
+        unversioned_lists: true,
+        list_pages: 22,
+        stores: 5,
+        rate: 0.3,
+        overlap: true,
+        ..Plan::new(Deployment::Raiocerto, &[fault, Fault::ServerDrains])
+    }
+}
+
+/// Guards against a long endpoint list that is left to a registry too far from the platform to read it
+/// (incident 0022).
+#[test]
+fn a_long_list_is_read_by_the_registry_that_can() {
+    use vanepath_testbed::sim::mutations::Mutation;
+    let faults = [
+        Fault::None,
+        Fault::KillRegistry,
+        Fault::FreezeRegistry,
+        Fault::OneWayCut,
+        Fault::SlowNetwork,
+    ];
+    let found = std::sync::Mutex::new(Vec::new());
+    on_threads(cores(), faults.len(), |index| {
+        for seed in 1..=3 {
+            for violation in check(&run(seed, &long_list_plan(faults[index]))).violations {
+                let fault = faults[index];
+                found.lock().unwrap().push(format!("seed {seed} {fault:?}: {violation}"));
+            }
+        }
+    });
+    let found = found.into_inner().unwrap();
+    assert!(found.is_empty(), "{}", found.join("\n"));
+    // Without a fault every proxy knows a list within its share of the time limit for draining servers.
+    let worst_delay = |mutation| {
+        let plan = Plan { mutation, ..long_list_plan(Fault::None) };
+        (1..=3).map(|seed| check(&run(seed, &plan)).worst_config_delay).max().expect("three days")
+    };
+    let (delay, mutant_delay) = (worst_delay(None), worst_delay(Some(Mutation::ReadsListsByName)));
+    assert!(delay <= LIST_SHARE, "a list was known after {delay:?}");
+    assert!(mutant_delay > LIST_SHARE, "reading by name is not detected: {mutant_delay:?}");
+}
+
 /// The five worst cases of the control plane for users (docs/control.md), with three and with five core
 /// machines.
 #[test]
