--- a/proxy/src/endpoints/table.rs
+++ b/proxy/src/endpoints/table.rs
@@ -109,7 +109,10 @@
             });
             if probes_suspects_only(config, &services) {
                 let was_warming_up = known.is_some_and(|endpoint| endpoint.server.warming_up);
-                self.apply_listed_phase(now, slot, server.warming_up, was_warming_up);
+                let phase = self.apply_listed_phase(now, slot, server.warming_up, was_warming_up);
+                if let Some(phase) = phase.filter(|_| known.is_some()) {
+                    log_lines.push(format!("server {} is {phase} by the list", server.id));
+                }
             }
             if known.is_some_and(|endpoint| endpoint.server.draining != server.draining) {
                 let change = if server.draining { "is draining" } else { "is no longer draining" };
@@ -139,14 +142,14 @@
     }
 
     /// Applies the phase that the endpoint list states for a server that is probed only while it is
-    /// suspect.
+    /// suspect. Returns the new phase if it changed.
     fn apply_listed_phase(
         &self,
         now: Duration,
         slot: usize,
         is_warming_up: bool,
         was_warming_up: bool,
-    ) {
+    ) -> Option<ServerPhase> {
         self.update_health(slot, |health| {
             health.is_passively_checked = true;
             let is_unknown = health.phase == ServerPhase::Unknown;
@@ -155,7 +158,7 @@
             } else if !is_warming_up && (was_warming_up || is_unknown) {
                 health.mark_healthy(now);
             }
-        });
+        })
     }
 
     /// Removes the states of servers that are in the previous table but not in the new one.
