A server that the list still calls cold keeps its slow-start rate (FAILBACK)

Cause: a new server was listed as cold from 6.5 s on; the evacuation of its zone made it cold a second time while it was, so that the list never showed it warm; proxies watched for the edge of the flag, let the warm-up of the first time run out at 9.6 s and raised the rate step by step until 12.2 s. Class: a level that is acted on by its edges. The list's word now holds while it stands: no ramp, no end of a suspect's limit before the list calls it warm. a_server_that_the_list_still_calls_cold_keeps_its_slow_start_rate failed before.

--- a/proxy/src/endpoints/table.rs
+++ b/proxy/src/endpoints/table.rs
@@ -152,12 +152,7 @@
     ) -> Option<ServerPhase> {
         self.update_health(slot, |health| {
             health.is_passively_checked = true;
-            let is_unknown = health.phase == ServerPhase::Unknown;
-            if is_warming_up && (!was_warming_up || is_unknown) {
-                health.restart_slow_start(now, Duration::ZERO);
-            } else if !is_warming_up && (was_warming_up || is_unknown) {
-                health.mark_healthy(now);
-            }
+            health.apply_listed_phase(now, is_warming_up, was_warming_up);
         })
     }
 
--- a/proxy/src/endpoints/tests.rs
+++ b/proxy/src/endpoints/tests.rs
@@ -434,3 +434,60 @@
     assert!(!fixture.endpoints.has_stale_list());
     assert_eq!(fixture.select(1, 14), "s-a2", "s-a1 has two requests in flight");
 }
+
+/// Guards against a server that turns cold again while the list still calls it cold, and gets the rising rate
+/// of one that has warmed up (incident 0023).
+#[test]
+fn a_server_that_the_list_still_calls_cold_keeps_its_slow_start_rate() {
+    let ms = Duration::from_millis;
+    let text = CONFIG.replace(r#""app = s","#, r#""app = s", "probes": "in-doubt","#);
+    let config = Arc::new(parse(text.as_bytes()).unwrap());
+    let fixture =
+        Fixture { endpoints: Endpoints::default(), config, drained_zones: Default::default() };
+    let rate = |_: &Server, _: &[usize]| SlowStartRate::new(1.0, ms(3000), 0, 1);
+    let update = |at: Duration, revision: u64, list: &EndpointList| {
+        fixture.endpoints.update(at, TableRevision::new(1, revision), &fixture.config, list, rate);
+    };
+    let mut list = endpoint_list();
+    list.servers.retain(|server| server.id == "t-b1");
+    update(ms(0), 1, &list);
+    list.servers.extend(endpoint_list().servers.into_iter().filter(|server| server.id == "s-b1"));
+    list.servers[1].warming_up = true;
+    update(ms(1000), 2, &list);
+    let table = fixture.endpoints.table.load_full();
+    let drained_zones = BTreeSet::new();
+    let context = SelectionContext {
+        tenant: None,
+        rule: 0,
+        service: table.config.rules[0].service,
+        drained_zones: &drained_zones,
+        zone: "b1",
+        region: "b",
+        tried: &[],
+        only_alternative_for: None,
+        is_past_target: false,
+    };
+    let server = list.servers[1].clone();
+    let requests_between = |from_ms: u64, to_ms: u64| {
+        let selected = (from_ms..to_ms).step_by(10).filter(|at| {
+            fixture.endpoints.update_health(fixture.slot("s-b1"), |health| {
+                health.tick(ms(*at), rate(&server, &[]))
+            });
+            let selection = fixture.endpoints.select(ms(*at), &table, &context, 5);
+            let is_selected = matches!(selection, Selection::Server { .. });
+            if is_selected {
+                fixture.endpoints.release(fixture.slot("s-b1"));
+            }
+            is_selected
+        });
+        selected.count()
+    };
+    // One request a second, for as long as the list calls it cold, which is longer than its period.
+    for second in 1..8 {
+        assert!(requests_between(second * 1000, (second + 1) * 1000) <= 1, "second {second}");
+    }
+    // The list's word ends it.
+    list.servers[1].warming_up = false;
+    update(ms(8000), 3, &list);
+    assert!(requests_between(8000, 9000) > 10);
+}
--- a/proxy/src/health/mod.rs
+++ b/proxy/src/health/mod.rs
@@ -76,6 +76,8 @@
     /// Whether its health is determined by the traffic that it gets (passive health checks). It is then
     /// probed only while its health is uncertain.
     pub is_passively_checked: bool,
+    /// Whether the endpoint list says that it is warming up. Its warm-up then lasts at least as long.
+    is_listed_as_warming_up: bool,
     outliers: OutlierDetection,
 }
 
@@ -98,6 +100,7 @@
             next_request_at: now,
             slow_start_rate: SlowStartRate::default(),
             is_passively_checked: false,
+            is_listed_as_warming_up: false,
             outliers: OutlierDetection::new(now),
         }
     }
@@ -134,6 +137,20 @@
         }
     }
 
+    /// Applies what the endpoint list says of it, which is believed before its own timers: a server may turn
+    /// cold again before its warm-up is over. `was_warming_up` is what the previous list said.
+    pub fn apply_listed_phase(&mut self, now: Duration, is_warming_up: bool, was_warming_up: bool) {
+        self.is_listed_as_warming_up = is_warming_up;
+        let is_unknown = self.phase == ServerPhase::Unknown;
+        let has_begun =
+            was_warming_up && matches!(self.phase, ServerPhase::WarmingUp | ServerPhase::Suspect);
+        if is_warming_up && !has_begun {
+            self.restart_slow_start(now, Duration::ZERO);
+        } else if !is_warming_up && (was_warming_up || is_unknown) {
+            self.mark_healthy(now);
+        }
+    }
+
     /// Marks it as healthy without a success, because the endpoint list says so or a suspect server is
     /// tried again. Its traffic then shows whether that is right.
     pub fn mark_healthy(&mut self, now: Duration) {
@@ -310,7 +327,7 @@
         let period = slow_start_rate.period;
         let age = now.saturating_sub(self.since);
         match self.phase {
-            ServerPhase::WarmingUp if age >= period => {
+            ServerPhase::WarmingUp if age >= period && !self.is_listed_as_warming_up => {
                 self.enter_phase(now, ServerPhase::SlowStart)
             }
             ServerPhase::SlowStart if age >= period => {
@@ -318,7 +335,8 @@
                 self.enter_phase(now, ServerPhase::Healthy);
             }
             ServerPhase::Suspect
-                if self.slow_start_since.is_some_and(|since| now >= since + 2 * period) =>
+                if !self.is_listed_as_warming_up
+                    && self.slow_start_since.is_some_and(|since| now >= since + 2 * period) =>
             {
                 self.slow_start_since = None;
             }
