A registry whose reads go on failing keeps the longest pause between them

Found by reading: after the fourth failure in a row the pause between measuring reads went from 60 s back to 10 s. The test of the growing pause goes on for two more failures, and failed there. The format of a platform that serves its list by zone stands once for the tests of the registry now; those of paged_read are in tests/.

--- a/registry/src/discovery/paged_read.rs
+++ b/registry/src/discovery/paged_read.rs
@@ -216,6 +216,3 @@
         CompleteList { revision: self.revision, servers }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/registry/src/discovery/sequencer.rs
+++ b/registry/src/discovery/sequencer.rs
@@ -35,7 +35,7 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 /// The same after a failed read; it doubles with each further failure, up to [`TRIAL_INTERVAL`].
 const FAILED_TRIAL_INTERVAL: Duration = Duration::from_secs(10);
-/// A read by which a registry's earlier failures count as over.
+/// After this many complete reads a registry's earlier failures count as over.
 const READS_TO_RECOVER: u32 = 20;
 /// The pause after the platform has rejected a call because of its rate limit: its window.
 const RATE_LIMIT_PAUSE: Duration = Duration::from_secs(1);
@@ -86,8 +86,9 @@
     is_superseded: bool,
     /// How well this registry reads the list, as the others are told.
     reading: Option<ListReading>,
-    /// When a registry that others go before reads again to measure its reads, after its last one.
-    trial_interval: Duration,
+    /// Failed reads since the earlier ones count as over.
+    failures: u32,
+    /// Complete reads since the last failed one.
     successes: u32,
     /// No read begins before this time.
     paused_until: Duration,
@@ -104,7 +105,7 @@
             last_began_at: None,
             is_superseded: false,
             reading: None,
-            trial_interval: TRIAL_INTERVAL,
+            failures: 0,
             successes: 0,
             paused_until: Duration::ZERO,
         }
@@ -191,21 +192,28 @@
         }
         self.successes += 1;
         if self.successes >= READS_TO_RECOVER {
-            self.trial_interval = TRIAL_INTERVAL;
+            self.failures = 0;
         }
     }
 
     /// Records a failed read: the others go before this registry until a read succeeds.
     fn record_failure(&mut self) {
         self.reading = Some(ListReading::Unable);
-        let has_failed_lately = self.trial_interval < TRIAL_INTERVAL;
-        self.trial_interval = match has_failed_lately {
-            true => (self.trial_interval * 2).min(TRIAL_INTERVAL),
-            false => FAILED_TRIAL_INTERVAL,
-        };
+        self.failures += 1;
         self.successes = 0;
     }
 
+    /// When a registry that others go before reads again to measure its reads, after its last one.
+    fn trial_interval(&self) -> Duration {
+        match self.failures.checked_sub(1) {
+            Some(doublings) => {
+                let factor = 2_u32.saturating_pow(doublings);
+                FAILED_TRIAL_INTERVAL.saturating_mul(factor).min(TRIAL_INTERVAL)
+            }
+            None => TRIAL_INTERVAL,
+        }
+    }
+
     fn revision_after(&self, known_revision: u64) -> u64 {
         ((known_revision >> READER_BITS) + 1) << READER_BITS | u64::from(self.reader_number)
     }
@@ -225,7 +233,7 @@
                 let is_takeover_due =
                     view.endpoint_list_read_at.is_none_or(|at| has_elapsed(at, delay))
                         && has_elapsed(last_began_at, delay * TAKEOVER_PAUSE_FACTOR);
-                is_takeover_due || has_elapsed(last_began_at, self.trial_interval)
+                is_takeover_due || has_elapsed(last_began_at, self.trial_interval())
             }
         }
     }
--- a/registry/src/discovery/sequencer/tests.rs
+++ b/registry/src/discovery/sequencer/tests.rs
@@ -309,7 +309,7 @@
     sequencer.on_read_completed(ms(now), &view, None);
     assert_eq!(sequencer.reading(), Some(ListReading::Unable));
     let mut last = now;
-    while trials.len() < 4 {
+    while trials.len() < 6 {
         now += 50;
         // The first one reads all the while.
         view.endpoint_list_read_at = Some(ms(now));
@@ -319,7 +319,7 @@
             sequencer.on_read_completed(ms(now), &view, None);
         }
     }
-    assert_eq!(trials, [10_000, 20_000, 40_000, 60_000]);
+    assert_eq!(trials, [10_000, 20_000, 40_000, 60_000, 60_000, 60_000]);
 }
 
 /// Reads whose times vary by less than a factor of two do not change the order of reading.
--- a/registry/tests/cluster_model/mod.rs
+++ b/registry/tests/cluster_model/mod.rs
@@ -14,6 +14,7 @@
 use self::network::{Message, PendingPull};
 use self::platform::Platform;
 use self::reads::PendingRead;
+use crate::zoned_format::ZonedFormat;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -223,7 +224,7 @@
             region: location,
             one_way_delay: Duration::from_millis(ONE_WAY_DELAYS_MS[location]),
             sequencer,
-            layout: ListLayout::new(SelectedFormat(&platform::ZONED_FORMAT), "/servers", zones),
+            layout: ListLayout::new(SelectedFormat(&ZonedFormat), "/servers", zones),
             pending_read: None,
             tick_at: jitter,
             poll_at: jitter,
--- a/registry/tests/endpoint_list_order.rs
+++ b/registry/tests/endpoint_list_order.rs
@@ -3,6 +3,7 @@
 //! 0017).
 
 mod cluster_model;
+mod zoned_format;
 
 use cluster_model::{ClusterModel, FaultKind, ReaderFault, Scenario};
 use std::ops::RangeInclusive;
--- a/registry/src/discovery/paged_read/tests.rs
+++ b/registry/tests/paged_read.rs
@@ -1,46 +1,14 @@
-use super::{ListLayout, ListPart, MAX_PAGES, PageRequest, PagedRead, TooManyPages};
-use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
-use vanepath_config::ValidationError;
-use vanepath_config::endpoint_list::Server;
-use vanepath_config::model::Config;
-use vanepath_config::wire_format::{
-    EndpointListPage, HeaderNames, NATIVE_FORMAT, SelectedFormat, WireFormat,
-};
-
-/// A format whose list can be read by zone.
-struct ZonedFormat;
-
-impl WireFormat for ZonedFormat {
-    fn headers(&self) -> &HeaderNames {
-        NATIVE_FORMAT.headers()
-    }
-
-    fn parse_config(&self, bytes: &[u8]) -> Result<Config, Vec<ValidationError>> {
-        NATIVE_FORMAT.parse_config(bytes)
-    }
-
-    fn zone_path(&self, path: &str, zone: &str) -> Option<String> {
-        Some(format!("{path}?zone={zone}"))
-    }
-
-    fn parse_page(
-        &self,
-        bytes: &[u8],
-        path: &str,
-        zones: &BTreeMap<String, String>,
-    ) -> Result<EndpointListPage, Vec<ValidationError>> {
-        NATIVE_FORMAT.parse_page(bytes, path, zones)
-    }
+//! Reads of endpoint lists in pages, short and long ones (design 4).
 
-    fn parse_load(&self, text: &str) -> Option<u32> {
-        NATIVE_FORMAT.parse_load(text)
-    }
+mod zoned_format;
 
-    fn retry_after(&self, delay: Duration) -> String {
-        NATIVE_FORMAT.retry_after(delay)
-    }
-}
+use std::collections::VecDeque;
+use vanepath_config::endpoint_list::Server;
+use vanepath_config::wire_format::{EndpointListPage, NATIVE_FORMAT, SelectedFormat};
+use vanepath_registry::discovery::paged_read::{
+    ListLayout, ListPart, MAX_PAGES, PageRequest, PagedRead, TooManyPages,
+};
+use zoned_format::ZonedFormat;
 
 const PAGE_SIZE: usize = 5;
 
