A mark that ends under an unchanged revision reaches the routing table

Found by reading: a retained draining mark may end with a later read of the same list; the list changes under its revision then, and a proxy, which compared revisions, would have kept the server as draining until the next change. The proxy compares the list itself too. the_end_of_a_mark_changes_the_list_under_its_revision shows the state; a_server_that_stays_after_all_is_used_again (real programs) passed before as well, since on loopback all nodes let a mark go with the same list.

--- a/cluster/src/endpoint_cache/drain_marks/tests.rs
+++ b/cluster/src/endpoint_cache/drain_marks/tests.rs
@@ -1,4 +1,5 @@
 use super::DrainMarks;
+use crate::endpoint_cache::EndpointCache;
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_config::endpoint_list::{EndpointList, Server};
@@ -68,3 +69,17 @@
     assert_eq!(draining(&marks.apply(&list(1, &[("a", true)]), None)), ["a"]);
     assert_eq!(draining(&marks.apply(&list(2, &[("a", false)]), None)), [""; 0]);
 }
+
+/// A mark that ends with a later read of the same list changes the current list under its revision; those who
+/// compare revisions alone would keep the mark.
+#[test]
+fn the_end_of_a_mark_changes_the_list_under_its_revision() {
+    let mut cache = EndpointCache::default();
+    cache.apply(list(1, &[("a", true), ("b", false)]), ms(1000));
+    cache.apply(list(2, &[("a", false), ("b", false)]), ms(2950));
+    let retained = cache.current().clone();
+    assert_eq!((retained.revision, draining(&retained)), (2, vec!["a"]));
+    assert!(cache.record_read(2, Duration::from_millis(3550)));
+    assert_eq!((cache.current().revision, draining(cache.current())), (2, vec![]));
+    assert!(!Arc::ptr_eq(&retained, cache.current()));
+}
--- a/proxy/src/shell/maintenance.rs
+++ b/proxy/src/shell/maintenance.rs
@@ -12,6 +12,7 @@
 use tokio::time::MissedTickBehavior;
 use vanepath_cluster::node::{ClusterView, HandleEvent};
 use vanepath_cluster::{gossip, wire};
+use vanepath_config::endpoint_list::EndpointList;
 
 /// The interval between two ticks. A change of the cluster view causes a tick at once.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -42,6 +43,8 @@
     proxy: Arc<Proxy>,
     /// The revisions of the config and the endpoint list that the routing table was made from.
     revision: TableRevision,
+    /// That list itself: the end of a retained draining mark changes it under its revision.
+    endpoint_list: Arc<EndpointList>,
     /// The version of the traffic-shift plan that was applied last, and the revision of the routing
     /// table to which it was applied.
     applied_plan: Option<(wire::PlanVersion, TableRevision)>,
@@ -71,6 +74,7 @@
         MaintenanceActor {
             proxy,
             revision: TableRevision::new(u64::MAX, u64::MAX),
+            endpoint_list: Arc::default(),
             applied_plan: None,
             probe_schedule: ProbeSchedule::default(),
             reporter: ObservationReporter::default(),
@@ -82,9 +86,10 @@
     /// Updates the classes and the routing table if there is a new config or endpoint list.
     fn update_from_view(&mut self, now: Duration, view: &ClusterView) {
         let revision = revision_of(view);
-        if revision == self.revision {
+        if revision == self.revision && Arc::ptr_eq(&self.endpoint_list, &view.endpoints) {
             return;
         }
+        self.endpoint_list = view.endpoints.clone();
         if self.revision.config != revision.config {
             self.apply_config(view);
         }
