Count and log how each client connection ends, and with which request in progress

Counters on every program's metrics and on the proxy's status page; while the process shuts down each end is logged with its request. No change in how connections are closed.

--- a/cluster/src/node/http.rs
+++ b/cluster/src/node/http.rs
@@ -1,16 +1,19 @@
 //! The HTTP/1.1 server (RFC 9112): listeners, connections, graceful shutdown, bodies and JSON responses.
 
+use super::connections::{ClientConnections, RequestInProgress, RequestTracker, ServedConnection};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -36,13 +39,15 @@
 }
 
 /// Accepts connections until `stop` becomes true, and then waits until the open ones have ended. The wait is
-/// only limited by the program's own grace period.
+/// only limited by the program's own grace period. `serve` serves a connection, reports the requests on it to
+/// the tracker, and returns the connection to be closed.
 pub async fn accept<F>(
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
-    serve: impl Fn(TcpStream, watch::Receiver<bool>) -> F,
+    connections: Arc<ClientConnections>,
+    serve: impl Fn(TcpStream, RequestTracker, watch::Receiver<bool>) -> F,
 ) where
-    F: Future<Output = ()> + Send + 'static,
+    F: Future<Output = ServedConnection> + Send + 'static,
 {
     // Each open connection holds a clone, so the reference count is the number of connections plus one.
     let open_connections = Arc::new(());
@@ -52,17 +57,20 @@
             accepted = listener.accept() => accepted,
             _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             // File descriptors are exhausted: some connections must end first.
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let connection_future = serve(stream, connection_stop.clone());
+        let requests = RequestTracker::default();
+        let open_connection = connections.begin(peer, requests.clone());
+        let serving = serve(stream, requests, connection_stop.clone());
         let open_connections = open_connections.clone();
         tokio::spawn(async move {
-            let _open_connection = open_connections;
-            connection_future.await;
+            let _open_connections = open_connections;
+            let served = serving.await;
+            open_connection.close(&served);
         });
     }
     drop(listener);
@@ -76,35 +84,89 @@
 pub async fn serve_http<H, F>(
     listener: TcpListener,
     stop: watch::Receiver<bool>,
+    connections: Arc<ClientConnections>,
     settings: HttpSettings,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + Unpin + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    accept(listener, stop, |stream, mut stop| {
-        let handler = handler.clone();
-        async move {
-            let service = service_fn(move |request| {
-                let response = handler(request);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            let io = TokioIo::new(stream);
-            let connection = settings.builder().serve_connection(io, service);
-            tokio::pin!(connection);
-            let has_ended = tokio::select! {
-                _ = &mut connection => true,
-                _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => false,
-            };
-            if !has_ended {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
-        }
+    accept(listener, stop, connections, |stream, requests, stop| {
+        serve_connection(stream, requests, stop, settings, handler.clone())
     })
     .await;
 }
 
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    requests: RequestTracker,
+    mut stop: watch::Receiver<bool>,
+    settings: HttpSettings,
+    handler: H,
+) -> ServedConnection
+where
+    H: Fn(Request<Incoming>) -> F + Unpin,
+    F: Future<Output = Response<Body>>,
+{
+    let service = service_fn(move |request| {
+        requests.begin(RequestInProgress::of(&request, None));
+        let guard = RequestGuard(requests.clone());
+        let response = handler(request);
+        async move { Ok::<_, Infallible>(response.await.map(|body| GuardedBody { body, guard })) }
+    });
+    let mut connection = settings.builder().serve_connection(TokioIo::new(stream), service);
+    let served = tokio::select! {
+        result = &mut connection => Some(result),
+        _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => None,
+    };
+    let result = match served {
+        Some(result) => result,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let parts = connection.into_parts();
+    ServedConnection::new(parts.io.into_inner(), parts.read_buf.len(), result)
+}
+
+/// Ends a request in its connection's tracker when it is dropped.
+struct RequestGuard(RequestTracker);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+/// The body of a response, with a guard that is dropped with it, whether the body was written or not.
+pub struct GuardedBody<G> {
+    /// The body itself.
+    pub body: Body,
+    /// The guard.
+    pub guard: G,
+}
+
+impl<G: Unpin> hyper::body::Body for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
+
 /// Settings for HTTP connections.
 #[derive(Clone, Copy)]
 pub struct HttpSettings {
--- a/cluster/src/node/mod.rs
+++ b/cluster/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod cluster_view;
+mod connections;
 mod gossip_actor;
 mod http;
 mod list_ages;
@@ -14,8 +15,11 @@
 
 pub use clock::Clock;
 pub use cluster_view::ClusterView;
+pub use connections::{ClientConnections, RequestInProgress, RequestTracker, ServedConnection};
 pub use gossip_actor::{GossipActor, HandleEvent, ListPeers};
-pub use http::{Body, BodyError, HttpSettings, accept, bind, body, json_response, serve_http};
+pub use http::{
+    Body, BodyError, GuardedBody, HttpSettings, accept, bind, body, json_response, serve_http,
+};
 pub use list_ages::{ListAges, ListStage};
 pub use logging::init_logging;
 pub use pages::common_pages;
@@ -44,6 +48,10 @@
     pub transport: Arc<Client>,
     /// The counters of the cluster layer.
     pub transport_counters: Arc<Counters>,
+    /// The connections of clients.
+    pub client_connections: Arc<ClientConnections>,
+    /// The connections to the admin pages, where these have a listener of their own.
+    pub admin_connections: Arc<ClientConnections>,
     /// How old the endpoint list was at the stages of its way.
     pub list_ages: Arc<ListAges>,
     /// The gossip actor.
@@ -106,11 +114,15 @@
             settings.listen,
             settings.cluster_listen
         );
+        let new_connections = || Arc::new(ClientConnections::new(signals.is_signalled.clone()));
+        let (client_connections, admin_connections) = (new_connections(), new_connections());
         Ok(Arc::new(Node {
             settings,
             clock,
             transport,
             transport_counters: counters,
+            client_connections,
+            admin_connections,
             list_ages,
             gossip: gossip.address,
             current_view: gossip.current_view,
--- a/cluster/src/node/pages.rs
+++ b/cluster/src/node/pages.rs
@@ -18,6 +18,7 @@
         "/v1/metrics" => {
             let mut counters = jzon::JsonValue::new_object();
             node.transport_counters.write_json(&mut counters);
+            node.client_connections.counters.write_json(&mut counters);
             metrics(&mut counters);
             Some(json_response(StatusCode::OK, &counters))
         }
--- a/proxy/src/pipelining/mod.rs
+++ b/proxy/src/pipelining/mod.rs
@@ -8,7 +8,7 @@
 mod stream;
 
 pub use scanner::{RequestHead, RequestScanner};
-pub use stream::{PipelinedStream, TrackedBody};
+pub use stream::PipelinedStream;
 
 use bytes::BytesMut;
 use std::collections::BTreeMap;
@@ -19,7 +19,7 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use vanepath_cluster::node::Body;
+use vanepath_cluster::node::{Body, RequestInProgress, RequestTracker};
 
 /// The maximum number of bytes that are read ahead of the HTTP library.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
@@ -61,6 +61,7 @@
     received: u64,
     /// Whether the last request that the library passed on is still in flight.
     is_busy: bool,
+    requests: RequestTracker,
     /// The requests that were started before their turn, by their number on the connection.
     started: BTreeMap<u64, StartedRequest>,
 }
@@ -70,8 +71,8 @@
 pub struct Pipeline(Arc<Mutex<ConnectionState>>);
 
 impl Pipeline {
-    /// Takes over a connection from which nothing has been read yet.
-    pub fn new(stream: TcpStream) -> Pipeline {
+    /// Takes over a connection from which nothing has been read yet. Its requests are reported to the tracker.
+    pub fn new(stream: TcpStream, requests: RequestTracker) -> Pipeline {
         Pipeline(Arc::new(Mutex::new(ConnectionState {
             stream,
             unread: BytesMut::new(),
@@ -80,10 +81,22 @@
             scanner: RequestScanner::default(),
             received: 0,
             is_busy: false,
+            requests,
             started: BTreeMap::new(),
         })))
     }
 
+    /// Returns the connection. No other clone may be in use any more.
+    pub fn into_stream(self) -> TcpStream {
+        let state = Arc::into_inner(self.0).expect("the connection has been served");
+        state.into_inner().expect("no panic under this lock").stream
+    }
+
+    /// The number of bytes that were read ahead and that the library has not read.
+    pub fn unread_bytes(&self) -> usize {
+        self.state().unread.len()
+    }
+
     fn state(&self) -> MutexGuard<'_, ConnectionState> {
         self.0.lock().expect("no panic under this lock")
     }
@@ -117,13 +130,15 @@
 
     /// Records that the library passes its next request to the service. Returns the task of the
     /// request if it was started already, unless its method or target differ from those found then.
-    pub fn receive(&self, method: &str, target: &str) -> Option<JoinHandle<Response>> {
+    pub fn receive(&self, request: RequestInProgress) -> Option<JoinHandle<Response>> {
         let mut state = self.state();
         state.received += 1;
         state.is_busy = true;
         let number = state.received;
+        state.requests.begin(request.clone());
         let mut started = state.started.remove(&number)?;
-        let is_same_request = started.method == method && started.target == target;
+        let target = request.target.path_and_query().map_or("", |target| target.as_str());
+        let is_same_request = started.method == request.method.as_str() && started.target == target;
         if is_same_request { started.task.take() } else { None }
     }
 
@@ -134,8 +149,22 @@
     }
 
     /// Records that the response to the request in flight was written or abandoned.
-    pub fn finish(&self) {
-        self.state().is_busy = false;
+    fn finish(&self) {
+        let mut state = self.state();
+        state.is_busy = false;
+        state.requests.end();
+    }
+}
+
+/// Marks the request in flight as finished when it is dropped.
+pub struct FinishGuard {
+    /// The connection of the request.
+    pub pipeline: Pipeline,
+}
+
+impl Drop for FinishGuard {
+    fn drop(&mut self) {
+        self.pipeline.finish();
     }
 }
 
--- a/proxy/src/pipelining/stream.rs
+++ b/proxy/src/pipelining/stream.rs
@@ -1,13 +1,11 @@
-//! The stream that the HTTP library reads and writes, and bodies that report the end of each response.
+//! The stream that the HTTP library reads and writes.
 
 use super::{Pipeline, StartRequest};
-use bytes::{Buf, Bytes};
-use hyper::body::{Frame, SizeHint};
+use bytes::Buf;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use vanepath_cluster::node::{Body, BodyError};
 
 /// The client's connection as a stream for the HTTP library, which reads the bytes that were read
 /// ahead, then those that arrive.
@@ -71,38 +69,3 @@
         Pin::new(&mut self.pipeline.state().stream).poll_shutdown(context)
     }
 }
-
-/// The body of a response. Dropping it marks its request in the pipeline as finished, whether the body
-/// was written or not.
-pub struct TrackedBody {
-    /// The body itself.
-    pub body: Body,
-    /// The connection that it is written to.
-    pub pipeline: Pipeline,
-}
-
-impl Drop for TrackedBody {
-    fn drop(&mut self) {
-        self.pipeline.finish();
-    }
-}
-
-impl hyper::body::Body for TrackedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-}
--- a/proxy/src/shell/connections.rs
+++ b/proxy/src/shell/connections.rs
@@ -3,7 +3,7 @@
 
 use super::status;
 use crate::forward::{self, ADMIN_PREFIX, Proxy};
-use crate::pipelining::{Pipeline, PipelinedStream, RequestHead, Response, TrackedBody};
+use crate::pipelining::{FinishGuard, Pipeline, PipelinedStream, RequestHead, Response};
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -18,18 +18,21 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinHandle};
-use vanepath_cluster::node::{BodyError, HttpSettings};
+use vanepath_cluster::node::{
+    BodyError, GuardedBody, HttpSettings, RequestInProgress, RequestTracker, ServedConnection,
+};
 
 /// Serves a client's connection until it closes. Once `stop` turns true, the connection is closed after
 /// the responses to the request in flight and to the pipelined ones that have been started.
 pub(super) async fn serve_connection(
     proxy: Arc<Proxy>,
     stream: TcpStream,
+    requests: RequestTracker,
     stop: watch::Receiver<bool>,
     http: HttpSettings,
     has_admin_listener: bool,
-) {
-    let pipeline = Pipeline::new(stream);
+) -> ServedConnection {
+    let pipeline = Pipeline::new(stream, requests);
     let (pipeline_proxy, service_pipeline) = (proxy.clone(), pipeline.clone());
     let stream = PipelinedStream {
         pipeline: pipeline.clone(),
@@ -40,28 +43,27 @@
         let (proxy, pipeline) = (service_proxy.clone(), service_pipeline.clone());
         async move {
             let response = respond(&proxy, &pipeline, request, has_admin_listener).await;
-            let track = |body| TrackedBody { body, pipeline }.boxed_unsync();
-            Ok::<_, Infallible>(response.map(track))
+            let guard = FinishGuard { pipeline };
+            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
         }
     });
-    let connection = http.builder().serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    let mut connection = http.builder().serve_connection(TokioIo::new(stream), service);
     let mut stopped = stop.clone();
     let stopping = async move { stopped.wait_for(|stop| *stop).await.is_ok() };
     tokio::pin!(stopping);
     let mut is_stopped = false;
     let mut is_closing = false;
-    poll_fn(|context| {
+    let result = poll_fn(|context| {
         let start = |head: &RequestHead| forward::start_pipelined(&proxy, head);
         pipeline.poll(context, &start);
-        let mut polled = connection.as_mut().poll(context).map(|_| ());
+        let mut polled = Pin::new(&mut connection).poll(context);
         is_stopped = is_stopped || stopping.as_mut().poll(context).is_ready();
         // The service has received all requests that the client has sent so far, and responds to them
         // before the connection closes.
         if polled.is_pending() && is_stopped && !is_closing && !pipeline.has_started() {
             is_closing = true;
-            connection.as_mut().graceful_shutdown();
-            polled = connection.as_mut().poll(context).map(|_| ());
+            Pin::new(&mut connection).graceful_shutdown();
+            polled = Pin::new(&mut connection).poll(context);
         }
         if polled.is_pending() {
             // The library may just have passed on a request: read ahead what follows it.
@@ -70,6 +72,8 @@
         polled
     })
     .await;
+    let unprocessed_bytes = connection.into_parts().read_buf.len() + pipeline.unread_bytes();
+    ServedConnection::new(pipeline.into_stream(), unprocessed_bytes, result)
 }
 
 /// Responds to a request that the HTTP library has read. While the proxy drains, the response closes
@@ -93,8 +97,8 @@
     request: Request<Incoming>,
     has_admin_listener: bool,
 ) -> Response {
-    let target = request.uri().path_and_query().map_or("", |target| target.as_str());
-    let started_task = pipeline.receive(request.method().as_str(), target);
+    let id_header = proxy.node.settings.wire_format.headers().request_id;
+    let started_task = pipeline.receive(RequestInProgress::of(&request, id_header));
     let admin_path = request.uri().path().strip_prefix(ADMIN_PREFIX);
     if let Some(path) = admin_path.filter(|_| !has_admin_listener) {
         return status::admin_page(proxy, &format!("/{path}"));
--- a/proxy/src/shell/mod.rs
+++ b/proxy/src/shell/mod.rs
@@ -43,17 +43,20 @@
         max_buffer_bytes: MAX_BUFFER_BYTES,
     };
     let has_admin_listener = serve_admin_pages(&proxy).await?;
-    let serve =
-        move |stream, stop| serve_connection(proxy.clone(), stream, stop, http, has_admin_listener);
+    let serve = move |stream, requests, stop| {
+        serve_connection(proxy.clone(), stream, requests, stop, http, has_admin_listener)
+    };
+    let connections = node.client_connections.clone();
     let mut stop = node.stop.clone();
     let grace_period = async {
         let _ = stop.wait_for(|stop| *stop).await;
         tokio::time::sleep(grace).await;
     };
     tokio::select! {
-        _ = node::accept(listener, drain.stop_accepting, serve) => log::info!("stopped"),
+        _ = node::accept(listener, drain.stop_accepting, connections.clone(), serve) => log::info!("stopped"),
         _ = grace_period => {
-            log::warn!("stopped at the end of the grace period with requests in flight");
+            let open = connections.open();
+            log::warn!("stopped at the end of the grace period with {open} connections open");
         }
     }
     Ok(())
@@ -97,17 +100,18 @@
 async fn serve_admin_pages(proxy: &Arc<Proxy>) -> Result<bool, miette::Report> {
     let Some(address) = proxy.node.settings.admin_listen else { return Ok(false) };
     let listener = node::bind("pagesListen", address).await?;
-    let proxy = proxy.clone();
+    let page_proxy = proxy.clone();
     let pages = move |request: Request<Incoming>| {
-        let response = status::admin_page(&proxy, request.uri().path());
+        let response = status::admin_page(&page_proxy, request.uri().path());
         async move { response }
     };
     // Served until the process ends, so that readiness can be queried during the whole shutdown.
     let (sender, never_stop) = watch::channel(false);
     let http = HttpSettings::default();
+    let connections = proxy.node.admin_connections.clone();
     tokio::spawn(async move {
         let _sender = sender;
-        node::serve_http(listener, never_stop, http, pages).await;
+        node::serve_http(listener, never_stop, connections, http, pages).await;
     });
     Ok(true)
 }
--- a/proxy/src/shell/status.rs
+++ b/proxy/src/shell/status.rs
@@ -53,6 +53,7 @@
         "epoch": view.plan.epoch,
         "holder": view.plan.leader.as_str(),
         "classes": classes,
+        "clientConnections": proxy.node.client_connections.as_json(),
         "servers": servers,
     }
 }
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -38,15 +38,18 @@
     if let Some(address) = node.settings.steering_listen {
         let listener = node::bind("directoryListen", address).await?;
         let stop = node.stop.clone();
-        tokio::spawn(node::serve_http(listener, stop, http_settings, handler.clone()));
+        let connections = node.client_connections.clone();
+        let handler = handler.clone();
+        tokio::spawn(node::serve_http(listener, stop, connections, http_settings, handler));
     }
     let mut stop = node.stop.clone();
     let grace_expired = async {
         let _ = stop.wait_for(|stop| *stop).await;
         tokio::time::sleep(grace).await;
     };
+    let connections = node.client_connections.clone();
     tokio::select! {
-        _ = node::serve_http(listener, node.stop.clone(), http_settings, handler) => {}
+        _ = node::serve_http(listener, node.stop.clone(), connections, http_settings, handler) => {}
         _ = grace_expired => {}
     }
     tokio::time::sleep(LEAVE_DELAY).await;
--- a/store/src/shell.rs
+++ b/store/src/shell.rs
@@ -111,7 +111,8 @@
         let response = http::respond(&http_node, &summary.load(), &counters, &request);
         async move { response }
     };
-    node::serve_http(listener, node.stop.clone(), node::HttpSettings::default(), handler).await;
+    let (stop, connections) = (node.stop.clone(), node.client_connections.clone());
+    node::serve_http(listener, stop, connections, node::HttpSettings::default(), handler).await;
 }
 
 /// Forwards requests from the transport to the actor.
