--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`peer_selection`] - which peers a node pulls from
 //! - [`read_index`] - the revision that a node must reach before it applies any configuration
 //! - [`config_lease`] - until when a node may rely on its configuration being the newest one
+//! - [`lingering_close`] - when a connection may be closed without destroying the last response
 //! - [`endpoint_cache`] - the endpoint list and its deltas
 //! - [`wire`] - the messages between nodes
 //! - [`transport`] - connections between nodes
@@ -18,6 +19,7 @@
 pub mod endpoint_cache;
 pub mod gossip;
 pub mod histogram;
+pub mod lingering_close;
 pub mod node;
 pub mod peer_selection;
 pub mod read_index;
--- a/cluster/src/node/connections/mod.rs
+++ b/cluster/src/node/connections/mod.rs
@@ -1,10 +1,12 @@
 //! Connections of clients, from their acceptance to their end: what request is in progress on each, how each
 //! ends, and the counters and log lines that tell (design 9.3).
 
+mod closing;
 mod request_tracker;
 
 pub use request_tracker::{RequestInProgress, RequestTracker};
 
+use closing::LingeringConnections;
 use std::error::Error;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -18,12 +20,16 @@
         /// The client closed the connection.
         #[strum(serialize = "clientConnectionsClosedByClient")]
         ClosedByClient,
-        /// Closed after the last response, with nothing unread.
+        /// Closed after the last response; the client sent nothing more and closed it then.
         #[strum(serialize = "clientConnectionsClosed")]
         Closed,
-        /// Closed while bytes from the client were unread, which resets the connection.
-        #[strum(serialize = "clientConnectionsClosedUnread")]
-        ClosedUnread,
+        /// The same, but bytes of the client were discarded until it closed.
+        #[strum(serialize = "clientConnectionsClosedAfterDiscarding")]
+        ClosedAfterDiscarding,
+        /// Closed after the last response, although the client did not close within the bounds of a
+        /// lingering close.
+        #[strum(serialize = "clientConnectionsLingerBoundReached")]
+        LingerBoundReached,
         /// The client reset the connection, or it broke.
         #[strum(serialize = "clientConnectionsReset")]
         Reset,
@@ -42,10 +48,13 @@
 pub enum ConnectionEnd {
     /// The client closed it.
     ClosedByClient,
-    /// It was closed after the last response, with nothing unread.
+    /// It was closed after the last response; the client sent nothing more and closed it then.
     Closed,
-    /// It was closed while bytes from the client were unread.
-    ClosedUnread,
+    /// The same, but bytes of the client were discarded until it closed.
+    ClosedAfterDiscarding,
+    /// It was closed after the last response, although the client did not close within the bounds of a
+    /// lingering close.
+    LingerBoundReached,
     /// The client reset it, or it broke.
     Reset,
     /// The process ended while it was open.
@@ -57,7 +66,8 @@
         match self {
             ConnectionEnd::ClosedByClient => Some(Counter::ClosedByClient),
             ConnectionEnd::Closed => Some(Counter::Closed),
-            ConnectionEnd::ClosedUnread => Some(Counter::ClosedUnread),
+            ConnectionEnd::ClosedAfterDiscarding => Some(Counter::ClosedAfterDiscarding),
+            ConnectionEnd::LingerBoundReached => Some(Counter::LingerBoundReached),
             ConnectionEnd::Reset => Some(Counter::Reset),
             // Nobody can read the counters any more.
             ConnectionEnd::ProcessEnd => None,
@@ -71,8 +81,8 @@
     pub stream: TcpStream,
     /// The number of bytes that were read from the client and not processed.
     pub unprocessed_bytes: usize,
-    /// The error with which reading or writing failed, if one did.
-    pub error: Option<ErrorKind>,
+    /// Whether the client reset the connection, or it broke.
+    pub is_broken: bool,
 }
 
 impl ServedConnection {
@@ -82,14 +92,24 @@
         unprocessed_bytes: usize,
         result: Result<(), hyper::Error>,
     ) -> ServedConnection {
-        let error = result.err().and_then(|error| io_error_kind(&error));
-        ServedConnection { stream, unprocessed_bytes, error }
+        let is_broken = result.is_err_and(|error| is_connection_error(&error));
+        ServedConnection { stream, unprocessed_bytes, is_broken }
     }
 }
 
-fn io_error_kind(error: &hyper::Error) -> Option<ErrorKind> {
-    let source = error.source()?.downcast_ref::<io::Error>()?;
-    Some(source.kind())
+/// Whether the connection itself failed, and not the protocol on it.
+fn is_connection_error(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| {
+        matches!(
+            source.kind(),
+            ErrorKind::ConnectionReset
+                | ErrorKind::ConnectionAborted
+                | ErrorKind::BrokenPipe
+                | ErrorKind::NotConnected
+                | ErrorKind::TimedOut
+        )
+    })
 }
 
 /// All connections of a process's clients.
@@ -97,6 +117,7 @@
     /// How connections have ended.
     pub counters: Counters,
     open: AtomicUsize,
+    lingering: LingeringConnections,
     /// Whether a shutdown signal was received.
     is_signalled: Arc<AtomicBool>,
 }
@@ -104,17 +125,22 @@
 impl ClientConnections {
     /// No connections yet. `is_signalled` turns true with a shutdown signal.
     pub fn new(is_signalled: Arc<AtomicBool>) -> ClientConnections {
-        ClientConnections { counters: Counters::default(), open: AtomicUsize::new(0), is_signalled }
+        ClientConnections {
+            counters: Counters::default(),
+            open: AtomicUsize::new(0),
+            lingering: LingeringConnections::default(),
+            is_signalled,
+        }
     }
 
-    /// The number of connections that are open.
+    /// The number of connections that are open, including those that linger.
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
 
-    /// The number of open connections and the counters, for the status page.
+    /// The numbers of open and of lingering connections and the counters, for the status page.
     pub fn as_json(&self) -> jzon::JsonValue {
-        let mut json = jzon::object! { "open": self.open() };
+        let mut json = jzon::object! { "open": self.open(), "lingering": self.lingering.len() };
         self.counters.write_json(&mut json);
         json
     }
@@ -139,9 +165,9 @@
 }
 
 impl OpenConnection {
-    /// Closes the connection and records how it ended.
-    pub fn close(mut self, served: &ServedConnection) {
-        self.end = observe_end(served);
+    /// Closes the connection without destroying what was sent on it, and records how it ended.
+    pub async fn close(mut self, served: ServedConnection) {
+        self.end = self.connections.lingering.close(served).await;
     }
 }
 
@@ -169,17 +195,3 @@
         }
     }
 }
-
-/// Finds out how a connection ends that is closed now.
-fn observe_end(served: &ServedConnection) -> ConnectionEnd {
-    if served.error.is_some() {
-        return ConnectionEnd::Reset;
-    }
-    let is_read = served.unprocessed_bytes == 0;
-    match served.stream.try_read(&mut [0]) {
-        Ok(0) if is_read => ConnectionEnd::ClosedByClient,
-        Err(error) if error.kind() == ErrorKind::WouldBlock && is_read => ConnectionEnd::Closed,
-        Err(error) if error.kind() != ErrorKind::WouldBlock => ConnectionEnd::Reset,
-        _ => ConnectionEnd::ClosedUnread,
-    }
-}
--- a/cluster/src/node/http.rs
+++ b/cluster/src/node/http.rs
@@ -70,7 +70,7 @@
         tokio::spawn(async move {
             let _open_connections = open_connections;
             let served = serving.await;
-            open_connection.close(&served);
+            open_connection.close(served).await;
         });
     }
     drop(listener);
--- a/cluster/src/node/mod.rs
+++ b/cluster/src/node/mod.rs
@@ -152,6 +152,13 @@
         **self.config_lease.load()
     }
 
+    /// Waits for the signal to shut down and then for the end of the grace period.
+    pub async fn grace_period_end(&self) {
+        let mut stop = self.stop.clone();
+        let _ = stop.wait_for(|stop| *stop).await;
+        tokio::time::sleep(self.settings.shutdown_grace).await;
+    }
+
     /// Whether a shutdown signal was received. True from the signal on, before [`Node::stop`] becomes true.
     pub fn is_shutting_down(&self) -> bool {
         self.is_signalled.load(Ordering::Relaxed)
--- a/proxy/src/shell/mod.rs
+++ b/proxy/src/shell/mod.rs
@@ -32,7 +32,6 @@
 /// If an address cannot be bound or the node cannot start.
 pub async fn run(settings: Settings) -> Result<(), miette::Report> {
     let listener = node::bind("listen", settings.listen).await?;
-    let grace = settings.shutdown_grace;
     let node = Node::start(settings, None).await?;
     let drain = DrainSchedule::spawn(&node);
     let proxy = Arc::new(Proxy::new(node.clone(), drain.clone()));
@@ -47,14 +46,9 @@
         serve_connection(proxy.clone(), stream, requests, stop, http, has_admin_listener)
     };
     let connections = node.client_connections.clone();
-    let mut stop = node.stop.clone();
-    let grace_period = async {
-        let _ = stop.wait_for(|stop| *stop).await;
-        tokio::time::sleep(grace).await;
-    };
     tokio::select! {
-        _ = node::accept(listener, drain.stop_accepting, connections.clone(), serve) => log::info!("stopped"),
-        _ = grace_period => {
+        () = node::accept(listener, drain.stop_accepting, connections.clone(), serve) => log::info!("stopped"),
+        () = node.grace_period_end() => {
             let open = connections.open();
             log::warn!("stopped at the end of the grace period with {open} connections open");
         }
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -19,7 +19,6 @@
 /// Returns an error if a listener cannot be bound or the node cannot start.
 pub async fn run(settings: Settings) -> Result<(), miette::Report> {
     let listener = node::bind("listen", settings.listen).await?;
-    let grace = settings.shutdown_grace;
     let node = Node::start(settings, None).await?;
     let counters: Arc<Counters> = Arc::default();
     let poll_outcome = Arc::new(Mutex::new(PollOutcome::NotYetRead));
@@ -42,15 +41,10 @@
         let handler = handler.clone();
         tokio::spawn(node::serve_http(listener, stop, connections, http_settings, handler));
     }
-    let mut stop = node.stop.clone();
-    let grace_expired = async {
-        let _ = stop.wait_for(|stop| *stop).await;
-        tokio::time::sleep(grace).await;
-    };
     let connections = node.client_connections.clone();
     tokio::select! {
-        _ = node::serve_http(listener, node.stop.clone(), connections, http_settings, handler) => {}
-        _ = grace_expired => {}
+        () = node::serve_http(listener, node.stop.clone(), connections, http_settings, handler) => {}
+        () = node.grace_period_end() => {}
     }
     tokio::time::sleep(LEAVE_DELAY).await;
     log::info!("stopped");
--- a/store/src/shell.rs
+++ b/store/src/shell.rs
@@ -94,7 +94,10 @@
     };
     tokio::spawn(ticker.run(hints));
 
-    serve_http(listener, &node, summary, counters).await;
+    tokio::select! {
+        () = serve_http(listener, &node, summary, counters) => {}
+        () = node.grace_period_end() => {}
+    }
     tokio::time::sleep(LEAVE_GRACE).await;
     log::info!("stopped");
     Ok(())
