A draining proxy answers all requests that it has read whole before it closes

Cause: the close was announced with the first response behind which no request had been started, whatever had been read whole meanwhile. Fix: the scanner counts the requests that were read whole; when the close is first considered the last of them becomes the last request that is answered, and its response announces the close (RFC 9112, section 9.6). A client that never pauses cannot extend it. The test of 0019 stands unchanged.

--- a/proxy/src/pipelining/mod.rs
+++ b/proxy/src/pipelining/mod.rs
@@ -62,6 +62,8 @@
     /// Whether the last request that the library passed on is still in flight.
     is_busy: bool,
     requests: RequestTracker,
+    /// The number of the last request that is answered, once the connection is about to be closed.
+    last: Option<u64>,
     /// The requests that were started before their turn, by their number on the connection.
     started: BTreeMap<u64, StartedRequest>,
 }
@@ -82,6 +84,7 @@
             received: 0,
             is_busy: false,
             requests,
+            last: None,
             started: BTreeMap::new(),
         })))
     }
@@ -142,10 +145,14 @@
         if is_same_request { started.task.take() } else { None }
     }
 
-    /// Whether requests behind the current one have been started. The connection must then not be closed
-    /// before their responses are sent (incident 0019).
-    pub fn has_started(&self) -> bool {
-        !self.state().started.is_empty()
+    /// Whether the library has passed on the last request that is answered on this connection, which is to
+    /// be closed. The requests that have been read whole by the first call are answered, and none behind
+    /// them (incidents 0019 and 0024).
+    pub fn has_received_last(&self) -> bool {
+        let mut state = self.state();
+        let newest = state.scanner.whole_requests().max(state.received);
+        let last = *state.last.get_or_insert(newest);
+        state.received >= last
     }
 
     /// Records that the response to the request in flight was written or abandoned.
--- a/proxy/src/pipelining/scanner.rs
+++ b/proxy/src/pipelining/scanner.rs
@@ -29,6 +29,8 @@
     body_left: u64,
     /// The number of requests found so far.
     count: u64,
+    /// The number of requests that are known to have been read whole, with their bodies.
+    whole: u64,
     /// Whether it is unknown where the next request begins. Nothing more is scanned then.
     is_framing_lost: bool,
 }
@@ -40,9 +42,8 @@
         let mut heads = Vec::new();
         while !bytes.is_empty() && !self.is_framing_lost {
             if self.body_left > 0 {
-                let skipped = (bytes.len() as u64).min(self.body_left);
-                self.body_left -= skipped;
-                bytes = &bytes[skipped as usize..];
+                let skipped = self.skip_body(bytes.len());
+                bytes = &bytes[skipped..];
                 continue;
             }
             self.partial_head.extend_from_slice(bytes);
@@ -61,12 +62,28 @@
         while !self.is_framing_lost && self.body_left == 0 && !self.partial_head.is_empty() {
             let Some(length) = self.parse_head(heads) else { break };
             self.partial_head.advance(length);
-            let skipped = (self.partial_head.len() as u64).min(self.body_left);
-            self.body_left -= skipped;
-            self.partial_head.advance(skipped as usize);
+            let skipped = self.skip_body(self.partial_head.len());
+            self.partial_head.advance(skipped);
         }
     }
 
+    /// Skips what is left of the current body, as far as it is within the next `available` bytes. Returns the
+    /// number of bytes skipped.
+    fn skip_body(&mut self, available: usize) -> usize {
+        let skipped = (available as u64).min(self.body_left);
+        self.body_left -= skipped;
+        if skipped > 0 && self.body_left == 0 {
+            self.whole += 1;
+        }
+        skipped as usize
+    }
+
+    /// The number of requests that are known to have been read whole. Those whose length only the HTTP
+    /// library can tell do not count.
+    pub fn whole_requests(&self) -> u64 {
+        self.whole
+    }
+
     /// Parses the first head. Returns its length, or `None` if it is incomplete or invalid.
     fn parse_head(&mut self, heads: &mut Vec<RequestHead>) -> Option<usize> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -81,6 +98,7 @@
         };
         self.count += 1;
         let mut has_body = false;
+        let mut has_unknown_length = false;
         for header in request.headers.iter() {
             let is_named = |name: &str| header.name.eq_ignore_ascii_case(name);
             if is_named("content-length") {
@@ -88,12 +106,16 @@
                 let text = std::str::from_utf8(header.value).unwrap_or_default();
                 match text.trim().parse::<u64>() {
                     Ok(size) => self.body_left = size,
-                    Err(_) => self.is_framing_lost = true,
+                    Err(_) => {
+                        self.is_framing_lost = true;
+                        has_unknown_length = true;
+                    }
                 }
             }
             // Only the HTTP library can tell whether and where more requests follow.
             let closes_connection =
                 is_named("connection") && header.value.eq_ignore_ascii_case(b"close");
+            has_unknown_length = has_unknown_length || is_named("transfer-encoding");
             if is_named("transfer-encoding")
                 || is_named("upgrade")
                 || is_named("expect")
@@ -103,6 +125,9 @@
                 self.is_framing_lost = true;
             }
         }
+        if self.body_left == 0 && !has_unknown_length {
+            self.whole += 1;
+        }
         if !has_body && request.version == Some(1) {
             let headers = request.headers.iter();
             heads.push(RequestHead {
--- a/proxy/src/shell/connections.rs
+++ b/proxy/src/shell/connections.rs
@@ -22,8 +22,8 @@
     BodyError, GuardedBody, HttpSettings, RequestInProgress, RequestTracker, ServedConnection,
 };
 
-/// Serves a client's connection until it closes. Once `stop` turns true, the connection is closed after
-/// the responses to the request in flight and to the pipelined ones that have been started.
+/// Serves a client's connection until nothing more is to be served on it. Once `stop` turns true, these are
+/// only the requests that have been read whole.
 pub(super) async fn serve_connection(
     proxy: Arc<Proxy>,
     stream: TcpStream,
@@ -58,9 +58,8 @@
         pipeline.poll(context, &start);
         let mut polled = Pin::new(&mut connection).poll(context);
         is_stopped = is_stopped || stopping.as_mut().poll(context).is_ready();
-        // The service has received all requests that the client has sent so far, and responds to them
-        // before the connection closes.
-        if polled.is_pending() && is_stopped && !is_closing && !pipeline.has_started() {
+        // The service responds to all requests that have been read whole before the connection closes.
+        if polled.is_pending() && is_stopped && !is_closing && pipeline.has_received_last() {
             is_closing = true;
             Pin::new(&mut connection).graceful_shutdown();
             polled = Pin::new(&mut connection).poll(context);
@@ -77,7 +76,7 @@
 }
 
 /// Responds to a request that the HTTP library has read. While the proxy drains, the response closes
-/// the connection, unless pipelined requests behind this one have been started.
+/// the connection, unless requests behind this one have been read whole.
 async fn respond(
     proxy: &Arc<Proxy>,
     pipeline: &Pipeline,
@@ -85,7 +84,7 @@
     has_admin_listener: bool,
 ) -> Response {
     let mut response = handle_request(proxy, pipeline, request, has_admin_listener).await;
-    if proxy.is_draining() && !pipeline.has_started() {
+    if proxy.is_draining() && pipeline.has_received_last() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
