Serve the connections that the kernel has accepted when a listener stops

Cause: closing the listener resets what is in its backlog; and a connection accepted at that moment was closed before its first request was read.

--- a/cluster/src/node/connections/mod.rs
+++ b/cluster/src/node/connections/mod.rs
@@ -3,8 +3,10 @@
 
 mod closing;
 mod request_tracker;
+mod stop;
 
 pub use request_tracker::{RequestInProgress, RequestTracker};
+pub use stop::ConnectionStop;
 
 use closing::LingeringConnections;
 use std::error::Error;
--- a/cluster/src/node/connections/request_tracker.rs
+++ b/cluster/src/node/connections/request_tracker.rs
@@ -39,25 +39,38 @@
 
 /// The request in progress on one connection, if there is one.
 #[derive(Clone, Default)]
-pub struct RequestTracker(Arc<Mutex<Option<RequestInProgress>>>);
+pub struct RequestTracker(Arc<Mutex<State>>);
+
+#[derive(Default)]
+struct State {
+    current: Option<RequestInProgress>,
+    has_begun: bool,
+}
 
 impl RequestTracker {
     /// Records that a request was received.
     pub fn begin(&self, request: RequestInProgress) {
-        *self.state() = Some(request);
+        let mut state = self.state();
+        state.current = Some(request);
+        state.has_begun = true;
     }
 
     /// Records that the response was written or abandoned.
     pub fn end(&self) {
-        *self.state() = None;
+        self.state().current = None;
     }
 
     /// The request in progress.
     pub fn current(&self) -> Option<RequestInProgress> {
-        self.state().clone()
+        self.state().current.clone()
+    }
+
+    /// Whether any request was received on the connection.
+    pub fn has_begun(&self) -> bool {
+        self.state().has_begun
     }
 
-    fn state(&self) -> MutexGuard<'_, Option<RequestInProgress>> {
+    fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().expect("no panic under this lock")
     }
 }
--- a/cluster/src/node/http.rs
+++ b/cluster/src/node/http.rs
@@ -1,6 +1,8 @@
 //! The HTTP/1.1 server (RFC 9112): listeners, connections, graceful shutdown, bodies and JSON responses.
 
-use super::connections::{ClientConnections, RequestInProgress, RequestTracker, ServedConnection};
+use super::connections::{
+    ClientConnections, ConnectionStop, RequestInProgress, RequestTracker, ServedConnection,
+};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -10,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -52,16 +55,7 @@
     // Each open connection holds a clone, so the reference count is the number of connections plus one.
     let open_connections = Arc::new(());
     let connection_stop = stop.clone();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => break,
-        };
-        let Ok((stream, peer)) = accepted else {
-            // File descriptors are exhausted: some connections must end first.
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    let start = |stream: TcpStream, peer: SocketAddr| {
         let _ = stream.set_nodelay(true);
         let requests = RequestTracker::default();
         let open_connection = connections.begin(peer, requests.clone());
@@ -72,13 +66,38 @@
             let served = serving.await;
             open_connection.close(served).await;
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => start(stream, peer),
+            // File descriptors are exhausted: some connections must end first.
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    // Closing the listener would reset the connections that the kernel has accepted already.
+    for (stream, peer) in take_backlog(listener) {
+        start(stream, peer);
     }
-    drop(listener);
     while Arc::strong_count(&open_connections) > 1 {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
 }
 
+/// Closes a listener and returns the connections that the kernel has accepted on it.
+fn take_backlog(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut connections = Vec::new();
+    let Ok(listener) = listener.into_std() else { return connections };
+    while let Ok((stream, peer)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        connections.extend(stream.ok().map(|stream| (stream, peer)));
+    }
+    connections
+}
+
 /// Serves HTTP until `stop` becomes true. Then no new connections are accepted, and the open ones end after
 /// the request in flight.
 pub async fn serve_http<H, F>(
@@ -100,7 +119,7 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     requests: RequestTracker,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     settings: HttpSettings,
     handler: H,
 ) -> ServedConnection
@@ -108,6 +127,7 @@
     H: Fn(Request<Incoming>) -> F + Unpin,
     F: Future<Output = Response<Body>>,
 {
+    let mut stop = ConnectionStop::new(stop, requests.clone());
     let service = service_fn(move |request| {
         requests.begin(RequestInProgress::of(&request, None));
         let guard = RequestGuard(requests.clone());
@@ -115,17 +135,17 @@
         async move { Ok::<_, Infallible>(response.await.map(|body| GuardedBody { body, guard })) }
     });
     let mut connection = settings.builder().serve_connection(TokioIo::new(stream), service);
-    let served = tokio::select! {
-        result = &mut connection => Some(result),
-        _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => None,
-    };
-    let result = match served {
-        Some(result) => result,
-        None => {
+    let mut is_closing = false;
+    let result = poll_fn(|context| {
+        let mut polled = Pin::new(&mut connection).poll(context);
+        if polled.is_pending() && !is_closing && stop.poll(context).is_ready() {
+            is_closing = true;
             Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+            polled = Pin::new(&mut connection).poll(context);
         }
-    };
+        polled
+    })
+    .await;
     let parts = connection.into_parts();
     ServedConnection::new(parts.io.into_inner(), parts.read_buf.len(), result)
 }
--- a/cluster/src/node/mod.rs
+++ b/cluster/src/node/mod.rs
@@ -15,7 +15,9 @@
 
 pub use clock::Clock;
 pub use cluster_view::ClusterView;
-pub use connections::{ClientConnections, RequestInProgress, RequestTracker, ServedConnection};
+pub use connections::{
+    ClientConnections, ConnectionStop, RequestInProgress, RequestTracker, ServedConnection,
+};
 pub use gossip_actor::{GossipActor, HandleEvent, ListPeers};
 pub use http::{
     Body, BodyError, GuardedBody, HttpSettings, accept, bind, body, json_response, serve_http,
--- a/proxy/src/shell/connections.rs
+++ b/proxy/src/shell/connections.rs
@@ -19,7 +19,8 @@
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinHandle};
 use vanepath_cluster::node::{
-    BodyError, GuardedBody, HttpSettings, RequestInProgress, RequestTracker, ServedConnection,
+    BodyError, ConnectionStop, GuardedBody, HttpSettings, RequestInProgress, RequestTracker,
+    ServedConnection,
 };
 
 /// Serves a client's connection until nothing more is to be served on it. Once `stop` turns true, these are
@@ -32,6 +33,7 @@
     http: HttpSettings,
     has_admin_listener: bool,
 ) -> ServedConnection {
+    let mut stop = ConnectionStop::new(stop, requests.clone());
     let pipeline = Pipeline::new(stream, requests);
     let (pipeline_proxy, service_pipeline) = (proxy.clone(), pipeline.clone());
     let stream = PipelinedStream {
@@ -48,16 +50,12 @@
         }
     });
     let mut connection = http.builder().serve_connection(TokioIo::new(stream), service);
-    let mut stopped = stop.clone();
-    let stopping = async move { stopped.wait_for(|stop| *stop).await.is_ok() };
-    tokio::pin!(stopping);
-    let mut is_stopped = false;
     let mut is_closing = false;
     let result = poll_fn(|context| {
         let start = |head: &RequestHead| forward::start_pipelined(&proxy, head);
         pipeline.poll(context, &start);
         let mut polled = Pin::new(&mut connection).poll(context);
-        is_stopped = is_stopped || stopping.as_mut().poll(context).is_ready();
+        let is_stopped = stop.poll(context).is_ready();
         // The service responds to all requests that have been read whole before the connection closes.
         if polled.is_pending() && is_stopped && !is_closing && pipeline.has_received_last() {
             is_closing = true;
