A registry ends only when the connections of both its addresses have ended

What callers saw: a response on the steering address was reset in its middle when its registry got SIGTERM. Cause: the process waited for the connections of the operators' address only. Evidence: a_registry_ends_after_the_connections_of_all_its_addresses failed before (120 kB of 200 kB, then ECONNRESET) and passes now. The grace period bounds both.

--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -34,16 +34,22 @@
         crate::api::handle(registry.clone(), request)
     };
     let http_settings = HttpSettings::default();
+    let (stop, connections) = (node.stop.clone(), node.client_connections.clone());
+    let serve = |listener| {
+        let (stop, connections) = (stop.clone(), connections.clone());
+        tokio::spawn(node::serve_http(listener, stop, connections, http_settings, handler.clone()))
+    };
+    let mut serving = vec![serve(listener)];
     if let Some(address) = node.settings.steering_listen {
-        let listener = node::bind("directoryListen", address).await?;
-        let stop = node.stop.clone();
-        let connections = node.client_connections.clone();
-        let handler = handler.clone();
-        tokio::spawn(node::serve_http(listener, stop, connections, http_settings, handler));
+        serving.push(serve(node::bind("directoryListen", address).await?));
     }
-    let connections = node.client_connections.clone();
+    let all_served = async {
+        for listener in serving {
+            let _ = listener.await;
+        }
+    };
     tokio::select! {
-        () = node::serve_http(listener, node.stop.clone(), connections, http_settings, handler) => {}
+        () = all_served => {}
         () = node.grace_period_end() => {}
     }
     tokio::time::sleep(LEAVE_DELAY).await;
