Use the response of a server that closes before the request is sent whole

What callers saw: 502 in place of the server's answer, where a server answers an upload by its head and closes while the body is being sent. Fix: once the server has closed its receiving side, what is written is discarded and reading goes on; without a response reading reports the end, as before.

--- a/proxy/src/connector.rs
+++ b/proxy/src/connector.rs
@@ -2,6 +2,7 @@
 //! exchange on each connection is a health check in which the server states its identity; from then on
 //! the connection counts as one to that server (design 8.6).
 
+use crate::early_response::EarlyResponseStream;
 use crate::endpoints::{Endpoint, MAX_IDLE_TIME};
 use crate::health::Failure;
 use bytes::Bytes;
@@ -91,7 +92,7 @@
     let _ = stream.set_nodelay(true);
     let mut builder = http1::Builder::new();
     builder.preserve_header_case(true).max_buf_size(MAX_BUFFER_BYTES);
-    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let handshake = builder.handshake(TokioIo::new(EarlyResponseStream::new(stream))).await;
     let (sender, connection) = handshake.map_err(|_| Failure::ConnectionLost)?;
     tokio::spawn(async move {
         // Completes when either side closes, or at the first byte that belongs to no request.
--- /dev/null
+++ b/proxy/src/early_response.rs
@@ -0,0 +1,96 @@
+//! Reads the response of a server that closes its connection while the request is still being sent, for
+//! example because it rejects an upload by its head (RFC 9112, section 9.5).
+
+use std::io::{self, ErrorKind, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A connection to a server. Once the server has closed its receiving side, what is written is discarded, so
+/// that the HTTP library goes on to read the response that may have arrived before. If there is none, reading
+/// reports the end of the connection.
+pub struct EarlyResponseStream<S> {
+    stream: S,
+    is_write_broken: bool,
+}
+
+impl<S> EarlyResponseStream<S> {
+    /// A connection that is open.
+    pub fn new(stream: S) -> EarlyResponseStream<S> {
+        EarlyResponseStream { stream, is_write_broken: false }
+    }
+
+    /// The outcome of a write of `length` bytes.
+    fn written(
+        &mut self,
+        outcome: Poll<io::Result<usize>>,
+        length: usize,
+    ) -> Poll<io::Result<usize>> {
+        match outcome {
+            Poll::Ready(Err(error)) if is_closed_by_server(&error) => {
+                self.is_write_broken = true;
+                Poll::Ready(Ok(length))
+            }
+            outcome => outcome,
+        }
+    }
+}
+
+fn is_closed_by_server(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset)
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for EarlyResponseStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for EarlyResponseStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_write_broken {
+            return Poll::Ready(Ok(bytes.len()));
+        }
+        let outcome = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.written(outcome, bytes.len())
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let length = parts.iter().map(|part| part.len()).sum();
+        if self.is_write_broken {
+            return Poll::Ready(Ok(length));
+        }
+        let outcome = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.written(outcome, length)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_write_broken {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_write_broken {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bandwidth_limiter;
 pub mod client_deadlines;
 pub mod connector;
+pub mod early_response;
 pub mod endpoints;
 pub mod forward;
 pub mod health;
