Soak: clients on plain sockets that never pause, are rejected midway, or half-close

New: senders that write until the connection is gone (small receive buffer, slow reader, up to 48 requests under way, half of them past the relay), uploads rejected midway, clients that close only their sending side; ends tell a reset from the end of the stream; a check that rejections arrive. The raw client of the platform's tests moved to the testbed, which both use.

--- a/testbed/src/harness/daemon.rs
+++ b/testbed/src/harness/daemon.rs
@@ -33,6 +33,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Where the process itself listens for HTTP, whether or not there is a relay in front of it.
+    pub fn listen_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address.ip(), HTTP_PORT)
+    }
+
     /// Starts a relay in front of each of its two addresses.
     pub(super) async fn start_relays(&mut self) {
         for (address, port) in [(self.address, HTTP_PORT), (self.cluster_address, CLUSTER_PORT)] {
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod design_size;
 pub mod harness;
 pub mod http;
+pub mod raw_client;
 pub mod relay;
 pub mod replay;
 pub mod sim;
--- a/platform/tests/platform/harness/raw_client.rs
+++ b/testbed/src/raw_client.rs
@@ -1,12 +1,11 @@
 //! A client on a plain socket that reads slowly and keeps sending, and that tells a reset from the end of
 //! the stream. Like most event-loop clients it gives up at the first error of either direction.
 
-use super::http::Message;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{Interval, MissedTickBehavior, interval, timeout};
 
 /// How a client reads and sends.
 #[derive(Clone, Copy, Debug)]
@@ -52,10 +51,45 @@
     Open,
 }
 
+/// A complete response.
+#[derive(Clone, Debug, Default)]
+pub struct RawResponse {
+    /// The status code; 0 if the status line is invalid.
+    pub status: u16,
+    /// The names and values of the header fields.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl RawResponse {
+    /// The status code.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// The value of a header field.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// What comes next for a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tick {
+    /// It may read.
+    Read,
+    /// It may send.
+    Send,
+}
+
 /// What a client received on its connection.
 #[derive(Debug)]
 pub struct Received {
-    pub responses: Vec<Message>,
+    /// The complete responses.
+    pub responses: Vec<RawResponse>,
+    /// How the connection ended.
     pub end: StreamEnd,
     /// Number of bytes that arrived behind the last complete response.
     pub incomplete_bytes: usize,
@@ -66,11 +100,17 @@
     stream: TcpStream,
     pace: Pace,
     received: Vec<u8>,
-    responses: Vec<Message>,
+    responses: Vec<RawResponse>,
     unsent: Vec<u8>,
+    reads: Interval,
+    sends: Interval,
 }
 
 impl RawClient {
+    /// Connects to an address.
+    ///
+    /// # Errors
+    /// If the connection cannot be opened.
     pub async fn connect(address: SocketAddr, pace: Pace) -> std::io::Result<RawClient> {
         let socket = TcpSocket::new_v4()?;
         if let Some(bytes) = pace.receive_buffer_bytes {
@@ -78,15 +118,48 @@
         }
         let stream = socket.connect(address).await?;
         let _ = stream.set_nodelay(true);
+        let ticks = |period| {
+            let mut ticks = interval(period);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            ticks
+        };
         Ok(RawClient {
             stream,
             pace,
             received: Vec::new(),
             responses: Vec::new(),
             unsent: Vec::new(),
+            reads: ticks(pace.read_interval),
+            sends: ticks(pace.send_interval),
         })
     }
 
+    /// Waits until the client may read or send next.
+    pub async fn tick(&mut self) -> Tick {
+        tokio::select! {
+            _ = self.reads.tick() => Tick::Read,
+            _ = self.sends.tick() => Tick::Send,
+        }
+    }
+
+    /// Whether bytes are queued that the socket has not taken yet.
+    pub fn has_unsent(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Takes the complete responses that were read.
+    pub fn take_responses(&mut self) -> Vec<RawResponse> {
+        std::mem::take(&mut self.responses)
+    }
+
+    /// Closes the sending side.
+    ///
+    /// # Errors
+    /// If the connection is gone.
+    pub fn finish_sending(&self) -> std::io::Result<()> {
+        Ok(rustix::net::shutdown(&self.stream, rustix::net::Shutdown::Write)?)
+    }
+
     /// Queues bytes and sends as many of them as the socket takes.
     ///
     /// # Errors
@@ -96,7 +169,11 @@
         self.send_unsent()
     }
 
-    fn send_unsent(&mut self) -> std::io::Result<()> {
+    /// Sends as many of the queued bytes as the socket takes.
+    ///
+    /// # Errors
+    /// If sending fails.
+    pub fn send_unsent(&mut self) -> std::io::Result<()> {
         while !self.unsent.is_empty() {
             match self.stream.try_write(&self.unsent) {
                 Ok(count) => drop(self.unsent.drain(..count)),
@@ -125,10 +202,9 @@
         timeout(limit, waiting).await.expect("a response begins in time");
     }
 
-    /// Waits until bytes of a response can be read, and leaves them unread.
-    pub async fn wait_until_readable(&self, limit: Duration) {
-        let readable = timeout(limit, self.stream.readable()).await;
-        readable.expect("a response begins in time").expect("the connection is open");
+    /// Waits until bytes of a response can be read, and leaves them unread. Returns false after the limit.
+    pub async fn wait_until_readable(&self, limit: Duration) -> bool {
+        matches!(timeout(limit, self.stream.readable()).await, Ok(Ok(())))
     }
 
     /// Waits until the other side has closed its sending side.
@@ -161,7 +237,7 @@
     }
 
     /// Reads once; returns how the connection ended, if it did.
-    fn read_once(&mut self) -> Option<StreamEnd> {
+    pub fn read_once(&mut self) -> Option<StreamEnd> {
         let mut buffer = vec![0; self.pace.read_bytes];
         match self.stream.try_read(&mut buffer) {
             Ok(0) => return Some(StreamEnd::EndOfStream),
@@ -183,16 +259,12 @@
         limit: Duration,
         mut next_piece: impl FnMut() -> Option<Vec<u8>>,
     ) -> Received {
-        let mut reads = interval(self.pace.read_interval);
-        let mut sends = interval(self.pace.send_interval);
-        reads.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        sends.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let exchange = async {
             while self.responses.len() < count {
-                let end = tokio::select! {
-                    _ = reads.tick() => self.read_once(),
-                    _ = sends.tick() => {
-                        if self.unsent.is_empty() {
+                let end = match self.tick().await {
+                    Tick::Read => self.read_once(),
+                    Tick::Send => {
+                        if !self.has_unsent() {
                             self.unsent = next_piece().unwrap_or_default();
                         }
                         self.send_unsent().err().map(|error| StreamEnd::Failed(error.kind()))
@@ -217,19 +289,19 @@
 
 /// Removes the first complete response from `received`; `None` if it is not complete yet. Only bodies with
 /// a declared length are understood.
-fn take_response(received: &mut Vec<u8>) -> Option<Message> {
+fn take_response(received: &mut Vec<u8>) -> Option<RawResponse> {
     let head_end = received.windows(4).position(|bytes| bytes == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&received[..head_end]).to_string();
     let mut lines = head.lines();
-    let mut message =
-        Message { start: lines.next()?.to_string(), is_complete: true, ..Message::default() };
+    let status = lines.next()?.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let mut response = RawResponse { status: status.unwrap_or(0), ..RawResponse::default() };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.to_string(), value.trim().to_string()));
+            response.headers.push((name.to_string(), value.trim().to_string()));
         }
     }
-    let length = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    message.body = received.get(head_end..head_end + length)?.to_vec();
+    let length = response.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    response.body = received.get(head_end..head_end + length)?.to_vec();
     received.drain(..head_end + length);
-    Some(message)
+    Some(response)
 }
--- a/testbed/src/soak/clients.rs
+++ b/testbed/src/soak/clients.rs
@@ -2,10 +2,13 @@
 //! at the other end, and then connects to a randomly chosen proxy.
 
 mod http_requests;
+mod never_pausing;
+mod one_request;
 mod pipelining;
+mod plain_requests;
 mod shared;
 
-pub use shared::SharedState;
+pub use shared::{ProxyAddress, SharedState};
 
 use super::record::{RequestEnd, RequestKind};
 use crate::sim::Random;
@@ -27,6 +30,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Share of filings (requests that are executed at most once) among the small requests.
 const FILING_PROBABILITY: f64 = 0.3;
+/// Share of the connections on plain sockets that do not go through a relay.
+const DIRECT_PROBABILITY: f64 = 0.5;
 
 /// How a client uses its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,9 +46,21 @@
     Uploading,
     /// Requests large responses and reads them slowly.
     ReadingSlowly,
+    /// Sends without waiting for responses and reads slowly, on a plain socket with a small receive buffer.
+    NeverPausing,
+    /// Sends uploads that are rejected midway, on plain sockets.
+    RejectedUploading,
+    /// Closes its sending side after each request, on plain sockets.
+    HalfClosing,
 }
 
-const USAGE_PATTERNS: [UsagePattern; 8] = [
+const USAGE_PATTERNS: [UsagePattern; 14] = [
+    UsagePattern::NeverPausing,
+    UsagePattern::NeverPausing,
+    UsagePattern::RejectedUploading,
+    UsagePattern::HalfClosing,
+    UsagePattern::NeverPausing,
+    UsagePattern::NeverPausing,
     UsagePattern::Steady,
     UsagePattern::Steady,
     UsagePattern::Steady,
@@ -60,10 +77,20 @@
         USAGE_PATTERNS[client % USAGE_PATTERNS.len()]
     }
 
+    fn uses_plain_sockets(self) -> bool {
+        matches!(
+            self,
+            UsagePattern::NeverPausing
+                | UsagePattern::RejectedUploading
+                | UsagePattern::HalfClosing
+        )
+    }
+
     /// Chooses the kind of the next request.
     fn request_kind(self, random: &mut Random) -> RequestKind {
         match self {
             UsagePattern::Uploading => RequestKind::Upload,
+            UsagePattern::RejectedUploading => RequestKind::RejectedUpload,
             UsagePattern::ReadingSlowly => RequestKind::Download,
             _ if random.chance(FILING_PROBABILITY) => RequestKind::Filing,
             _ => RequestKind::Lookup,
@@ -86,7 +113,12 @@
     let mut random = Random::new(seed);
     while !shared.is_over() {
         let proxy = random.below(shared.proxies.len());
-        let connecting = TcpStream::connect(shared.proxies[proxy]);
+        if pattern.uses_plain_sockets() {
+            use_plain_socket(&shared, proxy, pattern, &mut random).await;
+            tokio::time::sleep(RECONNECT_DELAY).await;
+            continue;
+        }
+        let connecting = TcpStream::connect(shared.proxies[proxy].relayed);
         let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await else {
             tokio::time::sleep(RECONNECT_DELAY).await;
             continue;
@@ -100,6 +132,31 @@
     }
 }
 
+/// Opens a connection to the proxy itself or through its relay, and uses it until it closes.
+async fn use_plain_socket(
+    shared: &SharedState,
+    proxy: usize,
+    pattern: UsagePattern,
+    random: &mut Random,
+) {
+    let address = shared.proxies[proxy];
+    let address = if random.chance(DIRECT_PROBABILITY) { address.direct } else { address.relayed };
+    match pattern {
+        UsagePattern::RejectedUploading => {
+            // A relay accepts connections while its proxy does not.
+            let direct = shared.proxies[proxy].direct;
+            one_request::send_rejected_upload(shared, direct, proxy).await;
+            tokio::time::sleep(pattern.pause(random)).await;
+        }
+        UsagePattern::HalfClosing => {
+            let kind = pattern.request_kind(random);
+            one_request::send_and_half_close(shared, address, proxy, kind).await;
+            tokio::time::sleep(pattern.pause(random)).await;
+        }
+        _ => never_pausing::send_without_pause(shared, address, proxy, random).await,
+    }
+}
+
 /// Sends one request after the other until the connection closes.
 async fn send_sequentially(
     shared: &SharedState,
--- a/testbed/src/soak/clients/http_requests.rs
+++ b/testbed/src/soak/clients/http_requests.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use vanepath_config::execution_status;
 
-const DOWNLOAD_BYTES: usize = 150_000;
+pub(super) const DOWNLOAD_BYTES: usize = 150_000;
 /// Pause after each frame of a download, to read it slowly.
 const DOWNLOAD_FRAME_DELAY: Duration = Duration::from_millis(30);
 const UPLOAD_PIECES: usize = 12;
@@ -52,7 +52,9 @@
     let (method, target, body) = match request.kind {
         RequestKind::Lookup => ("GET", format!("/stock/{request_id}"), full(Bytes::new())),
         RequestKind::Filing => ("POST", "/orders".to_string(), full(request_id.clone())),
-        RequestKind::Upload => ("POST", "/orders".to_string(), upload()),
+        RequestKind::Upload | RequestKind::RejectedUpload => {
+            ("POST", "/orders".to_string(), upload())
+        }
         RequestKind::Download => {
             let target = format!("/documents/{request_id}?size={DOWNLOAD_BYTES}");
             ("GET", target, full(Bytes::new()))
@@ -76,7 +78,7 @@
     }
     let Ok(value) = jzon::parse(&String::from_utf8_lossy(bytes)) else { return false };
     let body_bytes = match request.kind {
-        RequestKind::Upload => UPLOAD_PIECES * UPLOAD_PIECE_BYTES,
+        RequestKind::Upload | RequestKind::RejectedUpload => UPLOAD_PIECES * UPLOAD_PIECE_BYTES,
         RequestKind::Filing => request.request_id.len(),
         RequestKind::Lookup | RequestKind::Download => 0,
     };
--- a/testbed/src/soak/clients/pipelining.rs
+++ b/testbed/src/soak/clients/pipelining.rs
@@ -1,10 +1,10 @@
 //! Sends several lookups at once on one connection, by HTTP pipelining (RFC 9112, 9.3.2).
 
 use super::http_requests::is_correct;
+use super::plain_requests::request_text;
 use super::shared::{PendingRequest, SharedState};
 use super::{RESPONSE_TIMEOUT, UsagePattern};
 use crate::sim::Random;
-use crate::soak::invariants::DEADLINE;
 use crate::soak::record::{RequestEnd, RequestKind};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -57,16 +57,6 @@
     }
 }
 
-fn request_text(request: &PendingRequest) -> String {
-    let request_id = &request.request_id;
-    format!(
-        "GET /stock/{request_id} HTTP/1.1\r\nhost: shop.example\r\nx-request: {request_id}\r\n\
-         vanepath-deadline-ms: {}\r\nvanepath-api-key: {}\r\n\r\n",
-        DEADLINE.as_millis(),
-        request.key.text()
-    )
-}
-
 /// Reads the next response. `received` holds bytes that were already read from the connection.
 async fn read_response(
     stream: &mut TcpStream,
@@ -80,7 +70,8 @@
         let mut buffer = [0; READ_BUFFER_BYTES];
         match stream.read(&mut buffer).await {
             Ok(count) if count > 0 => received.extend_from_slice(&buffer[..count]),
-            _ => return PipelinedEnd { end: RequestEnd::ConnectionClosed, is_last: true },
+            Ok(_) => return PipelinedEnd { end: RequestEnd::ConnectionClosed, is_last: true },
+            Err(_) => return PipelinedEnd { end: RequestEnd::ConnectionReset, is_last: true },
         }
     }
 }
--- a/testbed/src/soak/clients/shared.rs
+++ b/testbed/src/soak/clients/shared.rs
@@ -8,12 +8,21 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Where a proxy is reached.
+#[derive(Clone, Copy, Debug)]
+pub struct ProxyAddress {
+    /// Through a relay, whose link may have faults.
+    pub relayed: SocketAddr,
+    /// Where the process itself listens.
+    pub direct: SocketAddr,
+}
+
 /// State shared by all clients of a soak test.
 pub struct SharedState {
     /// Start of the soak test; the times of requests are relative to it.
     start: Instant,
     /// Addresses of the proxies.
-    pub proxies: Vec<SocketAddr>,
+    pub proxies: Vec<ProxyAddress>,
     /// Requests that have ended.
     pub requests: Mutex<Vec<Request>>,
     /// Set when clients must stop.
@@ -26,7 +35,7 @@
 
 impl SharedState {
     /// Creates the state for a soak test that began at `start`, with these proxies.
-    pub fn new(start: Instant, proxies: Vec<SocketAddr>) -> Arc<SharedState> {
+    pub fn new(start: Instant, proxies: Vec<ProxyAddress>) -> Arc<SharedState> {
         Arc::new(SharedState {
             start,
             proxies,
@@ -49,6 +58,11 @@
         self.requests.lock().expect("no panic under this lock").push(request);
     }
 
+    /// How long ago a request was sent.
+    pub(super) fn age(&self, request: &PendingRequest) -> Duration {
+        self.now().saturating_sub(request.sent_at)
+    }
+
     fn now(&self) -> Duration {
         self.start.elapsed()
     }
--- a/testbed/src/soak/invariants.rs
+++ b/testbed/src/soak/invariants.rs
@@ -1,7 +1,9 @@
 //! The invariants of a soak test, checked against what was observed from the outside.
 
 use super::api_keys::ApiKey;
-use super::record::{Fault, Observations, Request, RequestEnd, ServerIncarnation};
+use super::record::{
+    Fault, Observations, Request, RequestEnd, RequestKind, ServerIncarnation, UsageComparison,
+};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -29,7 +31,7 @@
 
 /// Checks all invariants and returns their violations, one line each.
 pub fn check(observations: &Observations) -> Vec<String> {
-    let invariants: [fn(&Observations) -> Vec<String>; 14] = [
+    let invariants: [fn(&Observations) -> Vec<String>; 15] = [
         sent_to_draining_servers,
         sent_to_drained_zones,
         sent_to_wrong_services,
@@ -39,6 +41,7 @@
         executed_twice_or_misreported,
         mismatched_responses,
         in_flight_requests_lost,
+        rejections_lost,
         abandoned_during_execution,
         late_responses,
         revision_regressions,
@@ -270,18 +273,15 @@
 /// meanwhile.
 fn in_flight_requests_lost(observations: &Observations) -> Vec<String> {
     let mut violations = Vec::new();
-    for request in observations
-        .requests
-        .iter()
-        .filter(|request| matches!(request.end, RequestEnd::ConnectionClosed))
-    {
+    for request in observations.requests.iter().filter(|request| is_connection_lost(&request.end)) {
         let has_run = observations.execution_counts.contains_key(&request.request_id);
         if has_run && !may_be_affected_by_fault(observations, request) {
             violations.push(format!(
-                "{} {} of proxy {} was executed, but its connection closed {} ms after it was sent, without a fault",
+                "{} {} of proxy {} was executed, but ended as {} {} ms after it was sent, without a fault",
                 request.kind,
                 request.request_id,
                 request.proxy,
+                request.end,
                 (request.ended_at - request.sent_at).as_millis()
             ));
         }
@@ -289,6 +289,33 @@
     violations
 }
 
+fn is_connection_lost(end: &RequestEnd) -> bool {
+    matches!(end, RequestEnd::ConnectionClosed | RequestEnd::ConnectionReset)
+}
+
+/// The rejection of an upload must reach its client, although the client is still sending (incident 0024).
+fn rejections_lost(observations: &Observations) -> Vec<String> {
+    let is_lost = |request: &&Request| {
+        let from = request.sent_at.saturating_sub(FAULT_AFTERMATH);
+        let is_of_proxy = |fault: &Fault| matches!(fault, Fault::Proxy(proxy) | Fault::ProxyLink(proxy) if *proxy == request.proxy);
+        request.kind == RequestKind::RejectedUpload
+            && is_connection_lost(&request.end)
+            && !observations.had_fault(from, request.ended_at, is_of_proxy)
+    };
+    let lost = observations.requests.iter().filter(is_lost);
+    lost.map(|request| {
+        format!(
+            "{} {} of proxy {} ended as {} {} ms after it was sent, without a fault",
+            request.kind,
+            request.request_id,
+            request.proxy,
+            request.end,
+            (request.ended_at - request.sent_at).as_millis()
+        )
+    })
+    .collect()
+}
+
 /// No proxy may abandon a request before its deadline while a server is executing it (incident 0019),
 /// unless the proxy is killed, suspended or isolated.
 fn abandoned_during_execution(observations: &Observations) -> Vec<String> {
@@ -296,7 +323,10 @@
     let is_aborted =
         |request: &&Request| observations.aborted_requests.contains(&request.request_id);
     for request in observations.requests.iter().filter(is_aborted) {
-        let is_served = matches!(request.end, RequestEnd::Response { status: 200, .. });
+        let is_served = matches!(
+            request.end,
+            RequestEnd::Response { status: 200, .. } | RequestEnd::LeftByClient
+        );
         let is_late = request.ended_at - request.sent_at >= DEADLINE;
         let from = request.sent_at.saturating_sub(FAULT_AFTERMATH);
         let is_of_proxy = |fault: &Fault| matches!(fault, Fault::Proxy(proxy) | Fault::ProxyLink(proxy) if *proxy == request.proxy);
@@ -325,7 +355,9 @@
                 *status >= 500 && duration > DEADLINE + RESPONSE_TOLERANCE
             }
             RequestEnd::Timeout => true,
-            RequestEnd::ConnectionClosed => false,
+            RequestEnd::ConnectionClosed
+            | RequestEnd::ConnectionReset
+            | RequestEnd::LeftByClient => false,
         };
         if is_late && !may_be_affected_by_fault(observations, request) {
             let (kind, request_id, proxy) = (request.kind, &request.request_id, request.proxy);
@@ -375,7 +407,11 @@
     let is_failed = |request: &&Request| {
         request.sent_at >= stable_at
             && request.key == ApiKey::Permanent
-            && !matches!(request.end, RequestEnd::Response { status: 200, .. })
+            && request.kind != RequestKind::RejectedUpload
+            && !matches!(
+                request.end,
+                RequestEnd::Response { status: 200, .. } | RequestEnd::LeftByClient
+            )
     };
     let failed = observations.requests.iter().filter(is_failed);
     failed
@@ -390,17 +426,18 @@
 
 /// No process may leak memory, open files or threads.
 fn resource_leaks(observations: &Observations) -> Vec<String> {
-    let mut violations = Vec::new();
-    for usage in &observations.usage {
-        let (before, after) = (usage.before, usage.after);
-        let is_grown = after.memory_kb > before.memory_kb + MAX_MEMORY_GROWTH_KB
-            || after.open_files > before.open_files + MAX_OPEN_FILE_GROWTH
-            || after.threads > before.threads + MAX_THREAD_GROWTH;
-        if is_grown {
-            violations.push(format!("{} grew from {before:?} to {after:?}", usage.daemon));
-        }
-    }
-    violations
+    let grown = observations.usage.iter().filter(|usage| has_grown(usage));
+    grown
+        .map(|usage| format!("{} grew from {:?} to {:?}", usage.daemon, usage.before, usage.after))
+        .collect()
+}
+
+/// Whether a process uses more than the permitted growth allows.
+pub(super) fn has_grown(usage: &UsageComparison) -> bool {
+    let (before, after) = (usage.before, usage.after);
+    after.memory_kb > before.memory_kb + MAX_MEMORY_GROWTH_KB
+        || after.open_files > before.open_files + MAX_OPEN_FILE_GROWTH
+        || after.threads > before.threads + MAX_THREAD_GROWTH
 }
 
 #[cfg(test)]
--- a/testbed/src/soak/invariants/tests.rs
+++ b/testbed/src/soak/invariants/tests.rs
@@ -190,12 +190,45 @@
     assert_eq!(wrong, "lookup n1 got a response that is not its own");
 }
 
+#[test]
+fn a_lost_rejection_is_found() {
+    for (end, is_lost) in [
+        (RequestEnd::ConnectionReset, true),
+        (RequestEnd::ConnectionClosed, true),
+        (rejected("not-run"), false),
+    ] {
+        let add_upload = |observations: &mut Observations| {
+            let kind = RequestKind::RejectedUpload;
+            observations.requests.push(request("n3", kind, 3000, 3010, end.clone()));
+        };
+        let violations = violations_after(add_upload);
+        assert_eq!(violations.contains("rejected-upload n3"), is_lost, "{end}: {violations}");
+        for (fault, is_explained) in [(Fault::Proxy(1), true), (Fault::Server, false)] {
+            let violations = violations_after(|observations| {
+                add_upload(observations);
+                let fault = FaultInterval { fault: fault.clone(), from: ms(2900), to: ms(3001) };
+                observations.fault_intervals.push(fault);
+            });
+            assert_eq!(violations.is_empty(), is_explained || !is_lost, "{end}: {violations}");
+        }
+    }
+}
+
 #[test]
 fn a_lost_request_in_flight_is_found() {
     let lose_request = |observations: &mut Observations| {
         observations.requests[0].end = RequestEnd::ConnectionClosed
     };
-    assert!(violations_after(lose_request).contains("was executed, but its connection closed"));
+    assert!(violations_after(lose_request).contains("was executed, but ended as ConnectionClosed"));
+    let reset = violations_after(|observations| {
+        observations.requests[0].end = RequestEnd::ConnectionReset;
+    });
+    assert!(reset.contains("was executed, but ended as ConnectionReset"), "{reset}");
+    // A proxy may take a client that has closed its sending side for one that has left.
+    let left = violations_after(|observations| {
+        observations.requests[0].end = RequestEnd::LeftByClient;
+    });
+    assert!(left.is_empty(), "{left}");
     for (fault, is_explained) in [
         (Fault::Proxy(1), true),
         (Fault::ProxyLink(1), true),
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -18,12 +18,14 @@
     Upload,
     /// A request with a large response, which may be executed repeatedly.
     Download,
+    /// A filing whose declared length is over every limit, so that it is rejected while it is sent.
+    RejectedUpload,
 }
 
 impl RequestKind {
     /// Whether the request must be executed at most once.
     pub fn is_at_most_once(self) -> bool {
-        matches!(self, RequestKind::Filing | RequestKind::Upload)
+        matches!(self, RequestKind::Filing | RequestKind::Upload | RequestKind::RejectedUpload)
     }
 }
 
@@ -41,6 +43,11 @@
     },
     /// The connection closed before the response was complete.
     ConnectionClosed,
+    /// The connection was reset before the response was complete.
+    ConnectionReset,
+    /// No complete response arrived after the client had closed its sending side, which a proxy may take for
+    /// the end of the client.
+    LeftByClient,
     /// No complete response arrived within a time-out that is much longer than the deadline of the request.
     Timeout,
 }
@@ -54,6 +61,8 @@
                 "Response {{ status: {status}, execution: {execution:?}, is_correct: {is_correct} }}"
             ),
             RequestEnd::ConnectionClosed => formatter.write_str("ConnectionClosed"),
+            RequestEnd::ConnectionReset => formatter.write_str("ConnectionReset"),
+            RequestEnd::LeftByClient => formatter.write_str("LeftByClient"),
             RequestEnd::Timeout => formatter.write_str("Timeout"),
         }
     }
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -7,7 +7,7 @@
 mod stability;
 
 use super::Plan;
-use super::clients::{self, SharedState, UsagePattern};
+use super::clients::{self, ProxyAddress, SharedState, UsagePattern};
 use super::operator::{FIRST_VERSION, NamedAddress, Operator, Order, Outcome, versioned};
 use super::record::{Observations, RevisionReading};
 use super::script::{Size, Step};
@@ -100,7 +100,7 @@
     pub async fn run_script(&mut self, seed: u64, plan: &Plan, steps: &[Step]) -> Observations {
         self.start = Instant::now();
         self.faults = FaultLog::new(self.start);
-        let proxies = self.addresses("proxy").iter().map(|proxy| proxy.address).collect();
+        let proxies = self.proxy_addresses();
         let shared = SharedState::new(self.start, proxies);
         let mut clients = start_clients(&shared, seed, plan);
         let outcome = Arc::new(Mutex::new(Outcome::default()));
@@ -135,7 +135,7 @@
         reading.abort();
         watching.abort();
 
-        let usage = self.usage_since(&usage_before);
+        let usage = self.usage_at_rest(&usage_before).await;
         let outcome = std::mem::take(&mut *outcome.lock().expect("no panic under this lock"));
         let requests =
             std::mem::take(&mut *shared.requests.lock().expect("no panic under this lock"));
@@ -186,6 +186,14 @@
         lines.join("\n")
     }
 
+    fn proxy_addresses(&self) -> Vec<ProxyAddress> {
+        let proxies = self.fleet.with_role("proxy").into_iter();
+        let proxies = proxies.map(|index| &self.fleet.daemons[index]);
+        proxies
+            .map(|proxy| ProxyAddress { relayed: proxy.address, direct: proxy.listen_address() })
+            .collect()
+    }
+
     fn addresses(&self, role: &str) -> Vec<NamedAddress> {
         let daemons =
             self.fleet.with_role(role).into_iter().map(|index| &self.fleet.daemons[index]);
--- a/testbed/src/soak/world/stability.rs
+++ b/testbed/src/soak/world/stability.rs
@@ -10,9 +10,14 @@
 use crate::stub::Behavior;
 use rustix::process::Signal;
 use std::time::{Duration, Instant};
+use vanepath_proxy::endpoints::MAX_IDLE_TIME;
 
 /// Delay between two checks for the stable state.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long after [`MAX_IDLE_TIME`] the idle connections of a proxy are closed at the latest.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Delay between two measurements of the resource usage.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The resource usage of one process at one time.
 pub(super) struct ProcessUsage {
@@ -82,9 +87,22 @@
         self.fleet.daemons.iter().filter_map(usage_of).collect()
     }
 
+    /// Like [`World::usage_since`], after the idle connections of proxies to servers have been closed where
+    /// these are many after a burst of requests.
+    pub(super) async fn usage_at_rest(&self, before: &[ProcessUsage]) -> Vec<UsageComparison> {
+        let deadline = Instant::now() + MAX_IDLE_TIME + IDLE_MARGIN;
+        loop {
+            let usage = self.usage_since(before);
+            if !usage.iter().any(invariants::has_grown) || Instant::now() > deadline {
+                return usage;
+            }
+            tokio::time::sleep(USAGE_INTERVAL).await;
+        }
+    }
+
     /// Compares the resource usage of the processes in `before` that are still running with their present
     /// one.
-    pub(super) fn usage_since(&self, before: &[ProcessUsage]) -> Vec<UsageComparison> {
+    fn usage_since(&self, before: &[ProcessUsage]) -> Vec<UsageComparison> {
         let after = self.usage();
         let same = before.iter().filter_map(|before| {
             let after = after.iter().find(|after| after.pid == before.pid)?;
