A route that cannot be refreshed stays as it is

Route::refresh set the rule of the newest table before authentication could fail, so that on an error the rule was of one table and the rest of another.

--- a/proxy/src/forward/routing.rs
+++ b/proxy/src/forward/routing.rs
@@ -65,7 +65,8 @@
         Ok(Route { table, rule, tenant, target: Arc::new(target) })
     }
 
-    /// Switches to the latest routing table, and finds rule and tenant again if the config has changed.
+    /// Switches to the latest routing table, and finds rule and tenant again if the config has changed. On an
+    /// error the route stays as it is.
     ///
     /// # Errors
     /// As for [`Route::find`].
@@ -75,12 +76,14 @@
         details: &mut RejectionDetails,
     ) -> Result<(), Rejection> {
         let latest = proxy.endpoints.table.load_full();
-        if !Arc::ptr_eq(&latest.config, &self.table.config) {
-            self.rule = find_rule(proxy, &latest, &self.target, details)?;
-        }
-        let rule = &latest.config.rules[self.rule];
-        self.tenant = authenticate(proxy, &latest, rule, self.target.key, details)?;
-        self.table = latest;
+        let rule = if Arc::ptr_eq(&latest.config, &self.table.config) {
+            self.rule
+        } else {
+            find_rule(proxy, &latest, &self.target, details)?
+        };
+        let rule_config = &latest.config.rules[rule];
+        let tenant = authenticate(proxy, &latest, rule_config, self.target.key, details)?;
+        (self.table, self.rule, self.tenant) = (latest, rule, tenant);
         Ok(())
     }
 
