--- a/cluster/src/node/connections/mod.rs
+++ b/cluster/src/node/connections/mod.rs
@@ -140,6 +140,11 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// The number of open connections on which requests are still served.
+    pub fn serving(&self) -> usize {
+        self.open().saturating_sub(self.lingering.len())
+    }
+
     /// The numbers of open and of lingering connections and the counters, for the status page.
     pub fn as_json(&self) -> jzon::JsonValue {
         let mut json = jzon::object! { "open": self.open(), "lingering": self.lingering.len() };
--- a/proxy/src/shell/mod.rs
+++ b/proxy/src/shell/mod.rs
@@ -49,8 +49,11 @@
     tokio::select! {
         () = node::accept(listener, drain.stop_accepting, connections.clone(), serve) => log::info!("stopped"),
         () = node.grace_period_end() => {
-            let open = connections.open();
-            log::warn!("stopped at the end of the grace period with {open} connections open");
+            let (open, serving) = (connections.open(), connections.serving());
+            if serving > 0 {
+                log::warn!("stopped at the end of the grace period with requests in flight");
+            }
+            log::info!("stopped with {open} connections open, requests in flight on {serving}");
         }
     }
     Ok(())
