Soak: pipelining clients use the raw client, one parser of responses

The pipelining client had a parser of its own beside the raw client's. Behaviour as before, but a reset is told from the end of the stream.

--- a/testbed/src/raw_client.rs
+++ b/testbed/src/raw_client.rs
@@ -202,6 +202,27 @@
         timeout(limit, waiting).await.expect("a response begins in time");
     }
 
+    /// Waits for the next complete response.
+    ///
+    /// # Errors
+    /// How the connection ended, if it did before the response was complete.
+    pub async fn next_response(&mut self) -> Result<RawResponse, StreamEnd> {
+        let mut end = None;
+        loop {
+            if !self.responses.is_empty() {
+                return Ok(self.responses.remove(0));
+            }
+            if let Some(end) = end {
+                return Err(end);
+            }
+            let readable = self.stream.readable().await;
+            end = match readable {
+                Ok(()) => self.read_once(),
+                Err(error) => Some(StreamEnd::Failed(error.kind())),
+            };
+        }
+    }
+
     /// Waits until bytes of a response can be read, and leaves them unread. Returns false after the limit.
     pub async fn wait_until_readable(&self, limit: Duration) -> bool {
         matches!(timeout(limit, self.stream.readable()).await, Ok(Ok(())))
--- a/testbed/src/soak/clients.rs
+++ b/testbed/src/soak/clients.rs
@@ -124,11 +124,7 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        if pattern == UsagePattern::Pipelined {
-            send_pipelined(&shared, stream, proxy, &mut random).await;
-        } else {
-            send_sequentially(&shared, stream, proxy, pattern, &mut random).await;
-        }
+        send_sequentially(&shared, stream, proxy, pattern, &mut random).await;
     }
 }
 
@@ -153,6 +149,9 @@
             one_request::send_and_half_close(shared, address, proxy, kind).await;
             tokio::time::sleep(pattern.pause(random)).await;
         }
+        UsagePattern::Pipelined => {
+            send_pipelined(shared, shared.proxies[proxy].relayed, proxy, random).await;
+        }
         _ => never_pausing::send_without_pause(shared, address, proxy, random).await,
     }
 }
