--- a/review/standin/acklost.rs
+++ b/review/standin/acklost.rs
@@ -126,8 +126,8 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1).map(PathBuf::from);
-    let (root, folder) = (arguments.next().expect("root"), arguments.next().expect("folder"));
-    let record = Record::new(&folder.join("record.txt"));
+    let (root, file) = (arguments.next().expect("root"), arguments.next().expect("the file of the record"));
+    let record = Record::new(&file);
     let lost = if has_trouble() { 1 } else { 0 };
     let mut deployment = Deployment::new(&root, record.clone());
     for number in 0..6usize {
--- a/review/standin/evac.rs
+++ b/review/standin/evac.rs
@@ -90,8 +90,8 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1).map(PathBuf::from);
-    let (root, folder) = (arguments.next().expect("root"), arguments.next().expect("folder"));
-    let record = Record::new(&folder.join("record.txt"));
+    let (root, file) = (arguments.next().expect("root"), arguments.next().expect("the file of the record"));
+    let record = Record::new(&file);
     let trouble = has_trouble();
     let mut deployment = Deployment::new(&root, record.clone());
     let mut in_zones = Vec::new();
--- a/review/standin/mixed.rs
+++ b/review/standin/mixed.rs
@@ -117,8 +117,8 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1).map(PathBuf::from);
-    let (root, folder) = (arguments.next().expect("root"), arguments.next().expect("folder"));
-    let record = Record::new(&folder.join("record.txt"));
+    let (root, file) = (arguments.next().expect("root"), arguments.next().expect("the file of the record"));
+    let record = Record::new(&file);
     let trouble = has_trouble();
     let mut deployment = Deployment::new(&root, record.clone());
     for (number, zone) in ZONES.iter().enumerate() {
