A zone is drained or it is not: an order sent again counts no second time

Cause: the value counted drain orders, and a registry that had sent an answer within 0.8 s told the stores that the client had it; the same order that followed counted as another one, of which the one withdrawal left one.

A repeat changes nothing by construction; no clock and no report of an answer decides any more. Counts in stored values are read, one order restores them.

The limit of 1000 orders for a zone is gone with the count.

--- a/registry/src/store_client/execute.rs
+++ b/registry/src/store_client/execute.rs
@@ -19,9 +19,6 @@
                 let request = store_request.request_at(now());
                 let response = send(registry, &store, &request).await;
                 if let Some(outcome) = store_request.on_response(response) {
-                    if let Some(acknowledgement) = store_request.acknowledgement(now(), &outcome) {
-                        broadcast(registry, &acknowledgement);
-                    }
                     return outcome;
                 }
             }
@@ -40,16 +37,3 @@
         _ => None,
     }
 }
-
-/// Sends a request to all stores without waiting for responses.
-fn broadcast(registry: &Registry, request: &Request) {
-    let request = wire::Request::Store(wire::encode(request).into());
-    for store in stores(&registry.node.current_view.load()) {
-        let (transport, request) = (registry.node.transport.clone(), request.clone());
-        let is_other_zone = store.zone != registry.node.settings.zone;
-        tokio::spawn(async move {
-            let address = store.cluster_address;
-            let _ = transport.call(address, &request, ATTEMPT_TIMEOUT, is_other_zone).await;
-        });
-    }
-}
--- a/registry/src/store_client/request.rs
+++ b/registry/src/store_client/request.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 use vanepath_cluster::node::ClusterView;
 use vanepath_cluster::wire::{NodeInfo, Role};
-use vanepath_store::protocol::{Change, Outcome, Request, Response};
-use vanepath_store::retransmission;
+use vanepath_store::protocol::{Outcome, Request, Response};
 
 /// The time-out of a request with all its attempts.
 pub const TIMEOUT: Duration = Duration::from_millis(4000);
@@ -62,7 +61,7 @@
     }
 
     /// The request as sent at `now`. For a change without an idempotency key of the client it states how
-    /// long the change has been waiting (design 6.10).
+    /// long the change has been waiting, for stores of earlier versions.
     pub fn request_at(&self, now: Duration) -> Request {
         let mut request = self.request.clone();
         if let Request::Change { keyless_for: Some(waiting_time), .. } = &mut request {
@@ -71,24 +70,6 @@
         request
     }
 
-    /// The acknowledgement to send to all stores once the client of a drain order without an idempotency key
-    /// is answered, if the response is certain to arrive within the client's time-out. The client does not
-    /// retransmit the order then, so that the stores treat an identical one that follows as a new order
-    /// (design 6.10).
-    pub fn acknowledgement(&self, now: Duration, outcome: &Outcome) -> Option<Request> {
-        let Request::Change { change, keyless_for: Some(waiting_time), .. } = &self.request else {
-            return None;
-        };
-        if matches!(change, Change::ReplaceConfig { .. }) {
-            return None;
-        }
-        let Outcome::Accepted { revision, .. } = outcome else { return None };
-        let is_in_time =
-            *waiting_time + now.saturating_sub(self.started_at) < retransmission::RESPONSE_DEADLINE;
-        let (content_hash, revision) = (change.content_hash(), *revision);
-        is_in_time.then_some(Request::Acknowledge { content_hash, revision })
-    }
-
     fn is_write(&self) -> bool {
         matches!(self.request, Request::Change { .. })
     }
--- a/store/src/consensus/acceptor.rs
+++ b/store/src/consensus/acceptor.rs
@@ -10,20 +10,13 @@
 use crate::protocol::{MembershipSnapshot, Rejection, Request, Response};
 use crate::value::{AcceptedProposal, BOOTSTRAP_BALLOT, Ballot, Digest, Value, digest_of};
 use std::sync::Arc;
-use std::time::Duration;
 
 impl Replica {
     /// Dispatches a request from another store or from a registry.
-    pub(super) fn on_request(
-        &mut self,
-        now: Duration,
-        ticket: u64,
-        request: Request,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub(super) fn on_request(&mut self, ticket: u64, request: Request, effects: &mut Vec<Effect>) {
         let response = match request {
             Request::Prepare { from, ballot, known_digest } => {
-                self.on_prepare(now, from, ballot, known_digest, effects)
+                self.on_prepare(from, ballot, known_digest, effects)
             }
             Request::Accept { from, ballot, value, batch } => {
                 self.on_accept(from, ballot, value, batch, effects)
@@ -40,20 +33,14 @@
                 is_healthy: !self.is_disk_unusable(),
             }),
             Request::Membership { from, wants_value } => self.on_membership(from, wants_value),
-            Request::Acknowledge { content_hash, revision } => {
-                if let Some(value) = &self.value {
-                    self.retransmissions.acknowledge(value, content_hash, revision, now);
-                }
-                self.recheck_undecided(effects);
-                Ok(Response::Acknowledged)
-            }
+            Request::Acknowledge { .. } => Ok(Response::Acknowledged),
             Request::Fetch { revision, digest } => {
                 return self.on_fetch(ticket, revision, digest, effects);
             }
             Request::Change { key, change, keyless_for } => {
-                let keyless_since = keyless_for.map(|elapsed| now.saturating_sub(elapsed));
-                let change = PendingChange { ticket, key, change, keyless_since };
-                return self.on_change(Operation::Change(change), effects);
+                let has_generated_key = keyless_for.is_some();
+                let change = PendingChange { ticket, key, change, has_generated_key };
+                return self.enqueue(Operation::Change(change), effects);
             }
             Request::Read => {
                 return self.enqueue_shared(Operation::Read { tickets: vec![ticket] }, effects);
@@ -74,7 +61,6 @@
     /// Phase 1: promises a ballot, unless this replica has promised a higher one.
     fn on_prepare(
         &mut self,
-        now: Duration,
         from: u64,
         ballot: Ballot,
         known_digest: Option<Digest>,
@@ -95,13 +81,11 @@
             self.state.promised = ballot;
             effects.push(Effect::Persist(vec![DiskWrite::State(self.state.clone())]));
         }
-        let unacknowledged =
-            self.value.as_ref().map(|value| self.retransmissions.unacknowledged(value, now));
         let value = self.value.as_ref().filter(|_| known_digest != Some(accepted.digest));
         let batch = if value.is_some() { cloned_values(&self.batch) } else { Vec::new() };
         let value = value.map(|value| (**value).clone());
         let from = self.own_incarnation();
-        Ok(Response::Promise { from, accepted, value, batch, unacknowledged })
+        Ok(Response::Promise { from, accepted, value, batch, unacknowledged: None })
     }
 
     /// Phase 2: accepts a proposal, unless this replica has promised a higher ballot.
@@ -200,7 +184,6 @@
         let mut writes = Vec::new();
         self.store_version(&value, digest, bytes, &mut writes);
         self.store_batch(&value, batch, &mut writes);
-        self.retransmissions.observe(&value, self.now);
         self.value = Some(value);
         writes.push(DiskWrite::State(self.state.clone()));
         self.prune_versions(&mut writes);
--- a/store/src/consensus/batch.rs
+++ b/store/src/consensus/batch.rs
@@ -10,7 +10,6 @@
 };
 use super::transitions::{KeyedChange, apply_change, apply_replacement, cloned_values};
 use crate::protocol::{Change, Outcome, Request, Response};
-use crate::retransmission::Classification;
 use crate::value::{AcceptedProposal, Ballot, Value, digest_of};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -170,27 +169,12 @@
         let mut is_confirmed = began_after_request;
         let mut next = Some(first);
         while let Some(pending) = next.take() {
-            let latest = &builder.latest;
-            let classification = self.retransmissions.classify(
-                latest,
-                &pending.change,
-                pending.keyless_since,
-                self.now,
-            );
-            let is_known = latest.known_write(&pending.key).is_some();
-            if classification == Classification::Undecided && !is_known {
-                // The change of which it may be a retransmission is in the same batch.
-                self.undecided.push_back(Operation::Change(pending));
-                next = self.next_queued_change();
-                continue;
-            }
             let request = KeyedChange {
                 key: &pending.key,
-                is_generated: pending.keyless_since.is_some(),
+                is_generated: pending.has_generated_key,
                 change: &pending.change,
-                classification,
             };
-            match apply_change(latest, &builder.latest_accepted, &request) {
+            match apply_change(&builder.latest, &builder.latest_accepted, &request) {
                 Err(outcome) if is_confirmed => {
                     let response = Response::Outcome(outcome);
                     effects.push(Effect::Reply { ticket: pending.ticket, response });
@@ -199,10 +183,7 @@
                     builder.replies.push(PlannedReply { ticket: pending.ticket, outcome });
                     builder.unconfirmed.push(Operation::Change(pending));
                 }
-                Ok(version) => {
-                    self.retransmissions.record(&pending.key, pending.keyless_since, self.now);
-                    builder.push(&pending, version);
-                }
+                Ok(version) => builder.push(&pending, version),
             }
             is_confirmed = false;
             if builder.has_room() {
--- a/store/src/consensus/proposer.rs
+++ b/store/src/consensus/proposer.rs
@@ -151,14 +151,8 @@
             (Phase::Bootstrapping { accepts }, Response::Accepted { from }) if from == target => {
                 accepts.insert(from);
             }
-            (
-                Phase::Preparing { .. },
-                Response::Promise { from, accepted, value, batch, unacknowledged },
-            ) => {
+            (Phase::Preparing { .. }, Response::Promise { from, accepted, value, batch, .. }) => {
                 let reported = self.promised_value(accepted, value, batch);
-                if let (Some(reported), Some(unacknowledged)) = (&reported, &unacknowledged) {
-                    self.retransmissions.merge(&reported.value, unacknowledged, self.now);
-                }
                 if from == target {
                     self.record_promise(round, from, accepted, reported, effects);
                 }
--- a/store/src/consensus/replica.rs
+++ b/store/src/consensus/replica.rs
@@ -6,7 +6,6 @@
 use super::quorum::{member_incarnations, slot_of};
 use super::round::{Operation, ReplicaStatus, Round};
 use crate::protocol::{MembershipSnapshot, Outcome, Request};
-use crate::retransmission::RetransmissionFilter;
 use crate::value::{AcceptedProposal, BOOTSTRAP_BALLOT, MemberTable, Value, VersionId};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -53,9 +52,6 @@
     pub(super) last_tick_at: Duration,
     /// The time of the current step.
     pub(super) now: Duration,
-    pub(super) retransmissions: RetransmissionFilter,
-    /// Changes that are not yet classified as new or as retransmissions (design 6.10).
-    pub(super) undecided: VecDeque<Operation>,
     /// Since when a higher revision than the accepted one is known to be committed.
     pub(super) behind_since: Option<Duration>,
     /// Counter by which members are asked in turn for missing versions.
@@ -122,10 +118,6 @@
         for version in recovered.versions {
             stored_versions.entry(version.id.revision).or_default().push(version);
         }
-        let mut retransmissions = RetransmissionFilter::default();
-        if let Some(value) = &recovered.value {
-            retransmissions.observe(value, now);
-        }
         Replica {
             identity,
             state: recovered.state,
@@ -152,8 +144,6 @@
             replacement_check_at: now,
             last_tick_at: now,
             now,
-            retransmissions,
-            undecided: VecDeque::new(),
             behind_since: None,
             fetch_turn: 0,
             disk_failed: false,
@@ -265,7 +255,7 @@
         match event {
             Event::Tick => self.on_tick(now, &mut effects),
             Event::RequestReceived { ticket, request } => {
-                self.on_request(now, ticket, request, &mut effects)
+                self.on_request(ticket, request, &mut effects)
             }
             Event::ResponseReceived { call, response } => {
                 self.on_response(now, call, response, &mut effects)
@@ -323,8 +313,7 @@
         if let Some(round) = self.round.take() {
             self.fail_round(round, reason, effects);
         }
-        let undecided = std::mem::take(&mut self.undecided);
-        for operation in std::mem::take(&mut self.queue).into_iter().chain(undecided) {
+        for operation in std::mem::take(&mut self.queue) {
             let outcome = Outcome::NotApplied { reason: reason.to_string() };
             self.reply_outcome(&operation, outcome, effects);
         }
--- a/store/src/consensus/round.rs
+++ b/store/src/consensus/round.rs
@@ -35,8 +35,8 @@
     pub ticket: u64,
     pub key: String,
     pub change: Change,
-    /// When the registry received the call, if its client gave no key.
-    pub keyless_since: Option<Duration>,
+    /// Whether the registry generated the key, because the client gave none.
+    pub has_generated_key: bool,
 }
 
 /// The reply to a request once the round's value is committed.
--- a/store/src/consensus/timers.rs
+++ b/store/src/consensus/timers.rs
@@ -26,7 +26,6 @@
             // This process was paused, so unanswered pings say nothing about the other stores.
             self.forget_unanswered_pings();
         }
-        self.recheck_undecided(effects);
         if self.is_disk_unusable() {
             return;
         }
--- a/store/src/consensus/transitions.rs
+++ b/store/src/consensus/transitions.rs
@@ -7,10 +7,7 @@
 use super::round::Replacement;
 use crate::idempotency::IdempotencyRecord;
 use crate::protocol::{Change, Outcome};
-use crate::retransmission::Classification;
-use crate::value::{
-    AcceptedProposal, Ballot, Digest, MAX_DRAIN_ORDERS, Member, MemberTable, Value, digest_of,
-};
+use crate::value::{AcceptedProposal, Ballot, Digest, Member, MemberTable, Value, digest_of};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -48,7 +45,6 @@
     /// Whether the registry generated the key.
     pub is_generated: bool,
     pub change: &'a Change,
-    pub classification: Classification,
 }
 
 /// The value after a change.
@@ -86,17 +82,13 @@
             }
             false
         }
-        Change::DrainZone { zone } if value.drain_orders(zone) >= MAX_DRAIN_ORDERS => {
-            let reason = "too many orders to empty this zone stand".to_string();
-            return Err(Outcome::NotApplied { reason });
-        }
         Change::DrainZone { zone } => {
-            next.set_drain_orders(zone, value.drain_orders(zone) + 1);
-            false
+            next.drain(zone);
+            value.is_drained(zone)
         }
         Change::RestoreZone { zone } => {
-            next.set_drain_orders(zone, value.drain_orders(zone).saturating_sub(1));
-            value.drain_orders(zone) == 0
+            next.restore(zone);
+            !value.is_drained(zone)
         }
     };
     if is_no_op {
@@ -117,21 +109,13 @@
     Outcome::Accepted { revision, config_revision, is_repeat: true }
 }
 
-/// The outcome of a change that was already made, found by its key or recognized as a retransmission without
-/// one.
+/// The outcome of a change that was already made, found by its key.
 fn recorded_outcome(value: &Value, request: &KeyedChange) -> Option<Outcome> {
-    if let Some(known) = value.known_write(request.key) {
-        return Some(match known.has_content(request.change.content_hash()) {
-            true => repeat_outcome(known.revision, known.config_revision),
-            false => Outcome::KeyReused { revision: known.revision },
-        });
-    }
-    match request.classification {
-        Classification::Retransmission { revision, config_revision } => {
-            Some(repeat_outcome(revision, config_revision))
-        }
-        _ => None,
-    }
+    let known = value.known_write(request.key)?;
+    Some(match known.has_content(request.change.content_hash()) {
+        true => repeat_outcome(known.revision, known.config_revision),
+        false => Outcome::KeyReused { revision: known.revision },
+    })
 }
 
 /// Handles a configuration whose version is not above the highest one. Its author knows of a newer version,
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -4,7 +4,7 @@
 //! - `consensus`: the replica of one store as a pure state machine: Paxos over a single register, as in
 //!   CASPaxos.
 //! - `value`, `protocol`: the values that are agreed on, and the messages.
-//! - `idempotency`, `retransmission`: recognition of writes that are sent more than once.
+//! - `idempotency`: recognition of writes that are sent more than once under one key.
 //! - `disk`: the data folder. `hints`: soft state for a restart of all nodes.
 //! - `shell`: the daemon around the state machine: I/O, timers and HTTP.
 
@@ -15,6 +15,5 @@
 pub mod hints;
 pub mod idempotency;
 pub mod protocol;
-pub mod retransmission;
 pub mod shell;
 pub mod value;
--- a/store/src/protocol.rs
+++ b/store/src/protocol.rs
@@ -20,13 +20,13 @@
         /// above the highest one accepted so far.
         version: Option<u64>,
     },
-    /// Add a drain order for a zone.
+    /// Drain a zone. A drained zone stays as it is.
     #[serde(rename = "Empty")]
     DrainZone {
         /// The zone's name.
         zone: String,
     },
-    /// Withdraw one drain order of a zone.
+    /// Restore a zone, however often it was drained.
     #[serde(rename = "Return")]
     RestoreZone {
         /// The zone's name.
@@ -115,8 +115,8 @@
         key: String,
         /// What to write.
         change: Change,
-        /// Set if the client gave no key and the registry generated one: the time since the registry received
-        /// the call (design 6.10). `None`: the client gave the key.
+        /// Set if the client gave no key and the registry generated one. The time since the registry received
+        /// the call is evaluated by stores of earlier versions only. `None`: the client gave the key.
         #[serde(default)]
         #[serde(rename = "unnamed_for")]
         keyless_for: Option<Duration>,
@@ -128,8 +128,8 @@
         /// Revision of the version.
         revision: u64,
     },
-    /// The client of the change that made this revision received its response in time, and will not
-    /// retransmit the change (design 6.10).
+    /// Sent by registries of earlier versions, whose stores counted drain orders: the client of the change that
+    /// made this revision was answered. It has no effect.
     #[serde(rename = "Answered")]
     Acknowledge {
         /// `Change::content_hash` of the change.
@@ -161,7 +161,8 @@
     NotAMember,
 }
 
-/// A recent write whose client may retransmit it without a key. Serialized as a pair.
+/// A recent write whose client may retransmit it without a key, as stores of earlier versions report it.
+/// Serialized as a pair.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(from = "(String, u32)", into = "(String, u32)")]
 pub struct UnacknowledgedWrite {
@@ -197,8 +198,7 @@
         /// The earlier versions that were proposed with it in the same round, oldest first.
         #[serde(rename = "before")]
         batch: Vec<Value>,
-        /// Recent writes of that value whose clients may retransmit them without a key (design 6.10);
-        /// `None`: the acceptor does not know.
+        /// Evaluated by stores of earlier versions only; `None`: the acceptor does not know.
         #[serde(default)]
         #[serde(rename = "open")]
         unacknowledged: Option<Vec<UnacknowledgedWrite>>,
--- a/store/src/value.rs
+++ b/store/src/value.rs
@@ -77,11 +77,12 @@
     #[serde(with = "serde_bytes")]
     #[serde(rename = "setup")]
     pub document: Vec<u8>,
-    /// Zones with at least one drain order.
+    /// The drained zones.
     #[serde(rename = "emptied")]
     pub drained_zones: BTreeSet<String>,
-    /// Number of drain orders of a zone beyond its first one (design 6.10). Left out if there are none, so
-    /// that values written before orders were counted keep their encoding and digest.
+    /// Number of drain orders of a zone beyond its first one, as stores of earlier versions counted them. A
+    /// drained zone is restored by one order, whatever this number says (design 6.10). Left out if there are
+    /// none.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     #[serde(rename = "further_orders")]
     pub extra_drain_orders: BTreeMap<String, u32>,
@@ -110,8 +111,6 @@
 pub const MAX_RECENT_WRITES: usize = 256;
 /// Number of configuration versions whose content hash is kept; the highest versions are kept.
 pub const MAX_VERSION_HASHES: usize = 1024;
-/// Maximum number of drain orders of one zone.
-pub const MAX_DRAIN_ORDERS: u32 = 1000;
 /// Number of revisions that stay readable, as far as they fit into `MAX_HISTORY_BYTES`.
 pub const HISTORY_LENGTH: usize = 1024;
 /// Total size of the version files on a disk, in bytes, above which old versions are removed.
@@ -133,24 +132,18 @@
         VersionId { revision: self.parent_revision, digest: self.parent }
     }
 
-    /// Number of drain orders of this zone.
-    pub fn drain_orders(&self, zone: &str) -> u32 {
-        match self.drained_zones.contains(zone) {
-            true => self.extra_drain_orders.get(zone).map_or(1, |extra| extra.saturating_add(1)),
-            false => 0,
-        }
+    /// Whether this zone is drained.
+    pub fn is_drained(&self, zone: &str) -> bool {
+        self.drained_zones.contains(zone)
     }
 
-    pub(crate) fn set_drain_orders(&mut self, zone: &str, orders: u32) {
-        self.extra_drain_orders.remove(zone);
-        if orders == 0 {
-            self.drained_zones.remove(zone);
-            return;
-        }
+    pub(crate) fn drain(&mut self, zone: &str) {
         self.drained_zones.insert(zone.to_string());
-        if orders > 1 {
-            self.extra_drain_orders.insert(zone.to_string(), orders - 1);
-        }
+    }
+
+    pub(crate) fn restore(&mut self, zone: &str) {
+        self.drained_zones.remove(zone);
+        self.extra_drain_orders.remove(zone);
     }
 
     /// Moves records beyond `MAX_RECENT_WRITES` to the compact records, and drops those under generated keys.
--- a/testbed/src/sim/state/reachability.rs
+++ b/testbed/src/sim/state/reachability.rs
@@ -27,14 +27,11 @@
     revisions.range(revision..).map(|(_, since)| *since).min()
 }
 
-/// A drained zone, from the acknowledgement to the operator until the call that restores the zone.
+/// A drained zone, from the acknowledgement to the operator until any call that restores the zone.
 #[derive(Clone, Debug)]
 pub struct ZoneDrain {
     /// The zone.
     pub zone: String,
-    /// The evacuation that it belongs to; only the restore call of that evacuation ends the drain.
-    /// `None` if the zone was drained by a call with an idempotency key.
-    pub evacuation: Option<usize>,
     /// The revision that drains the zone.
     pub revision: u64,
     /// When the drain was acknowledged.
