A response without a length on a connection that was reset is not complete

Cause: while the upload goes on, writing to the server meets the reset first. The early response stream reports that write as done, and the kernel reports the error of a socket once, so that reading gets what arrived and then an ordinary end; a response without a length ends with its connection. Evidence: with a connection whose order of events is fixed, the response fails where reading meets the reset, and was complete where writing does.

Why the fix works: the stream remembers that writing failed, and reports the end of the stream as a reset from then on.

a_response_without_a_length_on_a_reset_connection_is_not_complete failed on (Some((200, "part"))) and passes.

The tests of the early response stream keep their cases and get both orders of events, chunks without the last one and interim responses.

--- a/proxy/src/early_response.rs
+++ b/proxy/src/early_response.rs
@@ -3,12 +3,16 @@
 
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// A connection to a server. Once the server has closed its receiving side, what is written is discarded, so
-/// that the HTTP library goes on to read the response that may have arrived before. If there is none, reading
-/// reports the end of the connection.
+/// A connection to a server. Once writing has failed because the server has closed or reset the connection,
+/// what is written is discarded, so that the HTTP library goes on to read the response that may have arrived
+/// before.
+///
+/// The kernel reports the error of a socket once (`SO_ERROR`, socket(7)): after a write has failed, reading
+/// ends like a connection that was closed in order. So the end of the stream is then reported as a reset: a
+/// response whose end is the end of the connection may have been cut short (incident 0027).
 pub struct EarlyResponseStream<S> {
     stream: S,
     is_write_broken: bool,
@@ -46,7 +50,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let (filled_before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let is_end = has_room && buffer.filled().len() == filled_before;
+        if is_end && self.is_write_broken {
+            return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/proxy/tests/early_response.rs
+++ b/proxy/tests/early_response.rs
@@ -10,13 +10,37 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use vanepath_proxy::early_response::EarlyResponseStream;
 
-/// A connection whose server has closed it: writing fails, and what arrived before is there to be read only
-/// after that.
+/// Which direction of a connection learns first that the server has closed or reset it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LearnsFirst {
+    /// Writing fails before anything is read. The error of the socket is used up then, so that reading gets
+    /// what arrived before, and the end of the stream.
+    Writer,
+    /// What arrived is read, with its end, while the first part of the request is on its way.
+    Reader,
+}
+
+/// How much of a request is written before the other side is found to be closed, if the reader learns first.
+const FIRST_PART_BYTES: usize = 1000;
+
+/// A connection whose server has sent `received` and has then closed or reset it.
 struct ClosedByServer {
     received: &'static [u8],
+    learns_first: LearnsFirst,
     write_error: ErrorKind,
+    /// How reading ends if the reader learns first; `None`: with the end of the stream.
+    read_error: Option<ErrorKind>,
+    has_begun: bool,
     has_failed: bool,
-    reader: Option<Waker>,
+    has_ended: bool,
+    waiting_reader: Option<Waker>,
+    waiting_writer: Option<Waker>,
+}
+
+fn wake(waiting: &mut Option<Waker>) {
+    if let Some(waker) = waiting.take() {
+        waker.wake();
+    }
 }
 
 impl AsyncRead for ClosedByServer {
@@ -25,25 +49,44 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if !self.has_failed {
-            self.reader = Some(context.waker().clone());
+        let is_readable = match self.learns_first {
+            LearnsFirst::Writer => self.has_failed,
+            LearnsFirst::Reader => self.has_begun,
+        };
+        if !is_readable {
+            self.waiting_reader = Some(context.waker().clone());
             return Poll::Pending;
         }
-        buffer.put_slice(std::mem::take(&mut self.received));
-        Poll::Ready(Ok(()))
+        let received = std::mem::take(&mut self.received);
+        buffer.put_slice(received);
+        if !received.is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        self.has_ended = true;
+        wake(&mut self.waiting_writer);
+        match self.read_error {
+            Some(error) => Poll::Ready(Err(error.into())),
+            None => Poll::Ready(Ok(())),
+        }
     }
 }
 
 impl AsyncWrite for ClosedByServer {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-        _: &[u8],
+        context: &mut Context<'_>,
+        bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.has_failed = true;
-        if let Some(reader) = self.reader.take() {
-            reader.wake();
+        if self.learns_first == LearnsFirst::Reader && !self.has_ended {
+            wake(&mut self.waiting_reader);
+            if !std::mem::replace(&mut self.has_begun, true) {
+                return Poll::Ready(Ok(bytes.len().min(FIRST_PART_BYTES)));
+            }
+            self.waiting_writer = Some(context.waker().clone());
+            return Poll::Pending;
         }
+        self.has_failed = true;
+        wake(&mut self.waiting_reader);
         Poll::Ready(Err(self.write_error.into()))
     }
 
@@ -56,9 +99,8 @@
     }
 }
 
-/// Sends an upload over such a connection; returns the status and body of the response, if there is one.
-async fn upload(received: &'static [u8], write_error: ErrorKind) -> Option<(u16, Bytes)> {
-    let stream = ClosedByServer { received, write_error, has_failed: false, reader: None };
+/// Sends an upload over such a connection; returns the status and body of the response, if it is complete.
+async fn upload(stream: ClosedByServer) -> Option<(u16, Bytes)> {
     let stream = EarlyResponseStream::new(stream);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     let connection = tokio::spawn(connection);
@@ -72,22 +114,74 @@
     Some((status, body))
 }
 
-/// The response that arrived before the write failed is used.
+/// A connection on which writing fails before anything is read.
+fn writer_learns_first(received: &'static [u8], write_error: ErrorKind) -> ClosedByServer {
+    ClosedByServer {
+        received,
+        learns_first: LearnsFirst::Writer,
+        write_error,
+        read_error: None,
+        has_begun: false,
+        has_failed: false,
+        has_ended: false,
+        waiting_reader: None,
+        waiting_writer: None,
+    }
+}
+
+/// A connection on which everything is read before writing fails.
+fn reader_learns_first(received: &'static [u8], read_error: Option<ErrorKind>) -> ClosedByServer {
+    ClosedByServer {
+        learns_first: LearnsFirst::Reader,
+        read_error,
+        ..writer_learns_first(received, ErrorKind::BrokenPipe)
+    }
+}
+
+/// A response with a length that arrived whole is used, whichever direction learns first of the close.
 #[tokio::test]
-async fn a_response_that_arrived_before_a_failed_write_is_read() {
+async fn a_response_with_a_length_that_arrived_whole_is_used() {
     let received = b"HTTP/1.1 413 Too Large\r\ncontent-length: 5\r\n\r\nlarge";
-    for write_error in [ErrorKind::BrokenPipe, ErrorKind::ConnectionReset] {
-        let response = upload(received, write_error).await;
-        assert_eq!(response, Some((413, Bytes::from_static(b"large"))), "{write_error}");
+    let whole = Some((413, Bytes::from_static(b"large")));
+    for error in [ErrorKind::BrokenPipe, ErrorKind::ConnectionReset] {
+        assert_eq!(upload(writer_learns_first(received, error)).await, whole, "{error}");
+        assert_eq!(upload(reader_learns_first(received, Some(error))).await, whole, "{error}");
     }
+    assert_eq!(upload(reader_learns_first(received, None)).await, whole);
 }
 
 /// Without a response, or with a part of one, the request fails and does not hang.
 #[tokio::test]
 async fn a_failed_write_without_a_response_fails_the_request() {
-    for received in
-        [&b""[..], b"HTTP/1.1 413 Too", b"HTTP/1.1 413 Too Large\r\ncontent-length: 5\r\n\r\nla"]
-    {
-        assert_eq!(upload(received, ErrorKind::BrokenPipe).await, None);
+    for received in [
+        &b""[..],
+        b"HTTP/1.1 413 Too",
+        b"HTTP/1.1 413 Too Large\r\ncontent-length: 5\r\n\r\nla",
+        b"HTTP/1.1 413 Too Large\r\ntransfer-encoding: chunked\r\n\r\n5\r\nlarge\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n",
+    ] {
+        let text = String::from_utf8_lossy(received);
+        for error in [ErrorKind::BrokenPipe, ErrorKind::ConnectionReset] {
+            assert_eq!(upload(writer_learns_first(received, error)).await, None, "{text} {error}");
+        }
+        let reset = Some(ErrorKind::ConnectionReset);
+        assert_eq!(upload(reader_learns_first(received, reset)).await, None, "{text}");
+        assert_eq!(upload(reader_learns_first(received, None)).await, None, "{text}");
+    }
+}
+
+/// Guards against a cut response that looks complete (incident 0027): it has no length, so that it ends with its
+/// connection, which is reset while the upload goes on. It fails whichever direction learns first of the reset.
+/// One that the server closed in order, before writing failed, is complete.
+#[tokio::test]
+async fn a_response_without_a_length_on_a_reset_connection_is_not_complete() {
+    let received = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart";
+    for error in [ErrorKind::BrokenPipe, ErrorKind::ConnectionReset] {
+        assert_eq!(upload(writer_learns_first(received, error)).await, None, "{error}");
     }
+    let reset = Some(ErrorKind::ConnectionReset);
+    assert_eq!(upload(reader_learns_first(received, reset)).await, None);
+    let closed = upload(reader_learns_first(received, None)).await;
+    assert_eq!(closed, Some((200, Bytes::from_static(b"part"))));
 }
