The end of a response without a length counts once the upload has been sent

A server that closes with all bytes read that had arrived sends the end of the stream first; the reset answers the next bytes of the upload. The proxy read an ordinary end during its upload, took the response for complete and dropped the upload.

Why it works: the end of the stream is withheld while a request is being sent on the connection. If the upload goes through, the server has closed in order and reads on; if writing fails, the end is reported as a reset, as in the other orders of events.

--- a/proxy/src/connector.rs
+++ b/proxy/src/connector.rs
@@ -5,11 +5,13 @@
 use crate::early_response::EarlyResponseStream;
 use crate::endpoints::{Endpoint, MAX_IDLE_TIME};
 use crate::health::Failure;
+use crate::upload::UploadProgress;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::client::conn::http1;
+use hyper::body::Incoming;
+use hyper::client::conn::{TrySendError, http1};
 use hyper::http::response;
-use hyper::{HeaderMap, Request, StatusCode, header};
+use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -21,7 +23,38 @@
 use vanepath_config::wire_format::SelectedFormat;
 
 /// Sends requests over one connection.
-pub type Sender = http1::SendRequest<node::Body>;
+pub struct Sender {
+    requests: http1::SendRequest<node::Body>,
+    upload: UploadProgress,
+}
+
+impl Sender {
+    /// Whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.requests.is_ready()
+    }
+
+    /// Waits until a request can be sent.
+    ///
+    /// # Errors
+    /// The connection is closed.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.requests.ready().await
+    }
+
+    /// Sends a request, and waits for the head of the response.
+    ///
+    /// # Errors
+    /// The cause, with the message if the HTTP library has not begun to write it.
+    pub fn send(
+        &mut self,
+        message: Request<node::Body>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<node::Body>>>> + use<>
+    {
+        let message = message.map(|body| self.upload.track(body));
+        self.requests.try_send_request(message)
+    }
+}
 
 /// The time-out for opening a connection, and for a health check on it: many times the round trip to
 /// the farthest region.
@@ -92,15 +125,17 @@
     let _ = stream.set_nodelay(true);
     let mut builder = http1::Builder::new();
     builder.preserve_header_case(true).max_buf_size(MAX_BUFFER_BYTES);
-    let handshake = builder.handshake(TokioIo::new(EarlyResponseStream::new(stream))).await;
-    let (sender, connection) = handshake.map_err(|_| Failure::ConnectionLost)?;
+    let upload = UploadProgress::default();
+    let stream = EarlyResponseStream::new(stream, upload.clone());
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let (requests, connection) = handshake.map_err(|_| Failure::ConnectionLost)?;
     tokio::spawn(async move {
         // Completes when either side closes, or at the first byte that belongs to no request.
         if connection.await.is_err_and(|error| is_surplus(&error)) {
             on_surplus_bytes();
         }
     });
-    Ok(sender)
+    Ok(Sender { requests, upload })
 }
 
 /// How long the server keeps an idle connection by its `Keep-Alive` header (RFC 2068, section 19.7.1);
@@ -161,7 +196,7 @@
         .header("vanepath-liveness", endpoint.server.id.as_str())
         .body(node::body(Bytes::new()))
         .map_err(|_| Failure::Unhealthy)?;
-    let response = sender.send_request(request).await.map_err(|_| Failure::ConnectionLost)?;
+    let response = sender.send(request).await.map_err(|_| Failure::ConnectionLost)?;
     let (head, body) = response.into_parts();
     if !is_framed(&head) {
         return Err(Failure::Unhealthy);
--- a/proxy/src/early_response.rs
+++ b/proxy/src/early_response.rs
@@ -1,6 +1,7 @@
 //! Reads the response of a server that closes its connection while the request is still being sent, for
 //! example because it rejects an upload by its head (RFC 9112, section 9.5).
 
+use crate::upload::UploadProgress;
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -10,18 +11,24 @@
 /// what is written is discarded, so that the HTTP library goes on to read the response that may have arrived
 /// before.
 ///
-/// The kernel reports the error of a socket once (`SO_ERROR`, socket(7)): after a write has failed, reading
-/// ends like a connection that was closed in order. So the end of the stream is then reported as a reset: a
-/// response whose end is the end of the connection may have been cut short (incident 0027).
+/// A response may end with its connection, and is complete only if the connection was not reset. So the end of
+/// the stream is withheld while a request is still being sent, and is reported as a reset if writing fails:
+/// - A server that closes with a part of the request unread resets the connection, but if that part was still on
+///   its way, the end of the stream arrives first.
+/// - The kernel reports the error of a socket once (`SO_ERROR`, socket(7)): after a write has failed, reading ends
+///   like a connection that was closed in order (incident 0027).
 pub struct EarlyResponseStream<S> {
     stream: S,
+    upload: UploadProgress,
     is_write_broken: bool,
+    /// Whether the end of the stream was read.
+    has_ended: bool,
 }
 
 impl<S> EarlyResponseStream<S> {
-    /// A connection that is open.
-    pub fn new(stream: S) -> EarlyResponseStream<S> {
-        EarlyResponseStream { stream, is_write_broken: false }
+    /// A connection that is open. `upload`: the progress of the requests that are sent on it.
+    pub fn new(stream: S, upload: UploadProgress) -> EarlyResponseStream<S> {
+        EarlyResponseStream { stream, upload, is_write_broken: false, has_ended: false }
     }
 
     /// The outcome of a write of `length` bytes.
@@ -33,11 +40,20 @@
         match outcome {
             Poll::Ready(Err(error)) if is_closed_by_server(&error) => {
                 self.is_write_broken = true;
+                self.upload.on_broken();
                 Poll::Ready(Ok(length))
             }
             outcome => outcome,
         }
     }
+
+    /// The end of the stream, as it is reported to the HTTP library.
+    fn poll_end(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_write_broken {
+            return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+        }
+        self.upload.poll_idle(context).map(Ok)
+    }
 }
 
 fn is_closed_by_server(error: &io::Error) -> bool {
@@ -50,13 +66,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.has_ended {
+            return self.poll_end(context);
+        }
         let (filled_before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let is_end = has_room && buffer.filled().len() == filled_before;
-        if is_end && self.is_write_broken {
-            return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
-        }
-        Poll::Ready(Ok(()))
+        self.has_ended = has_room && buffer.filled().len() == filled_before;
+        if self.has_ended { self.poll_end(context) } else { Poll::Ready(Ok(())) }
     }
 }
 
@@ -94,7 +110,9 @@
         if self.is_write_broken {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.stream).poll_flush(context)
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.upload.on_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/proxy/src/forward/attempt.rs
+++ b/proxy/src/forward/attempt.rs
@@ -121,7 +121,7 @@
     ) -> Result<UpstreamResponse, AttemptError> {
         let deadline = self.proxy.timer_instant(self.deadline);
         let OutgoingRequest { message, method, id, content_length } = request;
-        let sending = connection.sender.try_send_request(message);
+        let sending = connection.sender.send(message);
         let sent = tokio::time::timeout_at(deadline, sending).await;
         let sent = sent.map_err(|_| AttemptError::TimedOut)?;
         let response = sent.map_err(|mut error| match error.take_message() {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod retry_budget;
 pub mod shell;
 pub mod throttled_body;
+pub mod upload;
--- a/proxy/tests/early_response.rs
+++ b/proxy/tests/early_response.rs
@@ -1,14 +1,16 @@
 //! A server that responds and closes while the request is still being sent.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::io::{self, ErrorKind};
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use vanepath_cluster::node;
 use vanepath_proxy::early_response::EarlyResponseStream;
+use vanepath_proxy::upload::UploadProgress;
 
 /// Which direction of a connection learns first that the server has closed or reset it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     received: &'static [u8],
     learns_first: LearnsFirst,
     write_error: ErrorKind,
+    /// Whether the server has closed only its sending side, so that writing goes on.
+    reads_on: bool,
     /// How reading ends if the reader learns first; `None`: with the end of the stream.
     read_error: Option<ErrorKind>,
     has_begun: bool,
@@ -85,6 +89,9 @@
             self.waiting_writer = Some(context.waker().clone());
             return Poll::Pending;
         }
+        if self.reads_on {
+            return Poll::Ready(Ok(bytes.len().min(FIRST_PART_BYTES)));
+        }
         self.has_failed = true;
         wake(&mut self.waiting_reader);
         Poll::Ready(Err(self.write_error.into()))
@@ -101,10 +108,11 @@
 
 /// Sends an upload over such a connection; returns the status and body of the response, if it is complete.
 async fn upload(stream: ClosedByServer) -> Option<(u16, Bytes)> {
-    let stream = EarlyResponseStream::new(stream);
+    let progress = UploadProgress::default();
+    let stream = EarlyResponseStream::new(stream, progress.clone());
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     let connection = tokio::spawn(connection);
-    let body = Full::new(Bytes::from(vec![b'x'; 300_000]));
+    let body = progress.track(node::body(Bytes::from(vec![b'x'; 300_000])));
     let request = hyper::Request::post("/orders").header("host", "a").body(body).unwrap();
     let response = sender.send_request(request).await.ok()?;
     let status = response.status().as_u16();
@@ -120,6 +128,7 @@
         received,
         learns_first: LearnsFirst::Writer,
         write_error,
+        reads_on: false,
         read_error: None,
         has_begun: false,
         has_failed: false,
@@ -172,16 +181,25 @@
 }
 
 /// Guards against a cut response that looks complete (incident 0027): it has no length, so that it ends with its
-/// connection, which is reset while the upload goes on. It fails whichever direction learns first of the reset.
-/// One that the server closed in order, before writing failed, is complete.
+/// connection, which is reset while the upload goes on. It fails whichever direction learns first of the reset,
+/// and also if the end of the stream comes first, since the server closed with a part of the upload on its way.
 #[tokio::test]
 async fn a_response_without_a_length_on_a_reset_connection_is_not_complete() {
     let received = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart";
     for error in [ErrorKind::BrokenPipe, ErrorKind::ConnectionReset] {
         assert_eq!(upload(writer_learns_first(received, error)).await, None, "{error}");
     }
-    let reset = Some(ErrorKind::ConnectionReset);
-    assert_eq!(upload(reader_learns_first(received, reset)).await, None);
-    let closed = upload(reader_learns_first(received, None)).await;
-    assert_eq!(closed, Some((200, Bytes::from_static(b"part"))));
+    for read_error in [Some(ErrorKind::ConnectionReset), None] {
+        let response = upload(reader_learns_first(received, read_error)).await;
+        assert_eq!(response, None, "{read_error:?}");
+    }
+}
+
+/// A response without a length whose server closes its sending side in order, and reads the rest of the upload,
+/// is complete once the upload has been sent.
+#[tokio::test]
+async fn a_response_without_a_length_that_ends_in_order_is_complete() {
+    let received = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole";
+    let stream = ClosedByServer { reads_on: true, ..reader_learns_first(received, None) };
+    assert_eq!(upload(stream).await, Some((200, Bytes::from_static(b"whole"))));
 }
