--- a/cluster/src/transport.rs
+++ b/cluster/src/transport.rs
@@ -297,7 +297,7 @@
 }
 
 /// Serves other nodes until the task is dropped. The handler is called with each request; its future is
-/// dropped if the requester disconnects.
+/// dropped if the requester disconnects, and not polled if the requester has disconnected before.
 pub async fn serve<H, F>(
     listener: TcpListener,
     handshake: Handshake,
@@ -344,13 +344,14 @@
         let request = request_read.unwrap_or(Err(TransportError::Closed))?;
         let reply = {
             let mut byte = [0];
-            let reply_future = handler(request.value);
-            tokio::pin!(reply_future);
             tokio::select! {
-                reply = &mut reply_future => reply,
+                // In this order: after a pause of this process, requests are read whose requesters left long
+                // ago. The handler is not polled then (incident 0028).
+                biased;
                 // Nothing may arrive before the reply: the requester has disconnected or violates the
                 // protocol.
                 _ = stream.peek(&mut byte) => return Err(TransportError::Closed),
+                reply = handler(request.value) => reply,
             }
         };
         write_frame(&mut stream, &reply, counters).await?;
--- a/cluster/tests/transport.rs
+++ b/cluster/tests/transport.rs
@@ -83,3 +83,39 @@
     assert_eq!(reply.err(), Some(TransportError::Closed));
     assert!(started_at.elapsed() < Duration::from_secs(5), "{:?}", started_at.elapsed());
 }
+
+/// The bytes of a message with its length, as nodes send them.
+fn frame(message: &impl serde::Serialize) -> Vec<u8> {
+    let body = vanepath_cluster::wire::encode(message);
+    [&(body.len() as u32).to_be_bytes()[..], &body].concat()
+}
+
+/// Guards against orders that are carried out seconds after their client has left (incident 0028): a node that
+/// stood still finds a request in its socket, with the end of the connection behind it, and does not handle it.
+#[tokio::test]
+async fn a_request_whose_requester_has_left_is_not_handled() {
+    let handled = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    // The node does not run yet: the kernel accepts connections and keeps what is sent on them.
+    for _ in 0..50 {
+        let mut requester = TcpStream::connect(address).await.unwrap();
+        requester.write_all(&frame(&handshake("one"))).await.unwrap();
+        requester.write_all(&frame(&Request::Store(vec![1].into()))).await.unwrap();
+    }
+    let count = handled.clone();
+    tokio::spawn(serve(listener, handshake("two"), Arc::default(), move |_| {
+        let count = count.clone();
+        async move {
+            count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            Reply::Unsupported
+        }
+    }));
+    let client = Client::new(handshake("three"), Arc::default());
+    for _ in 0..3 {
+        let request = Request::Store(vec![1].into());
+        client.call(address, &request, CALL_TIMEOUT, false).await.expect("a reply");
+    }
+    let handled = handled.load(std::sync::atomic::Ordering::Relaxed);
+    assert_eq!(handled, 3, "requests of others than the client that waits were handled");
+}
--- a/registry/src/api/config.rs
+++ b/registry/src/api/config.rs
@@ -3,6 +3,7 @@
 use super::errors::ApiError;
 use super::idempotency_key::IdempotencyKey;
 use super::response::ApiResponse;
+use super::stores::Receipt;
 use super::{stores, submissions};
 use crate::state::{Counter, Registry};
 use bytes::Bytes;
@@ -20,7 +21,7 @@
     registry: &Registry,
     request: hyper::Request<Incoming>,
 ) -> Result<ApiResponse, ApiError> {
-    let received_at = registry.node.clock.now();
+    let receipt = Receipt::now(registry);
     let key = IdempotencyKey::from_headers(request.headers())?;
     let if_revision = if_match(request.headers())?;
     let bytes = read_body(registry, request.into_body()).await?;
@@ -32,7 +33,7 @@
         }
     };
     let change = Change::ReplaceConfig { bytes: bytes.to_vec(), if_revision, version };
-    let outcome = stores::submit(registry, &key, change, received_at).await;
+    let outcome = stores::submit(registry, &key, change, receipt).await;
     if let Outcome::Accepted { revision, is_repeat: false, .. } = outcome {
         registry.counters.increment(Counter::SetupsAccepted);
         log::info!("configuration committed as revision {revision}");
--- a/registry/src/api/stores.rs
+++ b/registry/src/api/stores.rs
@@ -8,17 +8,39 @@
 use vanepath_store::protocol::{Change, Outcome, Request};
 use vanepath_store::value::Value;
 
-/// Submits a change under one key until its outcome is known or the time-out expires. `received_at` is the
-/// time at which the client's request was received.
+/// When a client's request was received, and the highest committed revision that the registry knew then.
+#[derive(Clone, Copy, Debug)]
+pub struct Receipt {
+    received_at: Duration,
+    known_revision: u64,
+}
+
+impl Receipt {
+    /// The receipt of a request that has just been received.
+    pub fn now(registry: &Registry) -> Receipt {
+        Receipt {
+            received_at: registry.node.clock.now(),
+            known_revision: registry.node.current_view.load().committed.revision,
+        }
+    }
+}
+
+/// Submits a change under one key until its outcome is known or the time-out expires.
+///
+/// The future is dropped when the client closes its connection. The change is sent only after the runtime has
+/// looked at the connection again: a process that was paused may read a request whose client left long ago, with
+/// the close behind it (incident 0028).
 pub async fn submit(
     registry: &Registry,
     key: &IdempotencyKey,
     change: Change,
-    received_at: Duration,
+    receipt: Receipt,
 ) -> Outcome {
-    let waiting_time = registry.node.clock.now().saturating_sub(received_at);
+    tokio::task::yield_now().await;
+    let waiting_time = registry.node.clock.now().saturating_sub(receipt.received_at);
     let keyless_for = key.is_generated.then_some(waiting_time);
-    let request = Request::Change { key: key.text.clone(), change, keyless_for };
+    let known_revision = Some(receipt.known_revision);
+    let request = Request::Change { key: key.text.clone(), change, keyless_for, known_revision };
     store_client::execute(registry, request).await
 }
 
--- a/registry/src/api/submissions.rs
+++ b/registry/src/api/submissions.rs
@@ -69,7 +69,8 @@
             registry.counters.increment(Counter::WritesNothingDone);
             return Err(ApiError::WriteNotApplied { reason });
         }
-        Outcome::Value { .. } | Outcome::NoSuchRevision { .. } => {
+        // A change that was overtaken is sent again by the client of the stores.
+        Outcome::Value { .. } | Outcome::NoSuchRevision { .. } | Outcome::Overtaken { .. } => {
             return Err(ApiError::UnexpectedOutcome);
         }
     };
--- a/registry/src/api/zones.rs
+++ b/registry/src/api/zones.rs
@@ -3,6 +3,7 @@
 use super::errors::ApiError;
 use super::idempotency_key::IdempotencyKey;
 use super::response::ApiResponse;
+use super::stores::Receipt;
 use super::{stores, submissions};
 use crate::state::{Counter, Registry};
 use hyper::{HeaderMap, StatusCode};
@@ -24,7 +25,7 @@
     change: Change,
     headers: &HeaderMap,
 ) -> Result<ApiResponse, ApiError> {
-    let received_at = registry.node.clock.now();
+    let receipt = Receipt::now(registry);
     let key = IdempotencyKey::from_headers(headers)?;
     // A registry that has just started knows too little to reject a zone as unknown.
     while !is_known_zone(registry, zone) {
@@ -34,7 +35,7 @@
         tokio::time::sleep(DISCOVERY_INTERVAL).await;
     }
     registry.counters.increment(Counter::ZoneChanges);
-    let outcome = stores::submit(registry, &key, change, received_at).await;
+    let outcome = stores::submit(registry, &key, change, receipt).await;
     submissions::outcome_response(registry, &key.text, outcome)
 }
 
--- a/registry/src/store_client/request.rs
+++ b/registry/src/store_client/request.rs
@@ -36,7 +36,7 @@
     /// Names of stores that did not answer an earlier attempt; they are tried after all others.
     unresponsive: Vec<String>,
     /// The store of the attempt in flight.
-    current_store: String,
+    current_store: Option<NodeInfo>,
     has_started: bool,
     /// Whether an attempt of a write ended without a definite outcome, so that it may have been applied.
     may_be_applied: bool,
@@ -53,7 +53,7 @@
             deadline: now + TIMEOUT,
             round: Vec::new(),
             unresponsive: Vec::new(),
-            current_store: String::new(),
+            current_store: None,
             has_started: false,
             may_be_applied: false,
             reason: "no store is in reach".to_string(),
@@ -79,7 +79,7 @@
         self.round.retain(|info| stores.iter().any(|store| store.name == info.name));
         if let Some(info) = self.round.pop() {
             if now < self.deadline {
-                self.current_store = info.name.clone();
+                self.current_store = Some(info.clone());
                 return NextAction::Send(Box::new(info));
             }
             self.round.clear();
@@ -109,18 +109,30 @@
     /// store resolves that uncertainty.
     pub fn on_response(&mut self, response: Option<Response>) -> Option<Outcome> {
         if response.is_none() {
-            self.unresponsive.push(self.current_store.clone());
+            self.unresponsive.extend(self.current_store.as_ref().map(|store| store.name.clone()));
         }
         match response {
             Some(Response::Outcome(Outcome::NotApplied { reason })) => self.reason = reason,
             Some(Response::Outcome(Outcome::Unknown)) | None => {
                 self.may_be_applied |= self.is_write();
             }
+            Some(Response::Outcome(Outcome::Overtaken { revision })) => {
+                self.resend_overtaken(revision);
+            }
             Some(Response::Outcome(outcome)) => return Some(outcome),
             Some(_) => {}
         }
         None
     }
+
+    /// Sends a change that was overtaken to the same store again, after this revision: whoever polls this
+    /// request still has the client's connection, so that the client wants the change now.
+    fn resend_overtaken(&mut self, revision: u64) {
+        if let Request::Change { known_revision, .. } = &mut self.request {
+            *known_revision = Some(revision);
+        }
+        self.round.extend(self.current_store.clone());
+    }
 }
 
 /// The live stores that are available members, in the order of the member table; the first one is the
--- a/registry/src/store_client/tests.rs
+++ b/registry/src/store_client/tests.rs
@@ -22,7 +22,7 @@
     let ms = Duration::from_millis;
     let change = |keyless_for| {
         let change = Change::DrainZone { zone: "a1".to_string() };
-        Request::Change { key: "k".to_string(), change, keyless_for }
+        Request::Change { key: "k".to_string(), change, keyless_for, known_revision: None }
     };
     for (waited, sent) in [(Some(ms(40)), Some(ms(140))), (None, None)] {
         let store_request = StoreRequest::new(change(waited), ms(5000));
@@ -38,7 +38,8 @@
 #[test]
 fn two_unresponsive_stores_leave_time_for_the_third() {
     let change = Change::DrainZone { zone: "a1".to_string() };
-    let request = Request::Change { key: "k".to_string(), change, keyless_for: None };
+    let request =
+        Request::Change { key: "k".to_string(), change, keyless_for: None, known_revision: None };
     let mut now = Duration::ZERO;
     let mut store_request = StoreRequest::new(request, now);
     let mut attempted = Vec::new();
@@ -71,3 +72,27 @@
     assert!(matches!(outcome, Outcome::Accepted { .. }));
     assert!(now < TIMEOUT);
 }
+
+/// A change that was overtaken is sent to the same store again, with the revision that the store named.
+#[test]
+fn an_overtaken_change_is_sent_again_with_the_stores_revision() {
+    let change = Change::DrainZone { zone: "a1".to_string() };
+    let (keyless_for, known_revision) = (Some(Duration::ZERO), Some(3));
+    let request = Request::Change { key: "k".to_string(), change, keyless_for, known_revision };
+    let mut store_request = StoreRequest::new(request, Duration::ZERO);
+    let stores = vec![store(0), store(1)];
+    let mut next = || match store_request.next(Duration::ZERO, stores.clone()) {
+        NextAction::Send(info) => {
+            let Request::Change { known_revision, .. } = store_request.request_at(Duration::ZERO)
+            else {
+                panic!("the request is not a change")
+            };
+            let response = Response::Outcome(Outcome::Overtaken { revision: 7 });
+            assert!(store_request.on_response(Some(response)).is_none());
+            (info.name, known_revision)
+        }
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(next(), ("store-0".to_string(), Some(3)));
+    assert_eq!(next(), ("store-0".to_string(), Some(7)));
+}
--- a/store/src/consensus/acceptor.rs
+++ b/store/src/consensus/acceptor.rs
@@ -37,9 +37,10 @@
             Request::Fetch { revision, digest } => {
                 return self.on_fetch(ticket, revision, digest, effects);
             }
-            Request::Change { key, change, keyless_for } => {
+            Request::Change { key, change, keyless_for, known_revision } => {
                 let has_generated_key = keyless_for.is_some();
-                let change = PendingChange { ticket, key, change, has_generated_key };
+                let change =
+                    PendingChange { ticket, key, change, has_generated_key, known_revision };
                 return self.enqueue(Operation::Change(change), effects);
             }
             Request::Read => {
--- a/store/src/consensus/batch.rs
+++ b/store/src/consensus/batch.rs
@@ -45,9 +45,13 @@
         self.latest_accepted.revision = version.revision;
         self.latest_accepted.digest = digest_of(&encoded);
         let (revision, config_revision) = (version.revision, version.config_revision);
-        // A superseded configuration version is only recorded; the configuration in force stays.
-        let is_repeat =
-            matches!(pending.change, Change::ReplaceConfig { .. }) && config_revision != revision;
+        let is_repeat = match pending.change {
+            // A superseded configuration version is only recorded; the configuration in force stays.
+            Change::ReplaceConfig { .. } => config_revision != revision,
+            Change::DrainZone { .. } | Change::RestoreZone { .. } => {
+                version.drained_zones == self.latest.drained_zones
+            }
+        };
         let outcome = Outcome::Accepted { revision, config_revision, is_repeat };
         self.replies.push(PlannedReply { ticket: pending.ticket, outcome });
         self.latest = Arc::new(version);
@@ -173,6 +177,7 @@
                 key: &pending.key,
                 is_generated: pending.has_generated_key,
                 change: &pending.change,
+                known_revision: pending.known_revision,
             };
             match apply_change(&builder.latest, &builder.latest_accepted, &request) {
                 Err(outcome) if is_confirmed => {
--- a/store/src/consensus/round.rs
+++ b/store/src/consensus/round.rs
@@ -37,6 +37,8 @@
     pub change: Change,
     /// Whether the registry generated the key, because the client gave none.
     pub has_generated_key: bool,
+    /// The highest committed revision that the registry knew when its client was last known to wait.
+    pub known_revision: Option<u64>,
 }
 
 /// The reply to a request once the round's value is committed.
--- a/store/src/consensus/transitions.rs
+++ b/store/src/consensus/transitions.rs
@@ -7,7 +7,9 @@
 use super::round::Replacement;
 use crate::idempotency::IdempotencyRecord;
 use crate::protocol::{Change, Outcome};
-use crate::value::{AcceptedProposal, Ballot, Digest, Member, MemberTable, Value, digest_of};
+use crate::value::{
+    AcceptedProposal, Ballot, Digest, LatestDrainOrder, Member, MemberTable, Value, digest_of,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -45,6 +47,8 @@
     /// Whether the registry generated the key.
     pub is_generated: bool,
     pub change: &'a Change,
+    /// See [`Request::Change`](crate::protocol::Request::Change).
+    pub known_revision: Option<u64>,
 }
 
 /// The value after a change.
@@ -60,6 +64,12 @@
     if let Some(outcome) = recorded_outcome(value, request) {
         return Err(outcome);
     }
+    if let Some(outcome) = overtaken_outcome(value, request) {
+        return Err(outcome);
+    }
+    // A drain order that changes nothing is recorded as well: it overtakes opposite ones that are still on
+    // their way.
+    let is_recorded = request.known_revision.is_some();
     let mut next = derived_version(value, accepted);
     let is_no_op = match change {
         Change::ReplaceConfig { version: Some(version), .. }
@@ -84,11 +94,11 @@
         }
         Change::DrainZone { zone } => {
             next.drain(zone);
-            value.is_drained(zone)
+            value.is_drained(zone) && !is_recorded
         }
         Change::RestoreZone { zone } => {
             next.restore(zone);
-            !value.is_drained(zone)
+            !value.is_drained(zone) && !is_recorded
         }
     };
     if is_no_op {
@@ -118,6 +128,26 @@
     })
 }
 
+/// The outcome of a drain order that was overtaken: another order for the zone was committed after the revision
+/// that the registry knew when its client was last known to wait. An equal one did what this order asks for; after an
+/// opposite one it cannot be told whether the client still wants this order (design 6.10).
+fn overtaken_outcome(value: &Value, request: &KeyedChange) -> Option<Outcome> {
+    let known_revision = request.known_revision?;
+    let (Change::DrainZone { zone } | Change::RestoreZone { zone }) = request.change else {
+        return None;
+    };
+    match value.latest_drain_order(zone) {
+        LatestDrainOrder::Recorded(record) if record.revision <= known_revision => None,
+        LatestDrainOrder::Recorded(record)
+            if record.content_hash == request.change.content_hash() =>
+        {
+            Some(repeat_outcome(record.revision, record.config_revision))
+        }
+        LatestDrainOrder::NoneSince(revision) if revision <= known_revision => None,
+        _ => Some(Outcome::Overtaken { revision: value.revision }),
+    }
+}
+
 /// Handles a configuration whose version is not above the highest one. Its author knows of a newer version,
 /// so it changes nothing, whatever was accepted in between and however often it is sent; but a version must
 /// have only one content (incident 0012). Returns whether it is a repeat; if not, the version's hash is
--- a/store/src/protocol.rs
+++ b/store/src/protocol.rs
@@ -120,6 +120,11 @@
         #[serde(default)]
         #[serde(rename = "unnamed_for")]
         keyless_for: Option<Duration>,
+        /// The highest committed revision that the registry knew when the client was last known to wait for
+        /// the answer. A change that another one has overtaken since then is not made (design 6.10). `None`:
+        /// the registry has an earlier version and does not say.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        known_revision: Option<u64>,
     },
     /// A linearizable read of the value.
     Read,
@@ -299,6 +304,13 @@
         #[serde(rename = "held")]
         highest: u64,
     },
+    /// An opposite change was committed after the revision that the registry knew when it received this one,
+    /// so that it cannot be told which of the two its client wants. Nothing was changed. A registry whose
+    /// client still waits sends the change again with this revision as the one that it knows.
+    Overtaken {
+        /// The highest committed revision.
+        revision: u64,
+    },
     /// The request was not applied and will not be applied later.
     #[serde(rename = "NothingDone")]
     NotApplied {
--- a/store/src/value.rs
+++ b/store/src/value.rs
@@ -3,6 +3,7 @@
 //! the wire names of earlier versions and must stay.
 
 use crate::idempotency::{IdempotencyRecord, KnownWrite, OlderWrites};
+use crate::protocol::Change;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use vanepath_cluster::wire::CommittedConfig;
 
@@ -137,6 +138,24 @@
         self.drained_zones.contains(zone)
     }
 
+    /// The latest order to drain or restore this zone.
+    pub(crate) fn latest_drain_order(&self, zone: &str) -> LatestDrainOrder<'_> {
+        let zone = zone.to_string();
+        let drain = Change::DrainZone { zone: zone.clone() }.content_hash();
+        let restore = Change::RestoreZone { zone }.content_hash();
+        let is_order =
+            |record: &&IdempotencyRecord| [drain, restore].contains(&record.content_hash);
+        match self.recent_writes.iter().rev().find(is_order) {
+            Some(record) => LatestDrainOrder::Recorded(record),
+            // Before the oldest record there may have been others, which are not kept in full.
+            None if self.recent_writes.len() >= MAX_RECENT_WRITES => {
+                let oldest = self.recent_writes.front();
+                LatestDrainOrder::NoneSince(oldest.map_or(0, |record| record.revision))
+            }
+            None => LatestDrainOrder::NoneSince(0),
+        }
+    }
+
     pub(crate) fn drain(&mut self, zone: &str) {
         self.drained_zones.insert(zone.to_string());
     }
@@ -190,6 +209,14 @@
     }
 }
 
+/// What a value knows of the latest order to drain or restore a zone.
+pub(crate) enum LatestDrainOrder<'v> {
+    /// The order.
+    Recorded(&'v IdempotencyRecord),
+    /// There was none after this revision.
+    NoneSince(u64),
+}
+
 /// The digest of a value's encoding.
 pub fn digest_of(encoded: &[u8]) -> Digest {
     vanepath_config::digest(&[b"vanepath value", encoded])
--- a/store/tests/frames.rs
+++ b/store/tests/frames.rs
@@ -117,11 +117,18 @@
     frames.add("membership-value", &Request::Membership { from: 7, wants_value: true });
     for (label, change) in changes() {
         let key = "key".to_string();
-        frames.add(&format!("change-{label}"), &Request::Change { key, change, keyless_for: None });
+        frames.add(
+            &format!("change-{label}"),
+            &Request::Change { key, change, keyless_for: None, known_revision: None },
+        );
     }
     let (key, change) = ("key".to_string(), changes().remove(0).1);
     let keyless_for = Some(Duration::from_millis(1500));
-    frames.add("change-unnamed", &Request::Change { key, change, keyless_for });
+    frames
+        .add("change-unnamed", &Request::Change { key, change, keyless_for, known_revision: None });
+    let (key, change) = ("key".to_string(), changes().remove(1).1);
+    let known_revision = Some(12);
+    frames.add("change-known", &Request::Change { key, change, keyless_for, known_revision });
     frames.add("read", &Request::Read);
     frames.add("history", &Request::History { revision: 3 });
     frames.add("answered", &Request::Acknowledge { content_hash: 4, revision: 3 });
@@ -185,6 +192,7 @@
     frames.add("outcome-version-taken", &Response::Outcome(taken));
     let not_applied = Outcome::NotApplied { reason: "no majority".to_string() };
     frames.add("outcome-nothing-done", &Response::Outcome(not_applied));
+    frames.add("outcome-overtaken", &Response::Outcome(Outcome::Overtaken { revision: 5 }));
     frames.add("outcome-unknown", &Response::Outcome(Outcome::Unknown));
     frames.add("outcome-value", &Response::Outcome(Outcome::Value { value: full_value() }));
     let missing = Outcome::NoSuchRevision { latest: 5 };
@@ -210,7 +218,7 @@
 #[test]
 fn messages_without_the_later_fields_are_read() {
     let (key, change) = ("key".to_string(), changes().remove(0).1);
-    let change = Request::Change { key, change, keyless_for: None };
+    let change = Request::Change { key, change, keyless_for: None, known_revision: None };
     let decoded: Request = decode(&without(&encode(&change), "Change", "unnamed_for")).unwrap();
     assert_eq!(encode(&decoded), encode(&change));
     let (from, accepted) = (7, proposal(5));
--- a/store/tests/growth.rs
+++ b/store/tests/growth.rs
@@ -139,7 +139,12 @@
             format!("{{\"setup\": {number}, \"text\": \"{}\"}}", "x".repeat(4000)).into_bytes();
         let change = Change::ReplaceConfig { bytes, if_revision: None, version: Some(number) };
         let keyless_for = Some(Duration::ZERO);
-        let request = Request::Change { key: format!("made-{number:016}"), change, keyless_for };
+        let request = Request::Change {
+            key: format!("made-{number:016}"),
+            change,
+            keyless_for,
+            known_revision: None,
+        };
         self.send(0, Event::RequestReceived { ticket, request });
         self.run();
     }
--- a/store/tests/model/world.rs
+++ b/store/tests/model/world.rs
@@ -323,7 +323,12 @@
                 let version = keeps_version.then_some(*version);
                 let bytes = text.as_bytes().to_vec();
                 let change = Change::ReplaceConfig { bytes, if_revision: None, version };
-                Request::Change { key: format!("made-{number}"), change, keyless_for: None }
+                Request::Change {
+                    key: format!("made-{number}"),
+                    change,
+                    keyless_for: None,
+                    known_revision: None,
+                }
             }
             Call::KeyedWrite { key, text, .. } => {
                 let key = match self.defect {
@@ -332,7 +337,7 @@
                 };
                 let bytes = text.as_bytes().to_vec();
                 let change = Change::ReplaceConfig { bytes, if_revision: None, version: None };
-                Request::Change { key, change, keyless_for: None }
+                Request::Change { key, change, keyless_for: None, known_revision: None }
             }
         };
         if self.defect == Some(ShellDefect::ReadsWithoutRound) && matches!(request, Request::Read) {
--- a/store/tests/replica/batches.rs
+++ b/store/tests/replica/batches.rs
@@ -22,7 +22,12 @@
         let ticket = fleet.tickets.len() as u64 - 1;
         let bytes = bytes.as_bytes().to_vec();
         let change = Change::ReplaceConfig { bytes, if_revision, version: None };
-        let request = Request::Change { key: key.to_string(), change, keyless_for: None };
+        let request = Request::Change {
+            key: key.to_string(),
+            change,
+            keyless_for: None,
+            known_revision: None,
+        };
         fleet.events.push_back((0, Event::RequestReceived { ticket, request }));
     };
     for number in 0..20 {
@@ -82,7 +87,12 @@
             let ticket = fleet.tickets.len() as u64 - 1;
             let bytes = key.as_bytes().to_vec();
             let change = Change::ReplaceConfig { bytes, if_revision: None, version: None };
-            let request = Request::Change { key: key.to_string(), change, keyless_for: None };
+            let request = Request::Change {
+                key: key.to_string(),
+                change,
+                keyless_for: None,
+                known_revision: None,
+            };
             fleet.events.push_back((0, Event::RequestReceived { ticket, request }));
         }
         fleet.run();
@@ -123,7 +133,7 @@
         let bytes = format!("content of {key}").into_bytes();
         let change = Change::ReplaceConfig { bytes, if_revision: None, version: None };
         let keyless_for = is_generated.then_some(Duration::ZERO);
-        let request = Request::Change { key, change, keyless_for };
+        let request = Request::Change { key, change, keyless_for, known_revision: None };
         fleet.events.push_back((0, Event::RequestReceived { ticket, request }));
     };
     for number in 0..2400 {
@@ -159,7 +169,8 @@
     let ticket = fleet.tickets.len() as u64 - 1;
     let change =
         Change::ReplaceConfig { bytes: b"other".to_vec(), if_revision: None, version: None };
-    let request = Request::Change { key: "named-1".into(), change, keyless_for: None };
+    let request =
+        Request::Change { key: "named-1".into(), change, keyless_for: None, known_revision: None };
     fleet.events.push_back((0, Event::RequestReceived { ticket, request }));
     fleet.run();
     assert!(matches!(fleet.outcomes.last(), Some(Outcome::KeyReused { .. })));
--- a/store/tests/replica/config_versions.rs
+++ b/store/tests/replica/config_versions.rs
@@ -13,7 +13,15 @@
     let mut fleet = Fleet::of(3);
     fleet.run_for(Duration::from_secs(2));
     let change = Change::DrainZone { zone: "a1".to_string() };
-    fleet.request(0, Request::Change { key: "zone".to_string(), change, keyless_for: None });
+    fleet.request(
+        0,
+        Request::Change {
+            key: "zone".to_string(),
+            change,
+            keyless_for: None,
+            known_revision: None,
+        },
+    );
     let accepted = |outcome: Outcome| match outcome {
         Outcome::Accepted { revision, is_repeat: repeat, .. } => (revision, repeat),
         other => panic!("{other:?}"),
@@ -41,7 +49,12 @@
         let ticket = fleet.tickets.len() as u64 - 1;
         let bytes = format!("{version}").into_bytes();
         let change = Change::ReplaceConfig { bytes, if_revision: None, version: Some(version) };
-        let request = Request::Change { key: format!("s{version}"), change, keyless_for: None };
+        let request = Request::Change {
+            key: format!("s{version}"),
+            change,
+            keyless_for: None,
+            known_revision: None,
+        };
         fleet.events.push_back((0, Event::RequestReceived { ticket, request }));
     }
     let before = fleet.outcomes.len();
@@ -103,7 +116,12 @@
         let ticket = fleet.tickets.len() as u64 - 1;
         let bytes = text.as_bytes().to_vec();
         let change = Change::ReplaceConfig { bytes, if_revision: None, version: Some(7) };
-        let request = Request::Change { key: text.to_string(), change, keyless_for: None };
+        let request = Request::Change {
+            key: text.to_string(),
+            change,
+            keyless_for: None,
+            known_revision: None,
+        };
         fleet.events.push_back((index, Event::RequestReceived { ticket, request }));
     }
     fleet.run();
--- a/store/tests/replica/disk.rs
+++ b/store/tests/replica/disk.rs
@@ -18,7 +18,15 @@
         let mut bytes = vec![b'x'; size];
         bytes[..4].copy_from_slice(&number.to_be_bytes());
         let change = Change::ReplaceConfig { bytes, if_revision: None, version: None };
-        fleet.request(0, Request::Change { key: format!("k{number}"), change, keyless_for: None });
+        fleet.request(
+            0,
+            Request::Change {
+                key: format!("k{number}"),
+                change,
+                keyless_for: None,
+                known_revision: None,
+            },
+        );
         for store in &fleet.stores {
             let stored: usize =
                 store.disk.versions.values().map(|value| value.encode().len()).sum();
@@ -72,7 +80,7 @@
             if_revision: None,
             version: None,
         };
-        Request::Change { key: key.to_string(), change, keyless_for: None }
+        Request::Change { key: key.to_string(), change, keyless_for: None, known_revision: None }
     };
     for key in ["a", "b"] {
         fleet.tickets.push(Requester::Operator);
--- a/store/tests/replica/drain_orders.rs
+++ b/store/tests/replica/drain_orders.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use vanepath_cluster::wire;
 use vanepath_store::consensus::Event;
-use vanepath_store::protocol::{Outcome, Request};
-use vanepath_store::value::Value;
+use vanepath_store::protocol::{Change, Outcome, Request};
+use vanepath_store::value::{MAX_RECENT_WRITES, Value};
 
 /// A drained zone stays as it is when it is drained again, by an order of its own or a retransmission, and one
 /// order restores it.
@@ -36,7 +36,15 @@
         ("c", restore(), true),
         ("e", restore(), false),
     ] {
-        fleet.request(0, Request::Change { key: key.to_string(), change, keyless_for: None });
+        fleet.request(
+            0,
+            Request::Change {
+                key: key.to_string(),
+                change,
+                keyless_for: None,
+                known_revision: None,
+            },
+        );
         assert_eq!(fleet.is_drained(0), is_drained, "{key}");
     }
 }
@@ -88,6 +96,84 @@
     assert!(!fleet.is_drained(0));
 }
 
+/// Guards against a zone that gets requests although its evacuation is in force, and the reverse (incident 0028):
+/// an order waits in the sockets of a process that stands still; its client sends it again, and then an opposite
+/// one, which are acknowledged. Carried out late, the first order has no effect, at any store.
+#[test]
+fn an_order_that_waited_does_not_undo_a_newer_one() {
+    for (order, opposite) in [(restore(), drain()), (drain(), restore())] {
+        for store in [0, 1, 2] {
+            let mut fleet = Fleet::of(3);
+            fleet.run_for(Duration::from_secs(2));
+            fleet.drain_order(0, opposite.clone());
+            let known = fleet.latest_revision();
+            assert!(is_accepted(&fleet.drain_order(1, order.clone())));
+            fleet.run_for(Duration::from_millis(200));
+            assert!(is_accepted(&fleet.drain_order(1, opposite.clone())));
+            let is_drained = fleet.is_drained(1);
+            fleet.run_for(Duration::from_millis(400));
+            let outcome = fleet.drain_order_knowing(store, order.clone(), known);
+            assert!(matches!(outcome, Outcome::Overtaken { .. }), "{outcome:?}");
+            assert_eq!([0, 1, 2].map(|index| fleet.is_drained(index)), [is_drained; 3]);
+        }
+    }
+}
+
+/// An order that changes nothing overtakes an opposite one that still waits, which its client has given up.
+#[test]
+fn an_order_without_effect_overtakes_one_that_waits() {
+    let mut fleet = Fleet::of(3);
+    fleet.run_for(Duration::from_secs(2));
+    let known = fleet.latest_revision();
+    let outcome = fleet.drain_order(1, restore());
+    assert!(matches!(outcome, Outcome::Accepted { is_repeat: true, .. }), "{outcome:?}");
+    let waiting = fleet.drain_order_knowing(0, drain(), known);
+    assert!(matches!(waiting, Outcome::Overtaken { .. }), "{waiting:?}");
+    assert!(!fleet.is_drained(0));
+}
+
+/// A registry that is behind sends an overtaken order again with the revision that the store names, if its client
+/// still waits, and the order is carried out. An equal order needs no second transmission and makes no version.
+#[test]
+fn an_order_of_a_registry_that_is_behind_is_carried_out_when_it_is_sent_again() {
+    let mut fleet = Fleet::of(3);
+    fleet.run_for(Duration::from_secs(2));
+    let known = fleet.latest_revision();
+    fleet.drain_order(0, drain());
+    let drained = fleet.latest_revision();
+    assert!(is_accepted(&fleet.drain_order_knowing(1, drain(), known)));
+    assert_eq!(fleet.latest_revision(), drained, "an equal order makes no version");
+    let Outcome::Overtaken { revision } = fleet.drain_order_knowing(2, restore(), known) else {
+        panic!("the registry may have the order since before the zone was drained");
+    };
+    assert!(fleet.is_drained(0));
+    assert!(is_accepted(&fleet.drain_order_knowing(2, restore(), revision)));
+    assert!(!fleet.is_drained(0));
+}
+
+/// Of the latest order for a zone no record may be left after many other writes. An order from a registry that
+/// knows less than the records that are left is overtaken, since there may have been another one.
+#[test]
+fn an_order_of_a_registry_that_is_far_behind_is_overtaken() {
+    let mut fleet = Fleet::of(3);
+    fleet.run_for(Duration::from_secs(2));
+    fleet.drain_order(0, drain());
+    let known = fleet.latest_revision();
+    fleet.drain_order(0, restore());
+    for number in 0..MAX_RECENT_WRITES {
+        let key = format!("write-{number}");
+        let bytes = key.clone().into_bytes();
+        let change = Change::ReplaceConfig { bytes, if_revision: None, version: None };
+        let (keyless_for, known_revision) = (None, None);
+        fleet.request(0, Request::Change { key, change, keyless_for, known_revision });
+    }
+    let outcome = fleet.drain_order_knowing(0, drain(), known);
+    assert!(matches!(outcome, Outcome::Overtaken { .. }), "{outcome:?}");
+    assert!(!fleet.is_drained(0));
+    assert!(is_accepted(&fleet.drain_order(0, drain())));
+    assert!(fleet.is_drained(0));
+}
+
 /// Drain orders that are queued for the same round are all answered.
 #[test]
 fn orders_of_one_round_are_all_answered() {
@@ -97,7 +183,7 @@
         fleet.tickets.push(Requester::Operator);
         let ticket = fleet.tickets.len() as u64 - 1;
         let (key, keyless_for) = (format!("made-{ticket}"), Some(Duration::ZERO));
-        let request = Request::Change { key, change: drain(), keyless_for };
+        let request = Request::Change { key, change: drain(), keyless_for, known_revision: None };
         fleet.events.push_back((0, Event::RequestReceived { ticket, request }));
     }
     fleet.run();
@@ -134,7 +220,15 @@
     fleet.run_for(Duration::from_secs(2));
     let field = b"further_orders";
     let has_field = |bytes: &[u8]| bytes.windows(field.len()).any(|part| part == field);
-    fleet.request(0, Request::Change { key: "a".to_string(), change: drain(), keyless_for: None });
+    fleet.request(
+        0,
+        Request::Change {
+            key: "a".to_string(),
+            change: drain(),
+            keyless_for: None,
+            known_revision: None,
+        },
+    );
     let bytes = fleet.value(0).encode();
     assert!(!has_field(&bytes));
     let decoded: Value = wire::decode(&bytes).unwrap();
@@ -142,6 +236,14 @@
         (decoded.is_drained("a1"), decoded.is_drained("b1"), decoded.encode()),
         (true, false, bytes)
     );
-    fleet.request(0, Request::Change { key: "b".to_string(), change: drain(), keyless_for: None });
+    fleet.request(
+        0,
+        Request::Change {
+            key: "b".to_string(),
+            change: drain(),
+            keyless_for: None,
+            known_revision: None,
+        },
+    );
     assert!(!has_field(&fleet.value(0).encode()));
 }
--- a/store/tests/replica/fleet.rs
+++ b/store/tests/replica/fleet.rs
@@ -152,7 +152,15 @@
         let before = self.outcomes.len();
         let bytes = key.as_bytes().to_vec();
         let change = Change::ReplaceConfig { bytes, if_revision: None, version: None };
-        self.request(index, Request::Change { key: key.to_string(), change, keyless_for: None });
+        self.request(
+            index,
+            Request::Change {
+                key: key.to_string(),
+                change,
+                keyless_for: None,
+                known_revision: None,
+            },
+        );
         self.run_for(Duration::from_secs(2));
         self.outcomes.get(before).cloned()
     }
@@ -311,21 +319,35 @@
     let before = fleet.outcomes.len();
     let bytes = bytes.as_bytes().to_vec();
     let change = Change::ReplaceConfig { bytes, if_revision: None, version };
-    fleet.request(0, Request::Change { key: key.to_string(), change, keyless_for: None });
+    fleet.request(
+        0,
+        Request::Change { key: key.to_string(), change, keyless_for: None, known_revision: None },
+    );
     fleet.run_for(Duration::from_secs(1));
     fleet.outcomes[before].clone()
 }
 
 impl Fleet {
-    /// Sends a drain or restore order without a client's key; returns the outcome.
+    /// Sends a drain or restore order without a client's key, from a registry that knows the latest revision;
+    /// returns the outcome.
     pub fn drain_order(&mut self, index: usize, change: Change) -> Outcome {
+        let known_revision = self.latest_revision();
+        self.drain_order_knowing(index, change, known_revision)
+    }
+
+    /// The same, from a registry that knows this revision, or that received the order when it knew it.
+    pub fn drain_order_knowing(&mut self, index: usize, change: Change, known: u64) -> Outcome {
         let key = format!("made-{}", self.tickets.len());
-        let keyless_for = Some(Duration::ZERO);
+        let (keyless_for, known_revision) = (Some(Duration::ZERO), Some(known));
         let before = self.outcomes.len();
-        self.request(index, Request::Change { key, change, keyless_for });
+        self.request(index, Request::Change { key, change, keyless_for, known_revision });
         self.outcomes[before].clone()
     }
 
+    pub fn latest_revision(&self) -> u64 {
+        (0..self.stores.len()).map(|index| self.value(index).revision).max().unwrap_or(0)
+    }
+
     /// Tells all stores, as registries of earlier versions do, that an order's client was answered.
     pub fn acknowledge(&mut self, change: &Change, outcome: &Outcome) {
         let Outcome::Accepted { revision, .. } = outcome else { panic!("{outcome:?}") };
--- a/store/tests/replica/reads.rs
+++ b/store/tests/replica/reads.rs
@@ -86,7 +86,10 @@
         requester == 0 && matches!(response, Response::Accepted { .. })
     });
     let change = Change::ReplaceConfig { bytes: b"b".to_vec(), if_revision: None, version: None };
-    fleet.request(0, Request::Change { key: "b".into(), change, keyless_for: None });
+    fleet.request(
+        0,
+        Request::Change { key: "b".into(), change, keyless_for: None, known_revision: None },
+    );
     fleet.drops_response = Box::new(|_, _, _| false);
     fleet.drops_request = Box::new(|from, _, request| {
         assert!(
@@ -110,11 +113,22 @@
         requester == 0 && matches!(response, Response::Accepted { .. })
     });
     let change = Change::ReplaceConfig { bytes: b"b".to_vec(), if_revision: None, version: None };
-    fleet.request(0, Request::Change { key: "b".into(), change, keyless_for: None });
+    fleet.request(
+        0,
+        Request::Change { key: "b".into(), change, keyless_for: None, known_revision: None },
+    );
     assert!(!fleet.delayed.is_empty());
     fleet.drops_request = Box::new(|from, to, _| from == 0 || to == 0);
     let before = fleet.outcomes.len();
-    fleet.request(1, Request::Change { key: "c".into(), change: meanwhile, keyless_for: None });
+    fleet.request(
+        1,
+        Request::Change {
+            key: "c".into(),
+            change: meanwhile,
+            keyless_for: None,
+            known_revision: None,
+        },
+    );
     fleet.run_for(Duration::from_secs(2));
     assert_eq!(
         revision(fleet.outcomes.get(before).cloned()),
@@ -149,7 +163,12 @@
 /// yet that the zone was drained must not acknowledge a withdrawal without applying it.
 #[test]
 fn a_change_without_effect_takes_a_round_of_its_own() {
-    let request = Request::Change { key: "d".into(), change: restore(), keyless_for: None };
+    let request = Request::Change {
+        key: "d".into(),
+        change: restore(),
+        keyless_for: None,
+        known_revision: None,
+    };
     let (outcomes, fleet) = ask_after_partition(drain(), request);
     let accepted = outcomes.iter().filter(|outcome| matches!(outcome, Outcome::Accepted { .. }));
     assert!(accepted.count() >= 1, "{outcomes:?}");
--- a/store/tests/replica/rounds.rs
+++ b/store/tests/replica/rounds.rs
@@ -142,7 +142,10 @@
         Box::new(|_, _, response| matches!(response, Response::Accepted { .. }));
     let change = Change::DrainZone { zone: "a1".to_string() };
     let before = fleet.outcomes.len();
-    fleet.request(0, Request::Change { key: "k".to_string(), change, keyless_for: None });
+    fleet.request(
+        0,
+        Request::Change { key: "k".to_string(), change, keyless_for: None, known_revision: None },
+    );
     assert_eq!(fleet.delayed.len(), 2, "two replicas have accepted the repaired value");
     let other = child(&fleet, 0, "other");
     fleet.request(0, accept(other, 1000));
--- a/testbed/src/sim/control/operators.rs
+++ b/testbed/src/sim/control/operators.rs
@@ -1,15 +1,12 @@
 //! The calls of operators to registries.
 
 use crate::sim::network::{Body, Purpose};
-use crate::sim::state::{Operation, OperatorCall, Sim};
+use crate::sim::state::{KEYLESS_CALL_TIMEOUT, Operation, OperatorCall, Sim};
 use std::time::Duration;
 use vanepath_store::protocol::Outcome;
 
 /// How long an operator waits for the answer to a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(9);
-/// How long the platform waits for an answer to a call without an idempotency key before it sends
-/// the call again.
-const KEYLESS_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Sim {
     /// Sends an operator's call to a registry, and returns the index of the operation.
--- a/testbed/src/sim/control/store_calls.rs
+++ b/testbed/src/sim/control/store_calls.rs
@@ -2,7 +2,7 @@
 
 use crate::sim::crash_points::CrashPoint;
 use crate::sim::mutations::Mutation;
-use crate::sim::network::{Body, CallId, Network, Purpose, Timer};
+use crate::sim::network::{Body, CallId, HostId, Network, Purpose, Timer};
 use crate::sim::state::{OperatorCall, RoleState, Sim};
 use std::time::Duration;
 use vanepath_config::model;
@@ -20,7 +20,8 @@
         if let Some(outcome) = self.outcome_without_stores(index, operation) {
             return self.net.reply(call, Body::OperatorResponse(outcome));
         }
-        let request = self.store_request(operation);
+        let known_revision = self.nodes[index].view.committed.revision;
+        let request = self.store_request(operation, known_revision);
         let now = self.net.local_time(self.nodes[index].host);
         let RoleState::Registry(registry) = &mut self.nodes[index].role_state else { return };
         registry.next_store_call += 1;
@@ -29,6 +30,15 @@
         self.step_store_call(index, store_call);
     }
 
+    /// Drops a registry's call to the stores when the operator that waits for it leaves, as the program does when
+    /// the operator's connection is closed. The request that is on its way to a store stays there.
+    pub(in crate::sim) fn drop_store_call(&mut self, registry: HostId, operator_call: CallId) {
+        let Some(index) = self.node_by_host.get(&registry).copied() else { return };
+        if let RoleState::Registry(registry) = &mut self.nodes[index].role_state {
+            registry.store_calls.retain(|_, (_, call)| *call != operator_call);
+        }
+    }
+
     /// Returns the outcome of a call that does not reach the stores, either because its
     /// configuration is invalid or because a mutation decides it.
     fn outcome_without_stores(&mut self, index: usize, operation: usize) -> Option<Outcome> {
@@ -95,13 +105,16 @@
         self.operations.iter().map(|operation| weight(&operation.call)).sum()
     }
 
-    fn store_request(&self, operation: usize) -> Request {
+    fn store_request(&self, operation: usize, known_revision: u64) -> Request {
         let operator_call = &self.operations[operation].call;
         match operator_call {
             OperatorCall::Change { key, change } => {
                 let is_keyless = operator_call.evacuation().is_some();
                 let keyless_for = is_keyless.then_some(Duration::ZERO);
-                Request::Change { key: key.clone(), change: change.clone(), keyless_for }
+                let is_stated = !self.has_mutation(Mutation::CarriesOutOvertakenOrders);
+                let known_revision = is_stated.then_some(known_revision);
+                let (key, change) = (key.clone(), change.clone());
+                Request::Change { key, change, keyless_for, known_revision }
             }
             OperatorCall::Read => Request::Read,
             OperatorCall::History { revision } => Request::History { revision: *revision },
--- a/testbed/src/sim/event_loop.rs
+++ b/testbed/src/sim/event_loop.rs
@@ -48,6 +48,10 @@
                 let call_entry = call.expect("an arriving request belongs to a call");
                 self.deliver_request(call_entry.target, call_entry.source, number, body);
             }
+            Event::AbandonedRequestArrived { call: number, body } => {
+                let call_entry = call.expect("an arriving request belongs to a call");
+                self.deliver_abandoned_request(&call_entry, number, body);
+            }
             Event::ReplyArrived { body, .. } => {
                 let call_entry = call.expect("an arriving reply belongs to a call");
                 let body = if matches!(body, Body::Reset) { None } else { Some(body) };
@@ -60,8 +64,11 @@
                     is_reset,
                 );
             }
-            Event::CallTimedOut { .. } => {
+            Event::CallTimedOut { call: number } => {
                 let call_entry = call.expect("an expired timeout belongs to a call");
+                if matches!(call_entry.purpose, Purpose::OperatorCall { .. }) {
+                    self.drop_store_call(call_entry.target, number);
+                }
                 self.deliver_reply(
                     call_entry.source,
                     call_entry.target,
@@ -127,6 +134,17 @@
         }
     }
 
+    /// Delivers a request whose caller has left. A registry looks at the connection before it passes an order on,
+    /// and finds it closed. A store may read the request before the close arrives, and carries it out.
+    fn deliver_abandoned_request(&mut self, call: &Call, number: CallId, body: Body) {
+        if let Body::StoreRequest(request) = body
+            && let Some(index) = self.node_by_host.get(&call.target).copied()
+        {
+            let event = consensus::Event::RequestReceived { ticket: number, request };
+            self.step_store(index, event);
+        }
+    }
+
     fn deliver_reply(
         &mut self,
         source: HostId,
@@ -181,8 +199,9 @@
                     Some(Body::OperatorResponse(outcome)) => Some(outcome),
                     _ => None,
                 };
-                self.end_operation(operation, outcome);
-                operators::keyless_call_ended(self, operation);
+                let is_lost = outcome.is_some() && operators::takes_lost_answer(self, operation);
+                self.end_operation(operation, outcome.filter(|_| !is_lost));
+                operators::keyless_call_ended(self, operation, is_lost);
             }
             (Purpose::None, _) => {}
             (purpose, _) => self.traffic_replied(source, target, purpose, body, is_reset),
--- a/testbed/src/sim/mutations.rs
+++ b/testbed/src/sim/mutations.rs
@@ -72,6 +72,9 @@
     /// withdrawals.
     #[strum(serialize = "counts-drains")]
     CountsDrains,
+    /// Stores carry out orders that newer ones have overtaken.
+    #[strum(serialize = "carries-out-late")]
+    CarriesOutOvertakenOrders,
     /// The steering service does not respond once faults have begun.
     #[strum(serialize = "directories-stay-down")]
     SteeringStaysDown,
--- a/testbed/src/sim/network/event.rs
+++ b/testbed/src/sim/network/event.rs
@@ -21,6 +21,13 @@
         /// The request.
         body: Body,
     },
+    /// A request reaches its target after the call has timed out. The connection behind it is closed.
+    AbandonedRequestArrived {
+        /// The call.
+        call: CallId,
+        /// The request.
+        body: Body,
+    },
     /// A reply reaches the host that sent the request.
     ReplyArrived {
         /// The call.
--- a/testbed/src/sim/network/mod.rs
+++ b/testbed/src/sim/network/mod.rs
@@ -41,6 +41,9 @@
     /// Some messages are delayed by up to this much more.
     pub extra_delay: Duration,
     calls: BTreeMap<CallId, Call>,
+    /// Calls that timed out before their request was read, with the incarnation of the target at that time. The
+    /// request is read all the same, since it is in the socket of the target or on its way there.
+    abandoned: BTreeMap<CallId, (Call, u32)>,
     queue: BinaryHeap<Queued>,
     next_call: CallId,
     next_sequence: u64,
@@ -65,6 +68,7 @@
             cuts: BTreeMap::new(),
             extra_delay: Duration::ZERO,
             calls: BTreeMap::new(),
+            abandoned: BTreeMap::new(),
             queue: BinaryHeap::new(),
             next_call: 0,
             next_sequence: 0,
@@ -161,8 +165,34 @@
         self.calls.remove(&call);
     }
 
-    /// Takes the next event that takes effect and advances the clock to it. Events of ended calls
-    /// and of earlier incarnations are dropped, and events of frozen hosts are deferred.
+    /// Remembers a call that ends before its request was read.
+    fn abandon(&mut self, call: CallId, entry: Option<&Call>) {
+        if let Some(entry) = entry
+            && entry.target_incarnation.is_none()
+            && matches!(entry.purpose, Purpose::StoreCall { .. } | Purpose::OperatorCall { .. })
+        {
+            let incarnation = self.hosts[entry.target].incarnation;
+            self.abandoned.insert(call, (entry.clone(), incarnation));
+        }
+    }
+
+    /// Takes a call whose request has not been read although the call has ended, if the process that it was
+    /// sent to still runs.
+    fn take_abandoned(&mut self, call: CallId) -> Option<Call> {
+        let (entry, incarnation) = self.abandoned.get(&call)?;
+        let target = entry.target;
+        if self.hosts[target].frozen {
+            return Some(entry.clone());
+        }
+        let is_same_process =
+            self.is_alive(target) && self.hosts[target].incarnation == *incarnation;
+        let (entry, _) = self.abandoned.remove(&call)?;
+        is_same_process.then_some(entry)
+    }
+
+    /// Takes the next event that takes effect and advances the clock to it. Replies to ended calls and events
+    /// of earlier incarnations are dropped, and events of frozen hosts are deferred. The request of a call that
+    /// has timed out arrives as [`Event::AbandonedRequestArrived`].
     pub fn next_event(&mut self) -> Option<(Event, Option<Call>)> {
         loop {
             let Queued { at, event, .. } = self.queue.pop()?;
@@ -177,6 +207,19 @@
                     *host
                 }
                 Event::Script(_) => return Some((event, None)),
+                Event::AbandonedRequestArrived { .. } => return Some((event, None)),
+                Event::RequestArrived { call, body } if !self.calls.contains_key(call) => {
+                    let Some(entry) = self.take_abandoned(*call) else { continue };
+                    if self.hosts[entry.target].frozen {
+                        self.hosts[entry.target].deferred.push(event);
+                        continue;
+                    }
+                    let body = body.clone();
+                    return Some((
+                        Event::AbandonedRequestArrived { call: *call, body },
+                        Some(entry),
+                    ));
+                }
                 Event::RequestArrived { call, .. } => {
                     let Some(entry) = self.calls.get(call) else { continue };
                     let (target, receiver_incarnation) = (entry.target, entry.target_incarnation);
@@ -214,8 +257,13 @@
                     let entry = entry.clone();
                     return Some((event, Some(entry)));
                 }
-                Event::ReplyArrived { call, .. } | Event::CallTimedOut { call } => {
+                Event::ReplyArrived { call, .. } => {
+                    let entry = self.calls.remove(call);
+                    return Some((event, entry));
+                }
+                Event::CallTimedOut { call } => {
                     let entry = self.calls.remove(call);
+                    self.abandon(*call, entry.as_ref());
                     return Some((event, entry));
                 }
                 _ => return Some((event, None)),
--- a/testbed/src/sim/scenario/fault.rs
+++ b/testbed/src/sim/scenario/fault.rs
@@ -81,6 +81,11 @@
     /// Two or three evacuations of one zone overlap. Their calls have no idempotency keys, and registries
     /// crash with some of the calls in progress.
     OverlappingEvacuations,
+    /// Evacuations of one zone in series; answers to the operator are lost, so that orders are sent again.
+    EvacuationsLostAnswers,
+    /// Evacuations of one zone in series. A core machine is frozen for 4 s as each is withdrawn, and finds calls
+    /// in its sockets whose callers have left.
+    EvacuationsControlFreezes,
     /// Twenty configuration changes within two seconds.
     #[strum(serialize = "storm")]
     ConfigBurst,
@@ -203,6 +208,8 @@
                 Fault::ReplaceAllCoreThenKillAll,
                 Fault::AllServersRestarted,
                 Fault::OverlappingEvacuations,
+                Fault::EvacuationsLostAnswers,
+                Fault::EvacuationsControlFreezes,
             ]
             .contains(fault)
                 && !fault.is_compound()
@@ -221,5 +228,10 @@
             chosen.push(next);
         }
     }
+    // Drawn separately, so that the other kinds of a seed stay the same. Only lost answers, since the freezes of
+    // the other series are faults of a core machine.
+    if Random::new(seed ^ 0x6f72_6465).chance(0.3) {
+        chosen.push(Fault::EvacuationsLostAnswers);
+    }
     chosen
 }
--- a/testbed/src/sim/scenario/operators.rs
+++ b/testbed/src/sim/scenario/operators.rs
@@ -1,7 +1,7 @@
 //! Operators: their periodic calls, and the calls that actions of a scenario make.
 
 use crate::sim::network::Timer;
-use crate::sim::state::{Action, OperatorCall, Sim};
+use crate::sim::state::{Action, KEYLESS_CALL_TIMEOUT, OperatorCall, Sim};
 use jzon::JsonValue;
 use std::time::Duration;
 use vanepath_cluster::wire::Role;
@@ -13,6 +13,8 @@
 const ORDINARY_BOUNDS: &str = r#""regions": ["north"]"#;
 /// How long the platform retransmits a call without an idempotency key, from the first transmission on.
 const RETRANSMISSION_PERIOD: Duration = Duration::from_secs(8);
+/// Time from the acknowledgement of a withdrawal to the next evacuation of a series.
+const PAUSE_BETWEEN_EVACUATIONS: Duration = Duration::from_millis(150);
 
 /// The configuration with a unique tag, as a label of a zone, so that no two submissions are equal.
 pub fn tagged(config: &str, tag: usize) -> Vec<u8> {
@@ -211,13 +213,23 @@
 ) {
     let now = sim.net.now;
     let order = &mut sim.evacuations[evacuation];
+    let is_first = order.sent_at[step].is_none();
     let first_sent_at = *order.sent_at[step].get_or_insert(now);
+    let freezes = match &order.series {
+        Some(series) if step == 1 && is_first => series.freezes.clone(),
+        _ => Vec::new(),
+    };
     // A drain that was never acknowledged is not withdrawn, and retransmissions end after a limited period.
     let is_due = step == 0 || order.acknowledged_at[0].is_some();
     if !is_due || now > first_sent_at + RETRANSMISSION_PERIOD {
         return;
     }
     let zone = order.zone.to_string();
+    for (node, duration) in freezes {
+        let host = sim.nodes[node].host;
+        sim.net.freeze(host);
+        sim.schedule(now + duration, Action::Resume(node));
+    }
     let change = if step == 0 { Change::DrainZone { zone } } else { Change::RestoreZone { zone } };
     let key = format!("order-{evacuation}-{step}-{}", sim.operations.len());
     let (_, registry) = call_any(sim, OperatorCall::Change { key, change });
@@ -230,8 +242,22 @@
     }
 }
 
-/// Handles the end of a call of an evacuation: records its acknowledgement, or schedules a retransmission.
-pub(in crate::sim) fn keyless_call_ended(sim: &mut Sim, operation: usize) {
+/// Whether the answer to this call is one of those that are lost.
+pub(in crate::sim) fn takes_lost_answer(sim: &mut Sim, operation: usize) -> bool {
+    let call = &sim.operations[operation].call;
+    let (Some(evacuation), OperatorCall::Change { change, .. }) = (call.evacuation(), call) else {
+        return false;
+    };
+    let step = usize::from(matches!(change, Change::RestoreZone { .. }));
+    let lost = &mut sim.evacuations[evacuation].lost_answers[step];
+    let is_lost = *lost > 0;
+    *lost = lost.saturating_sub(1);
+    is_lost
+}
+
+/// Handles the end of a call of an evacuation: records its acknowledgement, or schedules a retransmission,
+/// after the operator's time-out if the answer was lost.
+pub(in crate::sim) fn keyless_call_ended(sim: &mut Sim, operation: usize, is_lost: bool) {
     let ended = &sim.operations[operation];
     let Some(evacuation) = ended.call.evacuation() else { return };
     let OperatorCall::Change { change, .. } = &ended.call else { return };
@@ -242,13 +268,36 @@
         format!("step {step} of evacuation {evacuation}, sent at {from:?}: {outcome:?}")
     });
     if is_accepted {
+        let is_first = sim.evacuations[evacuation].acknowledged_at[step].is_none();
         sim.evacuations[evacuation].acknowledged_at[step] = Some(sim.net.now);
+        if is_first {
+            continue_series(sim, evacuation, step);
+        }
         return;
     }
-    let soon = sim.net.now + Duration::from_millis(50);
+    let pause = if is_lost { KEYLESS_CALL_TIMEOUT } else { Duration::from_millis(50) };
+    let soon = sim.net.now + pause;
     sim.schedule(soon, Action::KeylessCall { evacuation, step, registry_dies: false });
 }
 
+/// Schedules what follows in a series of evacuations once a call is acknowledged.
+fn continue_series(sim: &mut Sim, evacuation: usize, step: usize) {
+    let Some(series) = sim.evacuations[evacuation].series.clone() else { return };
+    let now = sim.net.now;
+    let registry_dies = false;
+    match (step, series.next) {
+        (0, _) => {
+            let action = Action::KeylessCall { evacuation, step: 1, registry_dies };
+            sim.schedule(now + series.hold, action);
+        }
+        (_, Some(next)) => {
+            let action = Action::KeylessCall { evacuation: next, step: 0, registry_dies };
+            sim.schedule(now + PAUSE_BETWEEN_EVACUATIONS, action);
+        }
+        _ => {}
+    }
+}
+
 /// Reads all revisions in order, at the end of a run.
 pub(super) fn read_history(sim: &mut Sim) -> Vec<(u64, Option<Outcome>)> {
     let registries = (0..sim.nodes.len())
--- a/testbed/src/sim/scenario/schedule/mod.rs
+++ b/testbed/src/sim/scenario/schedule/mod.rs
@@ -130,6 +130,10 @@
         Fault::Surge => servers::surge_in_zone(sim, context),
         Fault::DrainZone => operators::drain_zone(sim, context),
         Fault::OverlappingEvacuations => operators::overlapping_evacuations(sim, context),
+        Fault::EvacuationsLostAnswers => operators::evacuations_with_lost_answers(sim, context),
+        Fault::EvacuationsControlFreezes => {
+            operators::evacuations_while_control_freezes(sim, context)
+        }
         Fault::ConfigBurst => operators::burst_of_changes(sim, context),
         Fault::RegionBoundsMove => operators::move_region_bounds(sim, context),
         Fault::ControlCut20s => worst_case::control_plane_cut(sim, context),
@@ -140,7 +144,7 @@
     }
 }
 
-fn ms(count: u64) -> Duration {
+const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
 
--- a/testbed/src/sim/state/mod.rs
+++ b/testbed/src/sim/state/mod.rs
@@ -13,7 +13,7 @@
 pub use action::Action;
 pub use disk::Disk;
 pub use node::{DownPeriod, Node, Registry, RevisionChange, RoleState, Store};
-pub use operators::{Evacuation, Operation, OperatorCall};
+pub use operators::{Evacuation, EvacuationSeries, KEYLESS_CALL_TIMEOUT, Operation, OperatorCall};
 pub use proxy::Proxy;
 pub(in crate::sim) use proxy::{AttemptInProgress, RequestInProgress};
 pub use reachability::{
--- a/testbed/src/sim/state/operators.rs
+++ b/testbed/src/sim/state/operators.rs
@@ -3,6 +3,10 @@
 use std::time::Duration;
 use vanepath_store::protocol::{Change, Outcome};
 
+/// How long the platform waits for an answer to a call without an idempotency key before it sends
+/// the call again.
+pub const KEYLESS_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A call of an operator to a registry.
 #[derive(Clone, Debug)]
 pub struct Operation {
@@ -69,4 +73,32 @@
     pub sent_at: [Option<Duration>; 2],
     /// When they were acknowledged.
     pub acknowledged_at: [Option<Duration>; 2],
+    /// How many answers to each of the calls are lost on their way to the operator from now on.
+    pub lost_answers: [u32; 2],
+    /// What the operator does once a call is acknowledged; `None`: its calls are scheduled beforehand.
+    pub series: Option<EvacuationSeries>,
+}
+
+impl Evacuation {
+    /// An evacuation whose calls have not been sent.
+    pub fn new(zone: &'static str) -> Evacuation {
+        Evacuation {
+            zone,
+            sent_at: [None; 2],
+            acknowledged_at: [None; 2],
+            lost_answers: [0; 2],
+            series: None,
+        }
+    }
+}
+
+/// Evacuations that an operator orders one after the other.
+#[derive(Clone, Debug)]
+pub struct EvacuationSeries {
+    /// How long the zone stays drained after the acknowledgement.
+    pub hold: Duration,
+    /// The evacuation that follows as soon as this one is withdrawn.
+    pub next: Option<usize>,
+    /// Nodes that freeze when the zone is first restored, for as long.
+    pub freezes: Vec<(usize, Duration)>,
 }
--- a/testbed/tests/days.rs
+++ b/testbed/tests/days.rs
@@ -343,6 +343,24 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// Evacuations of one zone in series, whose answers are lost (incident 0026), or while the core machine that is
+/// asked first stands still and wakes with calls of callers that have left (incident 0028): each order is
+/// carried out once, and none after a newer one.
+#[test]
+fn evacuations_in_series_are_carried_out_once_and_in_order() {
+    use Fault::*;
+    let mut work = Vec::new();
+    for seed in 1..=8 {
+        for deployment in [Deployment::Raiocerto, Deployment::Guild] {
+            work.push((seed, deployment, vec![EvacuationsLostAnswers]));
+            work.push((seed, deployment, vec![EvacuationsControlFreezes]));
+            work.push((seed, deployment, vec![EvacuationsLostAnswers, EvacuationsControlFreezes]));
+        }
+    }
+    let found = violations_of(OPERATOR_INTERVAL, work);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 /// Evacuations whose calls have no idempotency keys, on a slow network: a retransmission was taken for a second
 /// evacuation, which kept the zone drained (incident 0026).
 #[test]
@@ -676,6 +694,8 @@
         (Mutation::IgnoresDrainingServers, Fault::FaultyEndpointLists, "received a request"),
         (Mutation::LosesDrains, Fault::OverlappingEvacuations, "in drained zone"),
         (Mutation::CountsDrains, Fault::OverlappingEvacuations, "is still drained"),
+        (Mutation::CountsDrains, Fault::EvacuationsLostAnswers, "is still drained"),
+        (Mutation::CarriesOutOvertakenOrders, Fault::EvacuationsControlFreezes, "in drained zone"),
         (Mutation::SteeringStaysDown, Fault::None, "steering polls served after the last fault"),
         (Mutation::SkipsReadIndex, Fault::RestartsInConfigBurst, ", after revision"),
         (
