A configuration without version, condition or key is overtaken by a newer one

It now carries the revision that its registry knew, as drain orders do: if another document was committed after that, the store changes nothing, and a registry whose client still waits sends it again. A version, If-Match or a key tells a late one apart by itself, and these are as before.

--- a/store/src/consensus/transitions.rs
+++ b/store/src/consensus/transitions.rs
@@ -128,19 +128,38 @@
     })
 }
 
-/// The outcome of a drain order that was overtaken: another order for the zone was committed after the revision
-/// that the registry knew when its client was last known to wait. An equal one did what this order asks for; after an
-/// opposite one it cannot be told whether the client still wants this order (design 6.10).
+/// The outcome of a change that was overtaken: another one of the same zone, or of the configuration, was committed
+/// after the revision that the registry knew when its client was last known to wait. An equal one did what this
+/// change asks for; after a different one it cannot be told whether the client still wants this change (design 6.10).
 fn overtaken_outcome(value: &Value, request: &KeyedChange) -> Option<Outcome> {
     let known_revision = request.known_revision?;
-    let (Change::DrainZone { zone } | Change::RestoreZone { zone }) = request.change else {
-        return None;
-    };
+    match request.change {
+        Change::DrainZone { zone } | Change::RestoreZone { zone } => {
+            overtaken_drain_order(value, request.change, zone, known_revision)
+        }
+        // Without a version, a condition or a key by which a late one is recognized.
+        Change::ReplaceConfig { bytes, if_revision: None, version: None }
+            if request.is_generated =>
+        {
+            let is_overtaken = value.config_revision > known_revision;
+            is_overtaken.then(|| match value.document == *bytes {
+                true => repeat_outcome(value.config_revision, value.config_revision),
+                false => Outcome::Overtaken { revision: value.revision },
+            })
+        }
+        Change::ReplaceConfig { .. } => None,
+    }
+}
+
+fn overtaken_drain_order(
+    value: &Value,
+    change: &Change,
+    zone: &str,
+    known_revision: u64,
+) -> Option<Outcome> {
     match value.latest_drain_order(zone) {
         LatestDrainOrder::Recorded(record) if record.revision <= known_revision => None,
-        LatestDrainOrder::Recorded(record)
-            if record.content_hash == request.change.content_hash() =>
-        {
+        LatestDrainOrder::Recorded(record) if record.content_hash == change.content_hash() => {
             Some(repeat_outcome(record.revision, record.config_revision))
         }
         LatestDrainOrder::NoneSince(revision) if revision <= known_revision => None,
--- a/store/tests/replica/config_versions.rs
+++ b/store/tests/replica/config_versions.rs
@@ -133,3 +133,34 @@
         fleet.outcomes.iter().filter(|outcome| matches!(outcome, Outcome::VersionTaken { .. }));
     assert_eq!(taken.count(), 2, "{:?}", fleet.outcomes);
 }
+
+/// Guards against a configuration that undoes a newer one (incident 0028): it has no version and waited in the
+/// sockets of a process that stood still, while another one was accepted. A registry whose client still waits sends
+/// it again with the revision that the store names, and it is accepted. The same document is accepted as it is.
+#[test]
+fn a_configuration_without_a_version_that_waited_is_overtaken() {
+    let mut fleet = Fleet::of(3);
+    fleet.run_for(Duration::from_secs(2));
+    let known = fleet.latest_revision();
+    let send = |fleet: &mut Fleet, store: usize, text: &str, known: u64| {
+        let key = format!("made-{}", fleet.tickets.len());
+        let bytes = text.as_bytes().to_vec();
+        let change = Change::ReplaceConfig { bytes, if_revision: None, version: None };
+        let (keyless_for, known_revision) = (Some(Duration::ZERO), Some(known));
+        let before = fleet.outcomes.len();
+        fleet.request(store, Request::Change { key, change, keyless_for, known_revision });
+        fleet.run_for(Duration::from_secs(1));
+        fleet.outcomes[before].clone()
+    };
+    let newer = send(&mut fleet, 1, "newer", known);
+    assert!(matches!(newer, Outcome::Accepted { is_repeat: false, .. }), "{newer:?}");
+    let Outcome::Overtaken { revision } = send(&mut fleet, 0, "older", known) else {
+        panic!("the older configuration was accepted")
+    };
+    assert_eq!(fleet.value(0).document, b"newer");
+    let again = send(&mut fleet, 2, "newer", known);
+    assert!(matches!(again, Outcome::Accepted { is_repeat: true, .. }), "{again:?}");
+    let wanted = send(&mut fleet, 0, "older", revision);
+    assert!(matches!(wanted, Outcome::Accepted { is_repeat: false, .. }), "{wanted:?}");
+    assert_eq!(fleet.value(0).document, b"older");
+}
