--- a/store/src/consensus/transitions.rs
+++ b/store/src/consensus/transitions.rs
@@ -129,8 +129,9 @@
 }
 
 /// The outcome of a change that was overtaken: another one of the same zone, or of the configuration, was committed
-/// after the revision that the registry knew when its client was last known to wait. An equal one did what this
-/// change asks for; after a different one it cannot be told whether the client still wants this change (design 6.10).
+/// after the revision that the registry knew when its client was last known to wait, and it cannot be told whether
+/// the client still wants this change (design 6.10). After an equal one this change is made, and recorded, all the
+/// same: it overtakes different ones that came between the two and are still on their way.
 fn overtaken_outcome(value: &Value, request: &KeyedChange) -> Option<Outcome> {
     let known_revision = request.known_revision?;
     match request.change {
@@ -141,11 +142,8 @@
         Change::ReplaceConfig { bytes, if_revision: None, version: None }
             if request.is_generated =>
         {
-            let is_overtaken = value.config_revision > known_revision;
-            is_overtaken.then(|| match value.document == *bytes {
-                true => repeat_outcome(value.config_revision, value.config_revision),
-                false => Outcome::Overtaken { revision: value.revision },
-            })
+            let is_overtaken = value.config_revision > known_revision && value.document != *bytes;
+            is_overtaken.then_some(Outcome::Overtaken { revision: value.revision })
         }
         Change::ReplaceConfig { .. } => None,
     }
@@ -157,14 +155,13 @@
     zone: &str,
     known_revision: u64,
 ) -> Option<Outcome> {
-    match value.latest_drain_order(zone) {
-        LatestDrainOrder::Recorded(record) if record.revision <= known_revision => None,
-        LatestDrainOrder::Recorded(record) if record.content_hash == change.content_hash() => {
-            Some(repeat_outcome(record.revision, record.config_revision))
+    let is_overtaken = match value.latest_drain_order(zone) {
+        LatestDrainOrder::Recorded(record) => {
+            record.revision > known_revision && record.content_hash != change.content_hash()
         }
-        LatestDrainOrder::NoneSince(revision) if revision <= known_revision => None,
-        _ => Some(Outcome::Overtaken { revision: value.revision }),
-    }
+        LatestDrainOrder::NoneSince(revision) => revision > known_revision,
+    };
+    is_overtaken.then_some(Outcome::Overtaken { revision: value.revision })
 }
 
 /// Handles a configuration whose version is not above the highest one. Its author knows of a newer version,
