Soak: orders without keys whose answers are lost, zones drained anew at once

Orders for zones have no key now and are sent again after a second; every drain and some restorations lose their first answer. A zone is drained anew right after it was restored. New check: a zone is in use once its restoration is acknowledged.

--- a/testbed/src/soak/invariants.rs
+++ b/testbed/src/soak/invariants.rs
@@ -31,9 +31,10 @@
 
 /// Checks all invariants and returns their violations, one line each.
 pub fn check(observations: &Observations) -> Vec<String> {
-    let invariants: [fn(&Observations) -> Vec<String>; 15] = [
+    let invariants: [fn(&Observations) -> Vec<String>; 16] = [
         sent_to_draining_servers,
         sent_to_drained_zones,
+        left_drained,
         sent_to_wrong_services,
         wrong_tenants,
         sent_with_removed_keys,
@@ -115,6 +116,12 @@
     observations.had_fault(since, request.ended_at, is_of_link)
 }
 
+/// A zone must not be drained any more once its restoration was acknowledged.
+fn left_drained(observations: &Observations) -> Vec<String> {
+    let zones = observations.zones_left_drained.iter();
+    zones.map(|zone| format!("zone {zone} is still drained after it was restored")).collect()
+}
+
 /// Servers in drained zones must receive no requests.
 fn sent_to_drained_zones(observations: &Observations) -> Vec<String> {
     let mut violations = Vec::new();
--- a/testbed/src/soak/invariants/tests.rs
+++ b/testbed/src/soak/invariants/tests.rs
@@ -351,3 +351,12 @@
     // A server's attempt may be abandoned once another server has responded.
     assert_eq!(violations_with(|observations| observations.requests[0].end = served()), "");
 }
+
+/// A zone that is still drained after it was restored is a violation.
+#[test]
+fn a_zone_that_stays_drained_is_found() {
+    let violation = violations_after(|observations| {
+        observations.zones_left_drained = vec!["north-1".to_string()];
+    });
+    assert!(violation.contains("north-1 is still drained"), "{violation}");
+}
--- a/testbed/src/soak/operator.rs
+++ b/testbed/src/soak/operator.rs
@@ -14,6 +14,10 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time-out of one request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time-out of one request that drains or restores a zone; the order is sent again then, elsewhere.
+const ZONE_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// One in so many orders that restore a zone has its first answer lost, as all have that drain one.
+const LOST_ANSWER_INTERVAL: usize = 4;
 /// Delay between two attempts of an order.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Interval between two reads of the active configuration.
@@ -39,6 +43,8 @@
     pub acknowledged: Vec<AcknowledgedConfig>,
     /// Zones that were drained, with the periods.
     pub drained_zones: Vec<DrainedZone>,
+    /// Zones that were still drained after an order to restore them was acknowledged.
+    pub zones_left_drained: Vec<String>,
     /// Revisions of the configurations that registries returned.
     pub config_reads: Vec<RevisionReading>,
     /// The highest revision in any acknowledgement.
@@ -102,21 +108,59 @@
         if let Order::RestoreZone(zone) = &order {
             self.end_drain(zone);
         }
-        // All attempts of an order carry the same idempotency key, so that it is applied only once.
+        // All attempts to configure carry the same idempotency key, so that the order is applied only once.
+        // Orders for zones have no key, as on the users' platform.
         let key = format!("soak-{number}");
-        let headers = [("idempotency-key", key.as_str())];
+        let key_header = [("idempotency-key", key.as_str())];
+        let (headers, request_timeout) = match &order {
+            Order::Configure => (&key_header[..], REQUEST_TIMEOUT),
+            Order::DrainZone(_) | Order::RestoreZone(_) => (&[][..], ZONE_REQUEST_TIMEOUT),
+        };
+        let mut loses_answer = match &order {
+            Order::Configure => false,
+            Order::DrainZone(_) => true,
+            Order::RestoreZone(_) => number.is_multiple_of(LOST_ANSWER_INTERVAL),
+        };
         let mut attempt = number;
         while start.elapsed() < ORDER_TIMEOUT {
             attempt += 1;
             let registry = &self.registries[attempt % self.registries.len()];
-            let call = call(registry.address, method, &path, &headers, body.as_bytes());
-            if let Some(response) = successful(call).await {
-                return self.record(&order, &response.json());
+            let call = call(registry.address, method, &path, headers, body.as_bytes());
+            let response = successful(call, request_timeout).await;
+            if response.is_some() && std::mem::take(&mut loses_answer) {
+                tokio::time::sleep(ZONE_REQUEST_TIMEOUT).await;
+                continue;
+            }
+            if let Some(response) = response {
+                self.record(&order, &response.json());
+                return self.check_restored(&order).await;
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
+    /// Records a zone that is still drained after its restoration was acknowledged; no other operator gives
+    /// orders.
+    async fn check_restored(&self, order: &Order) {
+        if let Order::RestoreZone(zone) = order
+            && self.read_drained_zones().await.is_some_and(|zones| zones.contains(zone))
+        {
+            self.with_outcome(|outcome| outcome.zones_left_drained.push(zone.clone()));
+        }
+    }
+
+    /// The zones that are drained, as the stores say; `None` if no registry knows.
+    async fn read_drained_zones(&self) -> Option<Vec<String>> {
+        for registry in &self.registries {
+            let call = call(registry.address, "GET", "/v1/zones", &[], b"");
+            let Some(response) = successful(call, REQUEST_TIMEOUT).await else { continue };
+            let page = response.json();
+            let zones = page["emptied"].members();
+            return Some(zones.filter_map(|zone| zone.as_str().map(str::to_string)).collect());
+        }
+        None
+    }
+
     fn request(&self, order: &Order) -> (&'static str, String, String) {
         match order {
             Order::Configure => {
@@ -172,7 +216,7 @@
             let registry = &self.registries[number % self.registries.len()];
             let requested_at = self.start.elapsed();
             let call = call(registry.address, "GET", "/v1/setup", &[], b"");
-            let Some(response) = successful(call).await else { continue };
+            let Some(response) = successful(call, REQUEST_TIMEOUT).await else { continue };
             let revision = response.headers.get("vanepath-setup-revision");
             let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
             let reading = RevisionReading {
@@ -186,8 +230,11 @@
 }
 
 /// The response to a request if it arrives in time and has status 200.
-async fn successful(call: impl Future<Output = Option<Response>>) -> Option<Response> {
-    let response = tokio::time::timeout(REQUEST_TIMEOUT, call).await.ok().flatten();
+async fn successful(
+    call: impl Future<Output = Option<Response>>,
+    request_timeout: Duration,
+) -> Option<Response> {
+    let response = tokio::time::timeout(request_timeout, call).await.ok().flatten();
     response.filter(|response| response.status == 200)
 }
 
--- a/testbed/src/soak/record.rs
+++ b/testbed/src/soak/record.rs
@@ -213,6 +213,8 @@
     pub fault_intervals: Vec<FaultInterval>,
     /// All drained zones.
     pub drained_zones: Vec<DrainedZone>,
+    /// Zones that were still drained after an order to restore them was acknowledged.
+    pub zones_left_drained: Vec<String>,
     /// All acknowledged configurations.
     pub acknowledged: Vec<AcknowledgedConfig>,
     /// The active revisions that proxies reported.
--- a/testbed/src/soak/script.rs
+++ b/testbed/src/soak/script.rs
@@ -406,6 +406,11 @@
     let zone = builder.random.below(builder.size.zones);
     builder.step(at, Action::DrainZone(zone));
     builder.step(at + duration, Action::RestoreZone(zone));
+    // The zone is drained anew at once.
+    let again_at = at + duration + builder.pause(50, 300);
+    let again_duration = builder.pause(500, 7000);
+    builder.step(again_at, Action::DrainZone(zone));
+    builder.step(again_at + again_duration, Action::RestoreZone(zone));
 }
 
 fn platform_fault(builder: &mut ScriptBuilder<'_>) {
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -148,6 +148,7 @@
             aborted_requests: self.aborted_requests(),
             fault_intervals: self.faults.take_intervals(),
             drained_zones: outcome.drained_zones,
+            zones_left_drained: outcome.zones_left_drained,
             acknowledged: outcome.acknowledged,
             proxy_revisions,
             config_reads: outcome.config_reads,
