Log what becomes of each order, in all three programs

A registry logs a change as received, passed on, accepted, overtaken, given up or dropped with its client, and for how long it held it; a store what it made of it; each node the drained zones when they change, with the revision and the node that it learned them from. A counter beside each.

--- a/cluster/src/gossip/merge.rs
+++ b/cluster/src/gossip/merge.rs
@@ -62,7 +62,8 @@
             self.apply_unreachable(now, address, name_hashes);
         }
         if let Some(config) = response.config {
-            self.apply_config(Arc::new(config), effects);
+            let sender = self.peer_name_at(address);
+            self.apply_config(Arc::new(config), sender, effects);
         }
         if let (Some(confirmation), Some(sent_at)) = (response.confirmation, sent_at) {
             self.record_config_read(confirmation.revision, confirmation.began_at(sent_at));
@@ -260,9 +261,16 @@
         }
     }
 
-    pub(super) fn apply_config(&mut self, config: Arc<CommittedConfig>, effects: &mut Vec<Effect>) {
+    /// Applies a committed configuration that this node received from `sender`, if it is newer.
+    pub(super) fn apply_config(
+        &mut self,
+        config: Arc<CommittedConfig>,
+        sender: String,
+        effects: &mut Vec<Effect>,
+    ) {
         if config.revision > self.committed.revision {
             self.committed = config;
+            self.committed_from = sender;
             self.config_lease.on_config_applied(self.committed.revision);
             self.urgent_changes += 1;
             effects.push(Effect::ViewChanged);
--- a/cluster/src/gossip/mod.rs
+++ b/cluster/src/gossip/mod.rs
@@ -187,6 +187,8 @@
     known_name_hashes: HashSet<u32>,
     /// The newest known committed configuration; active once the read index is established.
     pub committed: Arc<CommittedConfig>,
+    /// The name of the node that this node received it from; its own name at the store that committed it.
+    pub committed_from: String,
     config_lease: ConfigLease,
     /// The endpoint list.
     pub endpoints: EndpointCache,
@@ -253,6 +255,7 @@
             peer_indices: HashMap::new(),
             known_name_hashes: [own_name_hash].into(),
             committed: Arc::default(),
+            committed_from: String::new(),
             config_lease: ConfigLease::default(),
             endpoints: EndpointCache::default(),
             plan: Arc::default(),
@@ -447,7 +450,8 @@
         if self.own_info.role == Role::Store {
             self.read_index.on_store_reply(now, &self.own_info.name, Some(config.revision));
         }
-        self.apply_config(config, effects);
+        let own_name = self.own_info.name.clone();
+        self.apply_config(config, own_name, effects);
     }
 
     /// The name of the peer at a cluster address, or the address itself if the peer is not known.
--- a/cluster/src/node/cluster_view.rs
+++ b/cluster/src/node/cluster_view.rs
@@ -69,6 +69,7 @@
         let live = clone_nodes(gossip.live(now));
         log_membership_changes(&previous.live, &live, &mut log_lines);
         previous.log_read_index_changes(gossip, now, &mut log_lines);
+        previous.log_drained_zone_changes(gossip, &mut log_lines);
         let highest_active_revisions =
             if *previous.highest_active_revisions == *gossip.highest_active_revisions() {
                 previous.highest_active_revisions.clone()
@@ -178,6 +179,21 @@
         }
     }
 
+    fn log_drained_zone_changes(&self, gossip: &Gossip, log_lines: &mut Vec<String>) {
+        let (previous, committed) = (&self.committed, &gossip.committed);
+        if previous.drained_zones == committed.drained_zones {
+            return;
+        }
+        log_lines.push(format!(
+            "drained zones of revision {}: {:?}, before, of revision {}: {:?}; from {}",
+            committed.revision,
+            committed.drained_zones,
+            previous.revision,
+            previous.drained_zones,
+            gossip.committed_from
+        ));
+    }
+
     fn log_read_index_changes(&self, gossip: &Gossip, now: Duration, log_lines: &mut Vec<String>) {
         let committed_revision = gossip.committed.revision;
         if let (None, Some(read_index)) = (&self.read_index, gossip.read_index().established()) {
--- a/cluster/src/node/gossip_actor.rs
+++ b/cluster/src/node/gossip_actor.rs
@@ -187,6 +187,9 @@
         {
             self.list_ages.record(ListStage::Learned, age);
         }
+        if view.committed.drained_zones != previous.committed.drained_zones {
+            self.counters.increment(Counter::DrainedZoneChanges);
+        }
         for line in log_lines {
             log::info!("{line}");
         }
--- a/cluster/src/transport.rs
+++ b/cluster/src/transport.rs
@@ -58,6 +58,8 @@
         /// Connections accepted from other nodes.
         #[strum(serialize = "siblingConnectionsTaken")]
         PeerConnectionsAccepted,
+        /// Changes of the set of drained zones, as this node learned of them.
+        DrainedZoneChanges,
         /// Detected pauses of this process.
         #[strum(serialize = "freezes")]
         ProcessPauses,
--- a/registry/src/api/mod.rs
+++ b/registry/src/api/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each handler returns `Result<ApiResponse, ApiError>`; only [`errors`] converts errors to responses.
 
+mod change_log;
 mod config;
 mod errors;
 mod idempotency_key;
--- a/registry/src/api/stores.rs
+++ b/registry/src/api/stores.rs
@@ -1,5 +1,6 @@
 //! Reads from and writes to the stores on behalf of API requests.
 
+use super::change_log::ChangeLog;
 use super::errors::ApiError;
 use super::idempotency_key::IdempotencyKey;
 use crate::state::{Counter, Registry};
@@ -36,12 +37,17 @@
     change: Change,
     receipt: Receipt,
 ) -> Outcome {
+    let known_revision = receipt.known_revision;
+    let change_log =
+        ChangeLog::begin(registry, &key.text, &change, receipt.received_at, known_revision);
     tokio::task::yield_now().await;
     let waiting_time = registry.node.clock.now().saturating_sub(receipt.received_at);
     let keyless_for = key.is_generated.then_some(waiting_time);
-    let known_revision = Some(receipt.known_revision);
+    let known_revision = Some(known_revision);
     let request = Request::Change { key: key.text.clone(), change, keyless_for, known_revision };
-    store_client::execute(registry, request).await
+    let outcome = store_client::execute(registry, request).await;
+    change_log.finish(&outcome);
+    outcome
 }
 
 /// Reads the latest committed value from the stores.
--- a/registry/src/state.rs
+++ b/registry/src/state.rs
@@ -22,6 +22,8 @@
         SetupsRefusedInvalid,
         SetupsConflicting,
         ZoneChanges,
+        ChangesOvertaken,
+        ChangesDropped,
         WritesNothingDone,
         WritesUnknown,
         StoreTries,
--- a/registry/src/store_client/execute.rs
+++ b/registry/src/store_client/execute.rs
@@ -2,6 +2,7 @@
 
 use crate::state::{Counter, Registry};
 use crate::store_client::request::{ATTEMPT_TIMEOUT, NextAction, StoreRequest, stores};
+use std::collections::BTreeSet;
 use vanepath_cluster::wire::{self, NodeInfo};
 use vanepath_store::protocol::{Outcome, Request, Response};
 
@@ -9,6 +10,7 @@
 pub async fn execute(registry: &Registry, request: Request) -> Outcome {
     let now = || registry.node.clock.now();
     let mut store_request = StoreRequest::new(request, now());
+    let mut logged_stores = BTreeSet::new();
     loop {
         let stores = stores(&registry.node.current_view.load());
         match store_request.next(now(), stores) {
@@ -17,6 +19,7 @@
             NextAction::Send(store) => {
                 registry.counters.increment(Counter::StoreTries);
                 let request = store_request.request_at(now());
+                log_first_attempt(&request, &store, &mut logged_stores);
                 let response = send(registry, &store, &request).await;
                 if let Some(outcome) = store_request.on_response(response) {
                     return outcome;
@@ -26,6 +29,15 @@
     }
 }
 
+/// Logs the first attempt of a change at each store.
+fn log_first_attempt(request: &Request, store: &NodeInfo, logged_stores: &mut BTreeSet<String>) {
+    if let Request::Change { key, .. } = request
+        && logged_stores.insert(store.name.clone())
+    {
+        log::info!("change {key} passed on to {}", store.name);
+    }
+}
+
 /// One attempt at one store; `None` if there was no response or it could not be decoded.
 async fn send(registry: &Registry, store: &NodeInfo, request: &Request) -> Option<Response> {
     let request = wire::Request::Store(wire::encode(request).into());
--- a/store/src/protocol.rs
+++ b/store/src/protocol.rs
@@ -3,6 +3,7 @@
 //! programs of two versions exchange messages.
 
 use crate::value::{AcceptedProposal, Ballot, Digest, MemberTable, Value};
+use std::fmt;
 use std::time::Duration;
 
 /// A write requested by an operator.
@@ -46,6 +47,22 @@
     }
 }
 
+/// The change in a few words, for logs. Without the document, which contains API keys.
+impl fmt::Display for Change {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::ReplaceConfig { bytes, version: Some(version), .. } => {
+                write!(formatter, "configuration version {version}, {} bytes", bytes.len())
+            }
+            Change::ReplaceConfig { bytes, .. } => {
+                write!(formatter, "configuration, {} bytes", bytes.len())
+            }
+            Change::DrainZone { zone } => write!(formatter, "drain zone {zone}"),
+            Change::RestoreZone { zone } => write!(formatter, "restore zone {zone}"),
+        }
+    }
+}
+
 /// A replica's state as sent in response to a membership request. The accepted value and its batch are
 /// included only if the requester asked for them and is in the member table.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
--- a/store/src/shell.rs
+++ b/store/src/shell.rs
@@ -2,6 +2,7 @@
 //! cluster membership and transport, and the HTTP pages (design 6.7).
 
 mod actor;
+mod change_log;
 mod directory;
 mod http;
 mod rescue;
@@ -38,6 +39,8 @@
         StoreVersionsChosen,
         StoreFilesDamaged,
         StoreHintsSaved,
+        StoreChangesAccepted,
+        StoreChangesOvertaken,
     }
 }
 
--- a/store/src/shell/actor.rs
+++ b/store/src/shell/actor.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the replica and carries out its effects strictly in order: no message is sent before
 //! the state that it depends on is durable.
 
+use super::change_log::ChangeLog;
 use super::{Counter, Counters, StoreDirectory};
 use crate::consensus::{
     DiskResponse, DiskWrite, Effect, Event, Replica, Summary, response_from_disk,
@@ -37,6 +38,7 @@
     /// Reply channels of pending requests, by ticket.
     pending: HashMap<u64, oneshot::Sender<Response>>,
     next_ticket: u64,
+    change_log: ChangeLog,
     /// Whether a `RetryDisk` message is scheduled.
     is_disk_retry_scheduled: bool,
 }
@@ -65,6 +67,7 @@
             resources,
             pending: HashMap::new(),
             next_ticket: 0,
+            change_log: ChangeLog::default(),
             is_disk_retry_scheduled: false,
         }
     }
@@ -187,6 +190,7 @@
     }
 
     fn reply(&mut self, ticket: u64, response: Response) {
+        self.change_log.on_response(ticket, &response, &self.resources.counters);
         if let Some(reply) = self.pending.remove(&ticket) {
             let _ = reply.send(response);
         }
@@ -261,6 +265,7 @@
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         self.pending.insert(ticket, incoming.reply);
+        self.change_log.on_request(ticket, &incoming.request);
         self.step(Event::RequestReceived { ticket, request: incoming.request }, &own_address).await;
     }
 }
