An order that a newer one has overtaken is not sent again by its registry

What callers saw: requests reached zones whose evacuation was acknowledged and in force (EVAC): a withdrawal that a registry held while a store stood still was carried out after the new evacuation, although its operator had moved on to another registry.

Cause: a registry sent an overtaken order again after the newer revision, because its client's connection was open. An open connection is no evidence: the operator moves on after a second of silence, and nothing says that it closes, or that a close arrives.

Why the fix works: an overtaken order ends with 503 and nothing done. Only a new request shows that somebody still wants it; by then the registry knows the newer revision, and the order is carried out. All transmissions of an order to stores carry the same known revision, so that none of them can take effect after an opposite one.

--- a/registry/src/api/errors.rs
+++ b/registry/src/api/errors.rs
@@ -14,6 +14,10 @@
 /// `Retry-After` in seconds for a request that no store could answer.
 const STORE_RETRY_AFTER_S: u32 = 2;
 
+/// `Retry-After` in seconds for a write that may be older than the newest one. A request that is sent after this time
+/// is not.
+const OVERTAKEN_RETRY_AFTER_S: u32 = 1;
+
 /// Why a request failed. The texts of the errors are part of the API.
 #[derive(Debug)]
 pub enum ApiError {
@@ -49,6 +53,9 @@
     StoresUnavailable { reason: String },
     /// A write was certainly not applied; `reason` is that of the last store. The request can be retried.
     WriteNotApplied { reason: String },
+    /// A write was certainly not applied, since a newer one was committed after it may have been sent. The request
+    /// can be retried if it is still wanted.
+    WriteOvertaken { revision: u64 },
     /// A store returned an outcome that does not belong to the kind of request.
     UnexpectedOutcome,
     /// This registry rejected a steering request. Another one may be able to answer it.
@@ -84,6 +91,7 @@
             ApiError::UnexpectedOutcome => StatusCode::INTERNAL_SERVER_ERROR,
             ApiError::StoresUnavailable { .. }
             | ApiError::WriteNotApplied { .. }
+            | ApiError::WriteOvertaken { .. }
             | ApiError::Steering(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -95,6 +103,7 @@
             ApiError::StoresUnavailable { .. } | ApiError::WriteNotApplied { .. } => {
                 Some(STORE_RETRY_AFTER_S)
             }
+            ApiError::WriteOvertaken { .. } => Some(OVERTAKEN_RETRY_AFTER_S),
             ApiError::Steering(_) => Some(STEERING_RETRY_AFTER_S),
             _ => None,
         }
@@ -117,6 +126,9 @@
             ApiError::WriteNotApplied { .. } => {
                 jzon::object! { "outcome": "nothing-done", "why": text }
             }
+            ApiError::WriteOvertaken { revision } => {
+                jzon::object! { "outcome": "nothing-done", "why": text, "revision": *revision }
+            }
             _ => jzon::object! { "error": text },
         }
     }
@@ -155,6 +167,9 @@
                 "no write under this key is among the last ones in force"
             }
             ApiError::StoresUnavailable { reason } | ApiError::WriteNotApplied { reason } => reason,
+            ApiError::WriteOvertaken { .. } => {
+                "another order may be newer than this one; send it again if it is still wanted"
+            }
             ApiError::UnexpectedOutcome => "a store replied to another question",
             ApiError::Steering(error) => return error.fmt(formatter),
         };
--- a/registry/src/api/submissions.rs
+++ b/registry/src/api/submissions.rs
@@ -69,8 +69,8 @@
             registry.counters.increment(Counter::WritesNothingDone);
             return Err(ApiError::WriteNotApplied { reason });
         }
-        // A change that was overtaken is sent again by the client of the stores.
-        Outcome::Value { .. } | Outcome::NoSuchRevision { .. } | Outcome::Overtaken { .. } => {
+        Outcome::Overtaken { revision } => return Err(ApiError::WriteOvertaken { revision }),
+        Outcome::Value { .. } | Outcome::NoSuchRevision { .. } => {
             return Err(ApiError::UnexpectedOutcome);
         }
     };
--- a/registry/src/store_client/request.rs
+++ b/registry/src/store_client/request.rs
@@ -106,7 +106,8 @@
 
     /// Processes the response to the attempt in flight, or `None` if there was none, and returns the outcome
     /// if it is final. Once an attempt of a write may have been applied, only a definite outcome from a
-    /// store resolves that uncertainty.
+    /// store resolves that uncertainty. `Overtaken` is one: no attempt of the write is applied after the newer
+    /// one, since all have the same known revision.
     pub fn on_response(&mut self, response: Option<Response>) -> Option<Outcome> {
         if response.is_none() {
             self.unresponsive.extend(self.current_store.as_ref().map(|store| store.name.clone()));
@@ -116,23 +117,11 @@
             Some(Response::Outcome(Outcome::Unknown)) | None => {
                 self.may_be_applied |= self.is_write();
             }
-            Some(Response::Outcome(Outcome::Overtaken { revision })) => {
-                self.resend_overtaken(revision);
-            }
             Some(Response::Outcome(outcome)) => return Some(outcome),
             Some(_) => {}
         }
         None
     }
-
-    /// Sends a change that was overtaken to the same store again, after this revision: whoever polls this
-    /// request still has the client's connection, so that the client wants the change now.
-    fn resend_overtaken(&mut self, revision: u64) {
-        if let Request::Change { known_revision, .. } = &mut self.request {
-            *known_revision = Some(revision);
-        }
-        self.round.extend(self.current_store.clone());
-    }
 }
 
 /// The live stores that are available members, in the order of the member table; the first one is the
