An order that was late is fenced by what was known when it may have been sent

Cause: a registry stated what it knew when it read an order.

Why the fix works: cluster::request_fence, a pure core, tells the highest revision that the registry knew at the earliest time at which the order may have been sent: 0.5 s before it is read, or 0.5 s before the last pause of the process while it may be reading what waited meanwhile. A pause that is too short to be noticed lies within the 0.5 s. No connection is evidence. What stays assumed is an order that the network alone holds; the table in design 6.10 has each history.

The simulator's operators leave connections open, and a machine that resumes reads what waited in any order; the mutations resends-overtaken-orders and takes-late-orders-for-new are detected.

--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod node;
 pub mod peer_selection;
 pub mod read_index;
+pub mod request_fence;
 pub mod transport;
 pub mod wire;
--- a/registry/src/api/stores.rs
+++ b/registry/src/api/stores.rs
@@ -9,7 +9,8 @@
 use vanepath_store::protocol::{Change, Outcome, Request};
 use vanepath_store::value::Value;
 
-/// When a client's request was received, and the highest committed revision that the registry knew then.
+/// When a client's request was received, and the highest committed revision that the registry knew when it may have
+/// been sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Receipt {
     received_at: Duration,
@@ -21,12 +22,14 @@
     pub fn now(registry: &Registry) -> Receipt {
         Receipt {
             received_at: registry.node.clock.now(),
-            known_revision: registry.node.current_view.load().committed.revision,
+            known_revision: registry.fenced_revision(),
         }
     }
 }
 
-/// Submits a change under one key until its outcome is known or the time-out expires.
+/// Submits a change under one key until its outcome is known or the time-out expires. A change that a newer one may
+/// have overtaken since it was sent is not made, and its client is asked to send it again: only a new request shows
+/// that somebody still wants it (incident 0029).
 ///
 /// The future is dropped when the client closes its connection. The change is sent only after the runtime has
 /// looked at the connection again: a process that was paused may read a request whose client left long ago, with
@@ -47,6 +50,9 @@
     let request = Request::Change { key: key.text.clone(), change, keyless_for, known_revision };
     let outcome = store_client::execute(registry, request).await;
     change_log.finish(&outcome);
+    if let Outcome::Accepted { revision, .. } | Outcome::Overtaken { revision } = outcome {
+        registry.observe_revision(revision);
+    }
     outcome
 }
 
--- a/registry/src/control_loop.rs
+++ b/registry/src/control_loop.rs
@@ -58,6 +58,7 @@
 
     async fn handle(&mut self, _: Tick, _: &mut xtra::Context<Self>) {
         let view = self.registry.node.current_view.load_full();
+        self.registry.observe_revision(view.committed.revision);
         let may_lead = self.publish_status(&view).await;
         if may_lead && self.is_leader(&view) {
             self.publish_plan(&view).await;
--- a/registry/src/shell.rs
+++ b/registry/src/shell.rs
@@ -27,6 +27,7 @@
         counters: counters.clone(),
         poll_outcome: poll_outcome.clone(),
         is_ready: AtomicBool::new(false),
+        request_fence: Mutex::default(),
     });
     tokio::spawn(poller::run(node.clone(), counters, poll_outcome));
     control_loop::spawn(registry.clone());
--- a/store/src/consensus/transitions.rs
+++ b/store/src/consensus/transitions.rs
@@ -129,8 +129,8 @@
 }
 
 /// The outcome of a change that was overtaken: another one of the same zone, or of the configuration, was committed
-/// after the revision that the registry knew when its client was last known to wait, and it cannot be told whether
-/// the client still wants this change (design 6.10). After an equal one this change is made, and recorded, all the
+/// after the revision that the registry knew when this one may have been sent, and it cannot be told whether the
+/// client still wants this change (design 6.10). After an equal one this change is made, and recorded, all the
 /// same: it overtakes different ones that came between the two and are still on their way.
 fn overtaken_outcome(value: &Value, request: &KeyedChange) -> Option<Outcome> {
     let known_revision = request.known_revision?;
--- a/store/src/protocol.rs
+++ b/store/src/protocol.rs
@@ -137,8 +137,8 @@
         #[serde(default)]
         #[serde(rename = "unnamed_for")]
         keyless_for: Option<Duration>,
-        /// The highest committed revision that the registry knew when the client was last known to wait for
-        /// the answer. A change that another one has overtaken since then is not made (design 6.10). `None`:
+        /// The highest committed revision that the registry knew at the earliest time at which the client may
+        /// have sent the change. A change that another one has overtaken since then is not made (design 6.10). `None`:
         /// the registry has an earlier version and does not say.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         known_revision: Option<u64>,
--- a/store/tests/drain_order_model.rs
+++ b/store/tests/drain_order_model.rs
@@ -1,16 +1,19 @@
 //! An exhaustive check of how drain orders are carried out (design 6.10): all histories of an operator that gives up to
 //! three orders for one zone, each transmitted up to three times, with answers that are lost, and with transmissions
-//! that wait in processes that stand still and are read late, after their caller has left.
+//! that wait in paused processes, or are held by live registries, and are read late, after their caller has
+//! moved on. Connections tell nothing: the caller may have left its connection open.
 //!
 //! *Properties.* Once an order is acknowledged, and until the next one is given, the zone is as it says, whatever is
-//! read late; so a zone is in use when all its orders are withdrawn, and drained while one is in force. The search
-//! must find both violated with the rules that were in use until incidents 0026 and 0028.
+//! read late; so a zone is in use when all its orders are withdrawn, and drained while one is in force. An order whose
+//! caller waits is acknowledged, at the second transmission at the latest. The search must find the properties violated
+//! with the rules that were in use until incidents 0026, 0028 and 0029.
 //!
-//! *Assumption.* One kind of history cannot be told from another one by any process: see [`Late::AsNew`].
+//! *Assumption.* One kind of history cannot be told from another one by any process: see [`Late::InNetwork`].
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
+use vanepath_cluster::request_fence::RequestFence;
 use vanepath_store::consensus::{
     Effect, Event, HardState, Identity, LiveStore, RecoveredState, Replica,
 };
@@ -40,11 +43,11 @@
 /// How a transmission ends for the operator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Transmission {
-    /// It is carried out and the answer arrives.
+    /// It is read at once and the answer arrives.
     Answered(Knowledge),
-    /// It is carried out and the answer is lost after the registry sent it.
+    /// It is read at once and the answer is lost after the registry sent it.
     AnswerLost(Knowledge),
-    /// It waits in a process that stands still, and the operator leaves.
+    /// It waits, and the operator moves on; it may leave its connection open.
     Waits(Knowledge, Late),
 }
 
@@ -60,19 +63,63 @@
 /// How a transmission is read that waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Late {
-    /// With what its registry knew when it came; the end of the connection is not seen.
-    AsItCame,
-    /// With what its registry knows when it reads it. Assumed not to happen: a registry looks at the connection before
-    /// it passes an order on, so that the end of the connection would have to be held up for longer than the order. No process
-    /// can tell this history from a new order.
-    AsNew,
+    /// By a store, from a registry that read it when it came: a live registry held it, or a store was paused with it.
+    AtStore,
+    /// By a registry that was paused, and that learns the latest revision before it reads the order.
+    AtPausedRegistry,
+    /// By a live registry, [`SHORT_DELAY`] after it was sent; the latest revision was learned in between.
+    ShortlyDelayed,
+    /// By a live registry, after longer than `UNNOTICED_DELAY` in the network. Assumed not to happen: no process can
+    /// tell this history from that of a new order.
+    InNetwork,
+}
+
+/// A delay that nothing shows.
+const SHORT_DELAY: Duration = Duration::from_millis(450);
+/// How long a registry is paused.
+const PAUSE: Duration = Duration::from_secs(4);
+
+/// What a registry of this version states as known for an order that it reads late. It knew `before` when the order
+/// came, and learned `latest` before it read the order.
+fn fenced_revision(before: u64, latest: u64, late: Late) -> u64 {
+    let tick = Duration::from_millis(100);
+    let mut fence = RequestFence::default();
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(3) {
+        now += tick;
+        fence.observe(now, before);
+    }
+    match late {
+        Late::AtStore => return before,
+        Late::AtPausedRegistry => now += PAUSE,
+        Late::ShortlyDelayed => {
+            fence.observe(now + tick / 10, latest);
+            while now + tick <= Duration::from_secs(3) + SHORT_DELAY {
+                now += tick;
+                fence.observe(now, latest);
+            }
+            now = Duration::from_secs(3) + SHORT_DELAY;
+        }
+        Late::InNetwork => {
+            for _ in 0..10 {
+                now += tick;
+                fence.observe(now, latest);
+            }
+        }
+    }
+    fence.observe(now, latest);
+    fence.known_revision(now)
 }
 
 /// The rules by which orders are carried out.
 trait Rules: Clone {
-    /// Carries out a transmission; `known`: the revision that its registry knows. `is_caller_there`: whether the
-    /// registry sends it again if the rules want that. Returns whether it was acknowledged.
-    fn carry_out(&mut self, order: Order, known: u64, is_caller_there: bool) -> bool;
+    /// Carries out a transmission; `known`: the revision that its registry states as known. Returns whether it was
+    /// acknowledged.
+    fn carry_out(&mut self, order: Order, known: u64) -> bool;
+    /// What a registry states as known for an order that it reads late; see [`fenced_revision`].
+    fn known_when_read_late(before: u64, latest: u64, late: Late) -> u64 {
+        fenced_revision(before, latest, late)
+    }
     fn latest_revision(&self) -> u64;
     /// The revision of the last order that was carried out; all that a transmission's known revision is compared
     /// with.
@@ -160,12 +207,9 @@
 }
 
 impl Rules for Store {
-    fn carry_out(&mut self, order: Order, known: u64, is_caller_there: bool) -> bool {
+    fn carry_out(&mut self, order: Order, known: u64) -> bool {
         match self.request(order, known) {
             Outcome::Accepted { .. } => true,
-            Outcome::Overtaken { revision } if is_caller_there => {
-                matches!(self.request(order, revision), Outcome::Accepted { .. })
-            }
             Outcome::Overtaken { .. } => false,
             other => panic!("{other:?}"),
         }
@@ -188,6 +232,69 @@
     }
 }
 
+/// The rules of a version whose registries send an overtaken order again after the newer one, since its caller's
+/// connection is open.
+#[derive(Clone)]
+struct ResendsOvertaken(Store);
+
+impl Rules for ResendsOvertaken {
+    fn carry_out(&mut self, order: Order, known: u64) -> bool {
+        match self.0.request(order, known) {
+            Outcome::Overtaken { revision } => self.0.carry_out(order, revision),
+            outcome => matches!(outcome, Outcome::Accepted { .. }),
+        }
+    }
+
+    fn latest_revision(&self) -> u64 {
+        self.0.latest_revision()
+    }
+
+    fn last_order_revision(&self) -> u64 {
+        self.0.last_order_revision()
+    }
+
+    fn last_order(&self) -> Option<Order> {
+        self.0.last_order()
+    }
+
+    fn drain_count(&self) -> u32 {
+        self.0.drain_count()
+    }
+}
+
+/// The rules of a version whose registries take an order that they read for one that has just been sent.
+#[derive(Clone)]
+struct TakesLateForNew(Store);
+
+impl Rules for TakesLateForNew {
+    fn carry_out(&mut self, order: Order, known: u64) -> bool {
+        self.0.carry_out(order, known)
+    }
+
+    fn known_when_read_late(before: u64, latest: u64, late: Late) -> u64 {
+        match late {
+            Late::AtStore => before,
+            _ => latest,
+        }
+    }
+
+    fn latest_revision(&self) -> u64 {
+        self.0.latest_revision()
+    }
+
+    fn last_order_revision(&self) -> u64 {
+        self.0.last_order_revision()
+    }
+
+    fn last_order(&self) -> Option<Order> {
+        self.0.last_order()
+    }
+
+    fn drain_count(&self) -> u32 {
+        self.0.drain_count()
+    }
+}
+
 /// The rules until incident 0026: orders are counted, and an order whose answer was sent counts anew when it comes
 /// again. What registries know plays no part.
 #[derive(Clone, Default)]
@@ -196,7 +303,7 @@
 }
 
 impl Rules for CountedOrders {
-    fn carry_out(&mut self, order: Order, _: u64, _: bool) -> bool {
+    fn carry_out(&mut self, order: Order, _: u64) -> bool {
         match order {
             Order::Drain => self.count += 1,
             Order::Restore => self.count = self.count.saturating_sub(1),
@@ -229,7 +336,7 @@
 }
 
 impl Rules for AppliedWhenRead {
-    fn carry_out(&mut self, order: Order, _: u64, _: bool) -> bool {
+    fn carry_out(&mut self, order: Order, _: u64) -> bool {
         self.is_drained = order == Order::Drain;
         true
     }
@@ -269,13 +376,25 @@
     has_left_assumption: bool,
 }
 
+/// All that the effect of a waiting transmission depends on when it is read. How it waits does not matter beyond
+/// that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct WaitingState {
+    order: Order,
+    /// Whether its registry states what it knew when the order came, and not what it knows when it reads it.
+    states_earlier_revision: bool,
+    /// Whether that earlier revision is not below the last order's.
+    knows_last_order: bool,
+    is_in_network: bool,
+}
+
 /// All that the further course of a history depends on: two worlds with equal states have equal futures.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct WorldState {
     drain_count: u32,
     last_order: Option<Order>,
-    /// The waiting transmissions, with whether their registries knew the last order.
-    waiting: Vec<(Order, Late, bool)>,
+    /// The waiting transmissions.
+    waiting: Vec<WaitingState>,
     in_force: Option<Order>,
     has_left_assumption: bool,
     orders: Vec<Order>,
@@ -318,10 +437,8 @@
     }
 
     fn state(&self, orders: &[Order], transmissions: usize) -> WorldState {
-        let last_order_revision = self.rules.last_order_revision();
-        let state =
-            |waiting: &Waiting| (waiting.order, waiting.late, waiting.known >= last_order_revision);
-        let mut waiting: Vec<_> = self.waiting.iter().map(state).collect();
+        let mut waiting: Vec<_> =
+            self.waiting.iter().map(|waiting| self.waiting_state(waiting)).collect();
         waiting.sort();
         WorldState {
             drain_count: self.rules.drain_count(),
@@ -334,6 +451,17 @@
         }
     }
 
+    fn waiting_state(&self, waiting: &Waiting) -> WaitingState {
+        let (known, late) = (waiting.known, waiting.late);
+        let states_earlier_revision = R::known_when_read_late(1, 2, late) == 1;
+        WaitingState {
+            order: waiting.order,
+            states_earlier_revision,
+            knows_last_order: states_earlier_revision && known >= self.rules.last_order_revision(),
+            is_in_network: late == Late::InNetwork,
+        }
+    }
+
     fn known(&self, knowledge: Knowledge) -> u64 {
         match knowledge {
             Knowledge::Latest => self.rules.latest_revision(),
@@ -370,19 +498,19 @@
 
     /// Searches the histories in which the next event is that one of the waiting transmissions is read.
     fn read_each_waiting(&self, orders: &[Order], transmissions: usize, found: &mut Found) {
-        let distinct: BTreeSet<Waiting> = self.waiting.iter().copied().collect();
-        for waiting in distinct {
+        let distinct: BTreeMap<WaitingState, usize> = self
+            .waiting
+            .iter()
+            .enumerate()
+            .map(|(index, waiting)| (self.waiting_state(waiting), index))
+            .collect();
+        for index in distinct.into_values() {
             let mut next = self.clone();
-            let index = next.waiting.iter().position(|other| *other == waiting);
-            next.waiting.remove(index.expect("it waits"));
-            let known = match waiting.late {
-                Late::AsItCame => waiting.known,
-                Late::AsNew => {
-                    next.has_left_assumption = true;
-                    next.rules.latest_revision()
-                }
-            };
-            next.rules.carry_out(waiting.order, known, false);
+            let waiting = next.waiting.remove(index);
+            next.has_left_assumption |= waiting.late == Late::InNetwork;
+            let latest = next.rules.latest_revision();
+            let known = R::known_when_read_late(waiting.known, latest, waiting.late);
+            next.rules.carry_out(waiting.order, known);
             next.search(orders, transmissions, found);
         }
     }
@@ -392,7 +520,12 @@
         match transmission {
             Transmission::Answered(knowledge) => {
                 let known = self.known(knowledge);
-                if !self.rules.carry_out(order, known, true) {
+                // The operator sends an order again that gets a 5xx, and the registry has learned the latest revision.
+                let is_acknowledged = self.rules.carry_out(order, known) || {
+                    let latest = self.rules.latest_revision();
+                    self.rules.carry_out(order, latest)
+                };
+                if !is_acknowledged {
                     self.report(Violation::NotAcknowledged, found);
                 }
                 self.in_force = Some(order);
@@ -400,7 +533,7 @@
             }
             Transmission::AnswerLost(knowledge) => {
                 let known = self.known(knowledge);
-                self.rules.carry_out(order, known, true);
+                self.rules.carry_out(order, known);
                 false
             }
             Transmission::Waits(knowledge, late) => {
@@ -417,9 +550,11 @@
     for knowledge in [Knowledge::Latest, Knowledge::Nothing] {
         all.push(Transmission::Answered(knowledge));
         all.push(Transmission::AnswerLost(knowledge));
-        all.push(Transmission::Waits(knowledge, Late::AsItCame));
+        for late in [Late::AtStore, Late::AtPausedRegistry, Late::ShortlyDelayed] {
+            all.push(Transmission::Waits(knowledge, late));
+        }
     }
-    all.push(Transmission::Waits(Knowledge::Latest, Late::AsNew));
+    all.push(Transmission::Waits(Knowledge::Latest, Late::InNetwork));
     all
 }
 
@@ -440,7 +575,7 @@
     found
 }
 
-/// Guards against the faults of incidents 0026 and 0028, in all histories of the model.
+/// Guards against the faults of incidents 0026, 0028 and 0029, in all histories of the model.
 #[test]
 fn acknowledged_orders_hold_in_all_histories() {
     for count in 1..=3 {
@@ -466,4 +601,8 @@
     assert_eq!(found.violations, expected.into(), "counted orders");
     let found = search(&AppliedWhenRead::default(), 2);
     assert_eq!(found.violations, expected.into(), "applied when read");
+    let found = search(&ResendsOvertaken(Store::new()), 2);
+    assert_eq!(found.violations, expected.into(), "overtaken orders sent again");
+    let found = search(&TakesLateForNew(Store::new()), 2);
+    assert_eq!(found.violations, expected.into(), "late orders taken for new ones");
 }
--- a/testbed/src/sim/control/registries.rs
+++ b/testbed/src/sim/control/registries.rs
@@ -24,6 +24,7 @@
         let ready = view.committed.revision > 0 && view.is_fresh && !is_draining;
         let RoleState::Registry(registry) = &mut self.nodes[index].role_state else { return };
         registry.ready = ready;
+        registry.request_fence.observe(now, view.committed.revision);
         self.poll_endpoint_list(index, now, &view);
         self.nodes[index].is_ready = ready;
         let RoleState::Registry(registry) = &mut self.nodes[index].role_state else { return };
--- a/testbed/src/sim/control/store_calls.rs
+++ b/testbed/src/sim/control/store_calls.rs
@@ -20,9 +20,14 @@
         if let Some(outcome) = self.outcome_without_stores(index, operation) {
             return self.net.reply(call, Body::OperatorResponse(outcome));
         }
-        let known_revision = self.nodes[index].view.committed.revision;
-        let request = self.store_request(operation, known_revision);
         let now = self.net.local_time(self.nodes[index].host);
+        let latest_revision = self.nodes[index].view.committed.revision;
+        let RoleState::Registry(registry) = &mut self.nodes[index].role_state else { return };
+        let known_revision = match self.mutation {
+            Some(Mutation::TakesLateOrdersForNew) => latest_revision,
+            _ => registry.request_fence.known_revision(now),
+        };
+        let request = self.store_request(operation, known_revision);
         let RoleState::Registry(registry) = &mut self.nodes[index].role_state else { return };
         registry.next_store_call += 1;
         let store_call = registry.next_store_call;
@@ -173,8 +178,26 @@
         number: usize,
         response: Option<Response>,
     ) {
+        let now = self.net.local_time(self.nodes[index].host);
+        let resends_overtaken = self.has_mutation(Mutation::ResendsOvertakenOrders);
         let RoleState::Registry(registry) = &mut self.nodes[index].role_state else { return };
         let Some((store_call, call)) = registry.store_calls.get_mut(&number) else { return };
+        if let Some(Response::Outcome(
+            Outcome::Overtaken { revision } | Outcome::Accepted { revision, .. },
+        )) = &response
+        {
+            registry.request_fence.observe(now, *revision);
+        }
+        if let Some(Response::Outcome(Outcome::Overtaken { revision })) = &response
+            && resends_overtaken
+        {
+            let mut request = store_call.request_at(now);
+            if let Request::Change { known_revision, .. } = &mut request {
+                *known_revision = Some(*revision);
+            }
+            *store_call = StoreRequest::new(request, now);
+            return self.step_store_call(index, number);
+        }
         match store_call.on_response(response) {
             Some(outcome) => {
                 let call = *call;
--- a/testbed/src/sim/event_loop.rs
+++ b/testbed/src/sim/event_loop.rs
@@ -66,7 +66,9 @@
             }
             Event::CallTimedOut { call: number } => {
                 let call_entry = call.expect("an expired timeout belongs to a call");
-                if matches!(call_entry.purpose, Purpose::OperatorCall { .. }) {
+                if let Purpose::OperatorCall { operation } = call_entry.purpose
+                    && !self.leaves_connection_open(operation)
+                {
                     self.drop_store_call(call_entry.target, number);
                 }
                 self.deliver_reply(
@@ -135,16 +137,29 @@
     }
 
     /// Delivers a request whose caller has left. A registry looks at the connection before it passes an order on,
-    /// and finds it closed. A store may read the request before the close arrives, and carries it out.
+    /// and finds it closed, unless the operator left it open. A store may read the request before the close arrives,
+    /// and carries it out.
     fn deliver_abandoned_request(&mut self, call: &Call, number: CallId, body: Body) {
-        if let Body::StoreRequest(request) = body
-            && let Some(index) = self.node_by_host.get(&call.target).copied()
-        {
-            let event = consensus::Event::RequestReceived { ticket: number, request };
-            self.step_store(index, event);
+        let Some(index) = self.node_by_host.get(&call.target).copied() else { return };
+        match body {
+            Body::StoreRequest(request) => {
+                let event = consensus::Event::RequestReceived { ticket: number, request };
+                self.step_store(index, event);
+            }
+            Body::OperatorCall(operation) if self.leaves_connection_open(operation) => {
+                self.start_store_call(index, operation, number);
+            }
+            _ => {}
         }
     }
 
+    /// Whether the operator of this call leaves its connection open when it gives the call up.
+    fn leaves_connection_open(&self, operation: usize) -> bool {
+        let evacuation = self.operations[operation].call.evacuation();
+        let series = evacuation.and_then(|number| self.evacuations[number].series.as_ref());
+        series.is_some_and(|series| series.leaves_connections_open)
+    }
+
     fn deliver_reply(
         &mut self,
         source: HostId,
--- a/testbed/src/sim/mutations.rs
+++ b/testbed/src/sim/mutations.rs
@@ -75,6 +75,10 @@
     /// Stores carry out orders that newer ones have overtaken.
     #[strum(serialize = "carries-out-late")]
     CarriesOutOvertakenOrders,
+    /// Registries send an order that a newer one has overtaken again, as if it was newer.
+    ResendsOvertakenOrders,
+    /// Registries take an order that they read for one that has just been sent.
+    TakesLateOrdersForNew,
     /// The steering service does not respond once faults have begun.
     #[strum(serialize = "directories-stay-down")]
     SteeringStaysDown,
--- a/testbed/src/sim/network/host.rs
+++ b/testbed/src/sim/network/host.rs
@@ -7,6 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The time within which a machine that resumes has read the requests that waited in its sockets, in
+/// milliseconds.
+const MAX_READING_DELAY_MS: u64 = 300;
+
 /// The index of a host in [`Network::hosts`].
 pub type HostId = usize;
 
@@ -171,12 +175,18 @@
         }
     }
 
-    /// Resumes a frozen machine: its deferred events happen now.
+    /// Resumes a frozen machine: its deferred events happen now. Requests whose callers have left may be read a
+    /// little later, after the process has learned what is new: sockets are read in any order.
     pub fn resume(&mut self, host: HostId) {
         self.end_fault(host, HostFaultKind::Frozen);
         self.hosts[host].frozen = false;
         for event in std::mem::take(&mut self.hosts[host].deferred) {
-            self.schedule(self.now, event);
+            let is_abandoned = matches!(&event, Event::RequestArrived { call, .. } if !self.calls.contains_key(call));
+            let delay = match is_abandoned {
+                true => Duration::from_millis(self.random.draw() % MAX_READING_DELAY_MS),
+                false => Duration::ZERO,
+            };
+            self.schedule(self.now + delay, event);
         }
     }
 }
--- a/testbed/src/sim/scenario/operators.rs
+++ b/testbed/src/sim/scenario/operators.rs
@@ -225,6 +225,10 @@
         return;
     }
     let zone = order.zone.to_string();
+    // Often the call happens to wait at the registry that freezes.
+    let is_frozen_registry =
+        |(node, _): &&(usize, Duration)| sim.nodes[*node].info.role == Role::Registry;
+    let frozen_registry = freezes.iter().find(is_frozen_registry).map(|(node, _)| *node);
     for (node, duration) in freezes {
         let host = sim.nodes[node].host;
         sim.net.freeze(host);
@@ -232,7 +236,11 @@
     }
     let change = if step == 0 { Change::DrainZone { zone } } else { Change::RestoreZone { zone } };
     let key = format!("order-{evacuation}-{step}-{}", sim.operations.len());
-    let (_, registry) = call_any(sim, OperatorCall::Change { key, change });
+    let registry = match frozen_registry.filter(|_| sim.net.random.below(2) == 0) {
+        Some(registry) => registry,
+        None => any_registry(sim),
+    };
+    sim.call_registry(OperatorCall::Change { key, change }, registry);
     if registry_dies {
         // The crash comes before the stores have the call, while they agree on it, or afterwards.
         let max_delay_ms = [40, 150, 400][sim.net.random.below(3)];
--- a/testbed/src/sim/scenario/schedule/operators.rs
+++ b/testbed/src/sim/scenario/schedule/operators.rs
@@ -67,7 +67,8 @@
         let (lost_answers, freezes) = draw(sim);
         let hold = MIN_HOLD_TIME + ms(sim.net.random.draw() % 1500);
         let next = (evacuation + 1 < first + SERIES_LENGTH).then_some(evacuation + 1);
-        let series = Some(EvacuationSeries { hold, next, freezes });
+        let leaves_connections_open = sim.net.random.below(4) > 0;
+        let series = Some(EvacuationSeries { hold, next, freezes, leaves_connections_open });
         sim.evacuations.push(Evacuation { lost_answers, series, ..Evacuation::new(zone) });
     }
     let action = Action::KeylessCall { evacuation: first, step: 0, registry_dies: false };
--- a/testbed/src/sim/state/node.rs
+++ b/testbed/src/sim/state/node.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use vanepath_cluster::node::ClusterView;
+use vanepath_cluster::request_fence::RequestFence;
 use vanepath_cluster::{gossip, wire};
 use vanepath_config::endpoint_list::EndpointList;
 use vanepath_registry::discovery::sequencer::ListSequencer;
@@ -44,6 +45,8 @@
     /// The calls to the stores in progress, each with the operator's call that it answers.
     pub(in crate::sim) store_calls: HashMap<usize, (StoreRequest, CallId)>,
     pub(in crate::sim) next_store_call: usize,
+    /// What it knew when a request that it reads may have been sent.
+    pub(in crate::sim) request_fence: RequestFence,
     /// Whether it reports that it is ready.
     pub ready: bool,
     pub(in crate::sim) next_plan_at: Duration,
--- a/testbed/src/sim/state/operators.rs
+++ b/testbed/src/sim/state/operators.rs
@@ -101,4 +101,6 @@
     pub next: Option<usize>,
     /// Nodes that freeze when the zone is first restored, for as long.
     pub freezes: Vec<(usize, Duration)>,
+    /// Whether the operator leaves its connection open when it gives a call up.
+    pub leaves_connections_open: bool,
 }
--- a/testbed/tests/days.rs
+++ b/testbed/tests/days.rs
@@ -696,6 +696,8 @@
         (Mutation::CountsDrains, Fault::OverlappingEvacuations, "is still drained"),
         (Mutation::CountsDrains, Fault::EvacuationsLostAnswers, "is still drained"),
         (Mutation::CarriesOutOvertakenOrders, Fault::EvacuationsControlFreezes, "in drained zone"),
+        (Mutation::ResendsOvertakenOrders, Fault::EvacuationsControlFreezes, "in drained zone"),
+        (Mutation::TakesLateOrdersForNew, Fault::EvacuationsControlFreezes, "in drained zone"),
         (Mutation::SteeringStaysDown, Fault::None, "steering polls served after the last fault"),
         (Mutation::SkipsReadIndex, Fault::RestartsInConfigBurst, ", after revision"),
         (
