A request behind one that took long on its connection is not taken for a new one

What could be seen: an order that is pipelined behind another one is read when that one is answered, up to 4 s later, and was taken for one that had just been sent, so that it could undo a newer order that was acknowledged meanwhile.

Cause: the order waits in the socket of a process that runs, which the fence can't tell. Why the fix works: a response that took longer than the delay that the fence covers ends its connection; what is behind it is discarded and has not run.

--- a/registry/src/api/mod.rs
+++ b/registry/src/api/mod.rs
@@ -18,8 +18,10 @@
 use crate::state::Registry;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
 use std::sync::Arc;
 use vanepath_cluster::node::{self, ListStage};
+use vanepath_cluster::request_fence::UNNOTICED_DELAY;
 use vanepath_store::protocol::Change;
 
 /// The stages of the endpoint list's way at a registry.
@@ -39,7 +41,14 @@
         return response;
     }
     let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
-    route(&registry, request, &segments).await.unwrap_or_else(ApiError::into_response)
+    let started_at = registry.node.clock.now();
+    let routed = route(&registry, request, &segments).await;
+    let mut response = routed.unwrap_or_else(ApiError::into_response);
+    if registry.node.clock.now().saturating_sub(started_at) > UNNOTICED_DELAY {
+        // Requests behind this one waited as long, and would be taken for new ones.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 async fn route(
