--- a/testbed/src/commands/soak.rs
+++ b/testbed/src/commands/soak.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
-use vanepath_testbed::soak::{LARGE_SEED_INTERVAL, Outcome, Plan, run as run_seed};
+use vanepath_testbed::soak::{Focus, LARGE_SEED_INTERVAL, Outcome, Plan, run as run_seed};
 
 const MAX_PROXIES: usize = 78;
 const MAX_SERVERS: usize = 140;
@@ -38,6 +38,7 @@
     options.optopt("", "servers", "servers of a fleet, 6 to 140 (default 18)", "N");
     options.optopt("", "clients", "clients that keep connections, 1 to 500 (default 32)", "N");
     options.optopt("", "seconds", "how long troubles come, 3 to 600 (default 16)", "N");
+    options.optopt("", "focus", "what scripts are about: mixed (default) or evacuations", "KIND");
     options.optopt("", "jobs", "seeds at one time, 1 to 8 (default 1)", "N");
     let keep_help = "where failed seeds leave script, logs and reasons (default: soak-failed in the folder for \
                 temporary files)";
@@ -61,7 +62,9 @@
         number.ok_or_else(|| miette::miette!("--{name}: a whole number from {low} to {high}"))
     };
     let (first_seed, last_seed) = parse_seed_range(matches.opt_str("seeds"), "1-5")?;
+    let focus = matches.opt_str("focus").map_or(Ok(Focus::default()), |text| text.parse());
     let plan = Plan {
+        focus: focus.map_err(|_| miette::miette!("--focus: mixed or evacuations"))?,
         proxies: parse_number("proxies", 6, 2..=MAX_PROXIES as u64)? as usize,
         servers: parse_number("servers", 18, 6..=MAX_SERVERS as u64)? as usize,
         length: Duration::from_secs(parse_number("seconds", 16, 3..=600)?),
@@ -166,10 +169,10 @@
     for violation in &outcome.violations {
         println!("    {violation}");
     }
-    let Plan { proxies, servers, length, clients } = &options.plan;
+    let Plan { focus, proxies, servers, length, clients } = &options.plan;
     println!("    script, logs and violations: {}", folder.display());
     println!(
-        "    to repeat: vanepath-testbed soak --seeds {seed}-{seed} --proxies {proxies} --servers {servers} \
+        "    to repeat: vanepath-testbed soak --focus {focus} --seeds {seed}-{seed} --proxies {proxies} --servers {servers} \
          --clients {clients} --seconds {}",
         length.as_secs()
     );
--- a/testbed/src/harness.rs
+++ b/testbed/src/harness.rs
@@ -110,7 +110,7 @@
     /// Adds the core machines, with a store and a registry each.
     fn add_core(&mut self) {
         for machine in 0..self.topology.stores {
-            let (zone, region) = self.topology.zones[machine];
+            let (zone, region) = self.topology.zone(machine);
             self.add_store(machine, zone, region, "", FIRST_STORE_HOST + machine as u8);
             let name = format!("registry-{machine}");
             let host = FIRST_REGISTRY_HOST + machine as u8;
--- a/testbed/src/soak/mod.rs
+++ b/testbed/src/soak/mod.rs
@@ -16,9 +16,22 @@
 use std::time::Duration;
 use world::World;
 
+/// What the script of a soak test is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Focus {
+    /// Faults and planned operations of all kinds, on one shape of fleet.
+    #[default]
+    Mixed,
+    /// Evacuations of zones amid faults of core machines, on fleets of shapes that depend on the seed.
+    Evacuations,
+}
+
 /// Size and duration of a soak test.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// What the script is about.
+    pub focus: Focus,
     /// Number of proxies.
     pub proxies: usize,
     /// Number of servers.
@@ -59,8 +72,11 @@
 
 /// Runs the script of a seed on a newly started fleet and checks the invariants.
 pub async fn run(seed: u64, plan: &Plan) -> Outcome {
-    let mut world = World::start(plan).await;
-    let steps = script::generate(seed, world.size(), plan.length);
+    let mut world = World::start(seed, plan).await;
+    let steps = match plan.focus {
+        Focus::Mixed => script::generate(seed, world.size(), plan.length),
+        Focus::Evacuations => script::evacuations::generate(seed, world.size(), plan.length),
+    };
     let script =
         steps.iter().map(|step| format!("{:>8.3} {:?}", step.at.as_secs_f64(), step.action));
     let script = script.collect();
--- a/testbed/src/soak/operator.rs
+++ b/testbed/src/soak/operator.rs
@@ -1,14 +1,17 @@
 //! The operator of a soak test. It sends configurations and drains and restores zones, one order after the
 //! other, and retries each until it is acknowledged. It also reads the active configuration at intervals.
 
+use super::Focus;
 use super::api_keys::tenants;
 use super::record::{AcknowledgedConfig, DrainedZone, RevisionReading};
 use crate::http::{Response, call};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinSet;
 
 /// How long an order is retried.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -16,8 +19,6 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time-out of one request that drains or restores a zone; the order is sent again then, elsewhere.
 const ZONE_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// One in so many orders that restore a zone has its first answer lost, as all have that drain one.
-const LOST_ANSWER_INTERVAL: usize = 4;
 /// Delay between two attempts of an order.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Interval between two reads of the active configuration.
@@ -36,6 +37,16 @@
     RestoreZone(String),
 }
 
+impl Order {
+    /// The zone that the order is for.
+    fn zone(&self) -> Option<String> {
+        match self {
+            Order::Configure => None,
+            Order::DrainZone(zone) | Order::RestoreZone(zone) => Some(zone.clone()),
+        }
+    }
+}
+
 /// The changes that the operator made and the configurations that it read.
 #[derive(Debug, Default)]
 pub struct Outcome {
@@ -64,6 +75,36 @@
     pub address: SocketAddr,
 }
 
+/// How an operator deals with calls for zones.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    /// One in so many orders that drain a zone has its first answer lost.
+    lost_drain_interval: usize,
+    /// One in so many orders that restore a zone has its first answer lost.
+    lost_restore_interval: usize,
+    /// Added to the number of an order, so that other orders have lost answers with another seed.
+    first_number: usize,
+    /// Whether the connection of a call that is not answered in time is left open.
+    leaves_silent_connections_open: bool,
+}
+
+impl Habits {
+    /// The habits of a seed's operator.
+    pub fn of_seed(seed: u64, focus: Focus) -> Habits {
+        let (lost_drain_interval, lost_restore_interval, first_number) = match focus {
+            Focus::Mixed => (1, 4, 0),
+            Focus::Evacuations => (6, 9, seed as usize),
+        };
+        let leaves_silent_connections_open = seed % 4 != 3;
+        Habits {
+            lost_drain_interval,
+            lost_restore_interval,
+            first_number,
+            leaves_silent_connections_open,
+        }
+    }
+}
+
 /// The operator of one fleet.
 pub struct Operator {
     /// Start of the soak test.
@@ -74,6 +115,7 @@
     outcome: Arc<Mutex<Outcome>>,
     /// The newest version that was acknowledged, for the clients.
     newest_version: Arc<AtomicU64>,
+    habits: Habits,
 }
 
 impl Operator {
@@ -84,16 +126,33 @@
         config: String,
         outcome: Arc<Mutex<Outcome>>,
         newest_version: Arc<AtomicU64>,
+        habits: Habits,
     ) -> Operator {
         outcome.lock().expect("no panic under this lock").version = FIRST_VERSION;
-        Operator { start, registries, config, outcome, newest_version }
+        Operator { start, registries, config, outcome, newest_version, habits }
     }
 
-    /// Carries out orders until the sender of the channel is dropped.
+    /// Carries out orders until the sender of the channel is dropped: those for one zone, and the configurations, one
+    /// after the other, those for several zones at the same time.
     pub async fn run(self: Arc<Self>, mut orders: UnboundedReceiver<Order>) {
         let mut number = 0;
+        let mut queues: HashMap<Option<String>, UnboundedSender<(Order, usize)>> = HashMap::new();
+        let mut operators = JoinSet::new();
         while let Some(order) = orders.recv().await {
             number += 1;
+            let queue = queues.entry(order.zone()).or_insert_with(|| {
+                let (sender, receiver) = unbounded_channel();
+                operators.spawn(self.clone().carry_out_all(receiver));
+                sender
+            });
+            let _ = queue.send((order, number));
+        }
+        drop(queues);
+        while operators.join_next().await.is_some() {}
+    }
+
+    async fn carry_out_all(self: Arc<Self>, mut orders: UnboundedReceiver<(Order, usize)>) {
+        while let Some((order, number)) = orders.recv().await {
             self.carry_out(order, number).await;
         }
     }
@@ -111,47 +170,59 @@
         // All attempts to configure carry the same idempotency key, so that the order is applied only once.
         // Orders for zones have no key, as on the users' platform.
         let key = format!("soak-{number}");
-        let key_header = [("idempotency-key", key.as_str())];
-        let (headers, request_timeout) = match &order {
-            Order::Configure => (&key_header[..], REQUEST_TIMEOUT),
-            Order::DrainZone(_) | Order::RestoreZone(_) => (&[][..], ZONE_REQUEST_TIMEOUT),
-        };
+        let is_configuration = order == Order::Configure;
+        let request_timeout = if is_configuration { REQUEST_TIMEOUT } else { ZONE_REQUEST_TIMEOUT };
+        let habits = &self.habits;
+        let lost_number = number + habits.first_number;
         let mut loses_answer = match &order {
             Order::Configure => false,
-            Order::DrainZone(_) => true,
-            Order::RestoreZone(_) => number.is_multiple_of(LOST_ANSWER_INTERVAL),
+            Order::DrainZone(_) => lost_number.is_multiple_of(habits.lost_drain_interval),
+            Order::RestoreZone(_) => lost_number.is_multiple_of(habits.lost_restore_interval),
         };
         let mut attempt = number;
         while start.elapsed() < ORDER_TIMEOUT {
             attempt += 1;
             let registry = &self.registries[attempt % self.registries.len()];
-            let call = call(registry.address, method, &path, headers, body.as_bytes());
-            let response = successful(call, request_timeout).await;
+            let (address, path, body) = (registry.address, path.clone(), body.clone());
+            let key = is_configuration.then(|| key.clone());
+            let sending = async move {
+                let headers: Vec<_> =
+                    key.iter().map(|key| ("idempotency-key", key.as_str())).collect();
+                call(address, method, &path, &headers, body.as_bytes()).await
+            };
+            let response = if self.habits.leaves_silent_connections_open && !is_configuration {
+                // The task keeps the connection when nobody waits for it any more.
+                let sending = tokio::spawn(sending);
+                successful(async { sending.await.ok().flatten() }, request_timeout).await
+            } else {
+                successful(sending, request_timeout).await
+            };
             if response.is_some() && std::mem::take(&mut loses_answer) {
                 tokio::time::sleep(ZONE_REQUEST_TIMEOUT).await;
                 continue;
             }
             if let Some(response) = response {
                 self.record(&order, &response.json());
-                return self.check_restored(&order).await;
+                return self.check_restored(&order, attempt).await;
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
     /// Records a zone that is still drained after its restoration was acknowledged; no other operator gives
-    /// orders.
-    async fn check_restored(&self, order: &Order) {
+    /// orders. Asks the registry of this attempt first, which responds.
+    async fn check_restored(&self, order: &Order, attempt: usize) {
         if let Order::RestoreZone(zone) = order
-            && self.read_drained_zones().await.is_some_and(|zones| zones.contains(zone))
+            && self.read_drained_zones(attempt).await.is_some_and(|zones| zones.contains(zone))
         {
             self.with_outcome(|outcome| outcome.zones_left_drained.push(zone.clone()));
         }
     }
 
     /// The zones that are drained, as the stores say; `None` if no registry knows.
-    async fn read_drained_zones(&self) -> Option<Vec<String>> {
-        for registry in &self.registries {
+    async fn read_drained_zones(&self, first: usize) -> Option<Vec<String>> {
+        let count = self.registries.len();
+        for registry in self.registries.iter().cycle().skip(first % count).take(count) {
             let call = call(registry.address, "GET", "/v1/zones", &[], b"");
             let Some(response) = successful(call, REQUEST_TIMEOUT).await else { continue };
             let page = response.json();
--- a/testbed/src/soak/script.rs
+++ b/testbed/src/soak/script.rs
@@ -1,5 +1,7 @@
 //! Scripts of soak tests: overlapping series of faults and planned operations, generated from a seed.
 
+pub mod evacuations;
+
 use crate::sim::Random;
 use crate::stub::Behavior;
 use std::time::Duration;
@@ -41,6 +43,8 @@
     RestartServer(usize),
     /// Set the behavior of a server.
     SetBehavior(usize, Behavior),
+    /// Remove the data of a daemon that is down. Only stores have any.
+    WipeDisk(Daemon),
     /// Have the operator send the next configuration.
     Configure,
     /// Have the operator drain a zone.
--- a/testbed/src/soak/world.rs
+++ b/testbed/src/soak/world.rs
@@ -6,14 +6,15 @@
 mod servers;
 mod stability;
 
-use super::Plan;
 use super::clients::{self, ProxyAddress, SharedState, UsagePattern};
-use super::operator::{FIRST_VERSION, NamedAddress, Operator, Order, Outcome, versioned};
+use super::operator::{FIRST_VERSION, Habits, NamedAddress, Operator, Order, Outcome, versioned};
 use super::record::{Observations, RevisionReading};
 use super::script::{Size, Step};
+use super::{Focus, LARGE_SEED_INTERVAL, Plan};
 use crate::harness::Fleet;
+use crate::sim::Random;
 use crate::stub::ServerState;
-use crate::topology::{Topology, raiocerto};
+use crate::topology::{Topology, raiocerto, raiocerto_with_zones};
 use fault_log::FaultLog;
 use revision_watch::watch;
 use std::sync::atomic::Ordering;
@@ -24,6 +25,12 @@
 
 /// The services of the fleet, by the label `app` of their servers.
 const APPS: [&str; 2] = ["ordering", "documents"];
+/// The zones of a fleet whose shape depends on the seed, and their regions.
+const ZONES: [&str; MAX_ZONES] = ["z-a", "z-b", "z-c", "z-d", "z-e", "z-f"];
+const MAX_ZONES: usize = 6;
+const REGIONS: [&str; 3] = ["north", "middle", "south"];
+/// Keeps the draws of the shape apart from those of the script.
+const SHAPE_SEED: u64 = 0x5a5a_0000;
 /// Time-out for the start of the fleet.
 const START_TIMEOUT: Duration = Duration::from_secs(40);
 /// Traffic without faults before and after the script.
@@ -64,15 +71,25 @@
     signals: usize,
     /// How often the links to each daemon were reset.
     resets: Vec<u64>,
+    /// The core machine that scripts call the first one.
+    first_core: usize,
 }
 
 impl World {
     /// Starts a fleet and waits until all proxies are ready.
-    pub async fn start(plan: &Plan) -> World {
-        let fleet = Fleet::start_with_relays(topology(plan)).await;
+    pub async fn start(seed: u64, plan: &Plan) -> World {
+        let topology = match plan.focus {
+            Focus::Mixed => topology(plan, raiocerto()),
+            Focus::Evacuations => shape_of_seed(seed, plan),
+        };
+        let fleet = Fleet::start_with_relays(topology).await;
         let revision = fleet.put_config(&versioned(&fleet.topology.config, FIRST_VERSION)).await;
         fleet.wait_until_active(revision, START_TIMEOUT).await;
         let incarnations = first_incarnations(&fleet);
+        let first_core = match plan.focus {
+            Focus::Mixed => 0,
+            Focus::Evacuations => machine_of_first_store(&fleet).await,
+        };
         let start = Instant::now();
         World {
             start,
@@ -82,6 +99,7 @@
             to_restart: Vec::new(),
             signals: 0,
             resets: vec![0; fleet.daemons.len()],
+            first_core,
             fleet,
         }
     }
@@ -110,6 +128,7 @@
             self.fleet.topology.config.clone(),
             outcome.clone(),
             shared.newest_version.clone(),
+            Habits::of_seed(seed, plan.focus),
         ));
         let (orders, received_orders) = mpsc::unbounded_channel();
         let operating = tokio::spawn(operator.clone().run(received_orders));
@@ -204,8 +223,32 @@
     }
 }
 
-fn topology(plan: &Plan) -> Topology {
-    let mut topology = raiocerto();
+/// A fleet of two to six zones in one to three regions, with one to three proxies in each zone, or as many as a large
+/// plan has. Core machines are in the first zones.
+fn shape_of_seed(seed: u64, plan: &Plan) -> Topology {
+    let mut random = Random::new(seed ^ SHAPE_SEED);
+    let count = 2 + random.below(MAX_ZONES - 1);
+    let regions = 1 + random.below(count.min(REGIONS.len()));
+    let zones = (0..count).map(|zone| (ZONES[zone], REGIONS[zone % regions])).collect();
+    let proxies = count * (1 + random.below(3));
+    let is_large = seed.is_multiple_of(LARGE_SEED_INTERVAL);
+    let proxies = if is_large { plan.proxies } else { proxies };
+    let servers = plan.servers.max(4 * count);
+    topology(&Plan { proxies, servers, ..plan.clone() }, raiocerto_with_zones(zones))
+}
+
+/// The core machine whose store has the first slot of the member table: registries ask it first.
+async fn machine_of_first_store(fleet: &Fleet) -> usize {
+    for (machine, store) in fleet.with_role("store").into_iter().enumerate() {
+        if fleet.page(store, "status").await["seat"].as_usize() == Some(0) {
+            return machine;
+        }
+    }
+    0
+}
+
+/// A deployment with the proxies and servers of a plan.
+fn topology(plan: &Plan, mut topology: Topology) -> Topology {
     topology.proxies = plan.proxies;
     let documents = plan.servers / 3;
     topology.servers = vec![(APPS[0], plan.servers - documents), (APPS[1], documents)];
--- a/testbed/src/soak/world/actions.rs
+++ b/testbed/src/soak/world/actions.rs
@@ -58,6 +58,12 @@
                 self.faults.end(&format!("crash {server}"));
             }
             Action::SetBehavior(server, behavior) => self.set_behavior(*server, *behavior),
+            Action::WipeDisk(daemon) => {
+                let index = self.index(*daemon);
+                if matches!(daemon, Daemon::Store(_)) && !self.fleet.is_running(index) {
+                    self.fleet.wipe_data(index);
+                }
+            }
             Action::Configure => self.order(orders, Order::Configure),
             Action::DrainZone(zone) => self.order(orders, Order::DrainZone(self.zone_name(*zone))),
             Action::RestoreZone(zone) => {
@@ -137,8 +143,8 @@
     fn index(&self, daemon: Daemon) -> usize {
         let (role, position) = match daemon {
             Daemon::Proxy(position) => ("proxy", position),
-            Daemon::Registry(position) => ("registry", position),
-            Daemon::Store(position) => ("store", position),
+            Daemon::Registry(position) => ("registry", self.first_core + position),
+            Daemon::Store(position) => ("store", self.first_core + position),
         };
         let daemons = self.fleet.with_role(role);
         daemons[position % daemons.len()]
--- a/testbed/src/topology.rs
+++ b/testbed/src/topology.rs
@@ -5,7 +5,7 @@
 pub struct Topology {
     /// Name of the deployment.
     pub name: &'static str,
-    /// Zones with their regions. The core machines are in the first zones, one in each.
+    /// Zones with their regions. The core machines are distributed round-robin over the zones, from the first one on.
     pub zones: Vec<(&'static str, &'static str)>,
     /// Number of proxies, distributed round-robin over the zones.
     pub proxies: usize,
@@ -55,8 +55,8 @@
 ];
 
 /// The zones as JSON objects for the configuration document.
-fn zones_as_json() -> String {
-    let zones: Vec<String> = ZONES
+fn zones_as_json(zones: &[(&str, &str)]) -> String {
+    let zones: Vec<String> = zones
         .iter()
         .map(|(zone, region)| format!(r#"{{"zone": "{zone}", "region": "{region}"}}"#))
         .collect();
@@ -65,6 +65,11 @@
 
 /// A wholesaler for bike shops: stock, prices, orders, catalogues and invoices.
 pub fn raiocerto() -> Topology {
+    raiocerto_with_zones(ZONES.to_vec())
+}
+
+/// The same deployment in other zones.
+pub fn raiocerto_with_zones(zones: Vec<(&'static str, &'static str)>) -> Topology {
     let config = format!(
         r#"{{
   "places": [{}],
@@ -89,11 +94,11 @@
       "class": "lookup", "service": "ordering"}}
   ]
 }}"#,
-        zones_as_json()
+        zones_as_json(&zones)
     );
     Topology {
         name: "raiocerto",
-        zones: ZONES.to_vec(),
+        zones,
         proxies: 8,
         stores: 3,
         servers: vec![("ordering", 20), ("documents", 10), ("spare", 5)],
@@ -135,7 +140,7 @@
       "class": "lookup", "service": "rolls"}}
   ]
 }}"#,
-        zones_as_json()
+        zones_as_json(&ZONES)
     );
     Topology {
         name: "guild",
