--- a/store/tests/drain_order_model.rs
+++ b/store/tests/drain_order_model.rs
@@ -232,47 +232,33 @@
     }
 }
 
-/// The rules of a version whose registries send an overtaken order again after the newer one, since its caller's
-/// connection is open.
+/// The rules of versions before incident 0029. Their registries send an overtaken order again after the newer one, since
+/// its caller's connection is open (`RESENDS_OVERTAKEN`), or take an order that they read for one that was just sent.
 #[derive(Clone)]
-struct ResendsOvertaken(Store);
+struct EarlierRegistries<const RESENDS_OVERTAKEN: bool>(Store);
 
-impl Rules for ResendsOvertaken {
-    fn carry_out(&mut self, order: Order, known: u64) -> bool {
-        match self.0.request(order, known) {
-            Outcome::Overtaken { revision } => self.0.carry_out(order, revision),
-            outcome => matches!(outcome, Outcome::Accepted { .. }),
-        }
-    }
+type ResendsOvertaken = EarlierRegistries<true>;
+type TakesLateForNew = EarlierRegistries<false>;
 
-    fn latest_revision(&self) -> u64 {
-        self.0.latest_revision()
-    }
-
-    fn last_order_revision(&self) -> u64 {
-        self.0.last_order_revision()
-    }
-
-    fn last_order(&self) -> Option<Order> {
-        self.0.last_order()
-    }
-
-    fn drain_count(&self) -> u32 {
-        self.0.drain_count()
+impl<const RESENDS_OVERTAKEN: bool> EarlierRegistries<RESENDS_OVERTAKEN> {
+    fn new() -> Self {
+        EarlierRegistries(Store::new())
     }
 }
 
-/// The rules of a version whose registries take an order that they read for one that has just been sent.
-#[derive(Clone)]
-struct TakesLateForNew(Store);
-
-impl Rules for TakesLateForNew {
+impl<const RESENDS_OVERTAKEN: bool> Rules for EarlierRegistries<RESENDS_OVERTAKEN> {
     fn carry_out(&mut self, order: Order, known: u64) -> bool {
-        self.0.carry_out(order, known)
+        match self.0.request(order, known) {
+            Outcome::Overtaken { revision } if RESENDS_OVERTAKEN => {
+                self.0.carry_out(order, revision)
+            }
+            outcome => matches!(outcome, Outcome::Accepted { .. }),
+        }
     }
 
     fn known_when_read_late(before: u64, latest: u64, late: Late) -> u64 {
         match late {
+            _ if RESENDS_OVERTAKEN => fenced_revision(before, latest, late),
             Late::AtStore => before,
             _ => latest,
         }
@@ -358,7 +344,7 @@
     }
 }
 
-/// A transmission that waits in a process that stands still.
+/// A transmission that waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Waiting {
     order: Order,
@@ -601,8 +587,8 @@
     assert_eq!(found.violations, expected.into(), "counted orders");
     let found = search(&AppliedWhenRead::default(), 2);
     assert_eq!(found.violations, expected.into(), "applied when read");
-    let found = search(&ResendsOvertaken(Store::new()), 2);
+    let found = search(&ResendsOvertaken::new(), 2);
     assert_eq!(found.violations, expected.into(), "overtaken orders sent again");
-    let found = search(&TakesLateForNew(Store::new()), 2);
+    let found = search(&TakesLateForNew::new(), 2);
     assert_eq!(found.violations, expected.into(), "late orders taken for new ones");
 }
--- a/testbed/src/sim/scenario/operators.rs
+++ b/testbed/src/sim/scenario/operators.rs
@@ -252,11 +252,9 @@
 
 /// Whether the answer to this call is one of those that are lost.
 pub(in crate::sim) fn takes_lost_answer(sim: &mut Sim, operation: usize) -> bool {
-    let call = &sim.operations[operation].call;
-    let (Some(evacuation), OperatorCall::Change { change, .. }) = (call.evacuation(), call) else {
+    let Some((evacuation, step)) = sim.operations[operation].call.evacuation_step() else {
         return false;
     };
-    let step = usize::from(matches!(change, Change::RestoreZone { .. }));
     let lost = &mut sim.evacuations[evacuation].lost_answers[step];
     let is_lost = *lost > 0;
     *lost = lost.saturating_sub(1);
@@ -267,9 +265,7 @@
 /// after the operator's time-out if the answer was lost.
 pub(in crate::sim) fn keyless_call_ended(sim: &mut Sim, operation: usize, is_lost: bool) {
     let ended = &sim.operations[operation];
-    let Some(evacuation) = ended.call.evacuation() else { return };
-    let OperatorCall::Change { change, .. } = &ended.call else { return };
-    let step = usize::from(matches!(change, Change::RestoreZone { .. }));
+    let Some((evacuation, step)) = ended.call.evacuation_step() else { return };
     let (outcome, from) = (ended.outcome.clone(), ended.started_at);
     let is_accepted = matches!(outcome, Some(Outcome::Accepted { .. }));
     sim.trace_event(|| {
--- a/testbed/src/sim/state/operators.rs
+++ b/testbed/src/sim/state/operators.rs
@@ -61,6 +61,13 @@
         let OperatorCall::Change { key, .. } = self else { return None };
         key.strip_prefix("order-")?.split('-').next()?.parse().ok()
     }
+
+    /// The evacuation that this call belongs to, and which of its two calls this is: 0 drains the zone, 1 restores it.
+    pub fn evacuation_step(&self) -> Option<(usize, usize)> {
+        let OperatorCall::Change { change, .. } = self else { return None };
+        let step = usize::from(matches!(change, Change::RestoreZone { .. }));
+        Some((self.evacuation()?, step))
+    }
 }
 
 /// An evacuation of a zone by calls without an idempotency key. One call drains the zone and one
