Concurrent configurations without versions are not kept out by each other

What callers saw: since an overtaken change is not sent again by its registry, of several operators that send configurations without version, condition and key at the same time one was accepted and the others got 503, again and again; likewise one who sends two within half a second.

Cause: such configurations replace each other in any order, and none was given back the turn. Why the fix works: within a second of the earliest time at which it may have been sent its client still waits, and a registry makes an overtaken configuration the newer one; later, or after a pause, it gets 503. Orders for zones have no such exception: none of them is sent again by a registry.

--- a/cluster/src/request_fence.rs
+++ b/cluster/src/request_fence.rs
@@ -74,7 +74,7 @@
     }
 
     /// The earliest time at which a request that is read at `now` may have been sent.
-    fn sent_since(&self, now: Duration) -> Duration {
+    pub fn sent_since(&self, now: Duration) -> Duration {
         let unsettled = self.pause.filter(|pause| now < pause.settled_at);
         let arrived_since = unsettled.map_or(now, |pause| pause.began_at);
         arrived_since.saturating_sub(UNNOTICED_DELAY)
--- a/registry/src/api/stores.rs
+++ b/registry/src/api/stores.rs
@@ -3,27 +3,27 @@
 use super::change_log::ChangeLog;
 use super::errors::ApiError;
 use super::idempotency_key::IdempotencyKey;
-use crate::state::{Counter, Registry};
+use crate::state::{Counter, FencedRequest, Registry};
 use crate::store_client;
 use std::time::Duration;
 use vanepath_store::protocol::{Change, Outcome, Request};
 use vanepath_store::value::Value;
 
-/// When a client's request was received, and the highest committed revision that the registry knew when it may have
-/// been sent.
+/// The time for which a client waits for an answer before it sends its request elsewhere.
+const CLIENT_PATIENCE: Duration = Duration::from_millis(1000);
+
+/// When a client's request was received, and what the registry knows of the time at which it was sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Receipt {
     received_at: Duration,
-    known_revision: u64,
+    fenced: FencedRequest,
 }
 
 impl Receipt {
     /// The receipt of a request that has just been received.
     pub fn now(registry: &Registry) -> Receipt {
-        Receipt {
-            received_at: registry.node.clock.now(),
-            known_revision: registry.fenced_revision(),
-        }
+        let received_at = registry.node.clock.now();
+        Receipt { received_at, fenced: registry.fence_request(received_at) }
     }
 }
 
@@ -40,15 +40,27 @@
     change: Change,
     receipt: Receipt,
 ) -> Outcome {
-    let known_revision = receipt.known_revision;
+    let mut known_revision = receipt.fenced.known_revision;
     let change_log =
         ChangeLog::begin(registry, &key.text, &change, receipt.received_at, known_revision);
     tokio::task::yield_now().await;
     let waiting_time = registry.node.clock.now().saturating_sub(receipt.received_at);
     let keyless_for = key.is_generated.then_some(waiting_time);
-    let known_revision = Some(known_revision);
-    let request = Request::Change { key: key.text.clone(), change, keyless_for, known_revision };
-    let outcome = store_client::execute(registry, request).await;
+    let outcome = loop {
+        let request = Request::Change {
+            key: key.text.clone(),
+            change: change.clone(),
+            keyless_for,
+            known_revision: Some(known_revision),
+        };
+        let outcome = store_client::execute(registry, request).await;
+        match outcome {
+            Outcome::Overtaken { revision } if may_be_concurrent(registry, &change, &receipt) => {
+                known_revision = revision;
+            }
+            outcome => break outcome,
+        }
+    };
     change_log.finish(&outcome);
     if let Outcome::Accepted { revision, .. } | Outcome::Overtaken { revision } = outcome {
         registry.observe_revision(revision);
@@ -56,6 +68,13 @@
     outcome
 }
 
+/// Whether a change that was overtaken is sent again as a newer one: a configuration whose client has not had the
+/// time to move on. Configurations of several clients, without versions, conditions and keys, then replace each other.
+fn may_be_concurrent(registry: &Registry, change: &Change, receipt: &Receipt) -> bool {
+    let is_configuration = matches!(change, Change::ReplaceConfig { .. });
+    is_configuration && registry.node.clock.now() < receipt.fenced.sent_since + CLIENT_PATIENCE
+}
+
 /// Reads the latest committed value from the stores.
 ///
 /// # Errors
