--- a/testbed/tests/outside_names.rs
+++ b/testbed/tests/outside_names.rs
@@ -84,6 +84,14 @@
         !status["servers"].is_empty() && status["ordersFromHere"][0]["order"].len() > 1
     })
     .await;
+    // A registry that has just started looks for an unknown zone for a while, and a response that took long closes its
+    // connection.
+    let registry_address = fleet.daemons[registry].address;
+    let unknown_zone = "/v1/zones/nowhere/emptied";
+    wait_until("the registry knows its zones", Duration::from_secs(10), async || {
+        http::call(registry_address, "PUT", unknown_zone, &[], b"").await.is_some()
+    })
+    .await;
     let mut text = String::new();
     let key = ("idempotency-key", "key-1");
     for (index, method, path, headers, body) in [
